Add the workspace, the design page and the shared types

Cause: the project starts from nothing, and its parts are to be written side by side.

Conclusion: the parts can be written against fixed interfaces.

--- /dev/null
+++ b/crates/base/src/random.rs
@@ -0,0 +1,46 @@
+//! Seeded random numbers for decisions.
+//!
+//! A decision crate never asks the machine for randomness: the same seed must give the same actions, so that a
+//! failure found under one seed can be replayed.
+
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+
+/// A generator whose whole sequence follows from its seed.
+#[derive(Clone, Debug)]
+pub struct SeededRandom(ChaCha8Rng);
+
+impl SeededRandom {
+    /// Returns the generator for `seed`.
+    pub fn new(seed: u64) -> SeededRandom {
+        SeededRandom(ChaCha8Rng::seed_from_u64(seed))
+    }
+
+    /// Returns a generator whose sequence is independent of this one's later values.
+    pub fn fork(&mut self) -> SeededRandom {
+        SeededRandom::new(self.next_u64())
+    }
+
+    /// Returns the next 64 random bits.
+    pub fn next_u64(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+
+    /// Returns a number below `bound`, or zero when `bound` is zero.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        // The multiply-shift method has a bias below bound / 2^64, which no decision here can notice.
+        ((u128::from(self.next_u64()) * u128::from(bound)) >> 64) as u64
+    }
+
+    /// Returns a number in `0.0..1.0`.
+    pub fn fraction(&mut self) -> f64 {
+        (self.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Returns whether an event of probability `chance` happens.
+    pub fn chance(&mut self, chance: f64) -> bool {
+        self.fraction() < chance
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,7 @@
+//! The measuring tool.
+//!
+//! Each experiment runs the product beside its baselines in the same process, from one seed, and prints rows that
+//! name the stated target where there is one.
+
+pub mod registry;
+pub mod report;
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command-line client.
--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command-line client.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/key.rs
@@ -0,0 +1,75 @@
+//! Hashes of caller keys.
+//!
+//! The configuration never holds a secret: a key is stored as its SHA-256 hash, and hashes are compared in
+//! constant time, so that the time of a refusal tells nothing about a stored hash.
+
+use std::fmt;
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The SHA-256 hash of a key's secret.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Returns the hash of `secret`.
+    pub fn of(secret: &str) -> KeyHash {
+        KeyHash(Sha256::digest(secret.as_bytes()).into())
+    }
+
+    /// Returns whether both hashes are equal, in a time that doesn't depend on where they differ.
+    pub fn matches(&self, other: &KeyHash) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// Returns the hash written as 64 hexadecimal digits, or `None` when `text` is anything else.
+    pub fn parse(text: &str) -> Option<KeyHash> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).ok()?;
+        }
+        Some(KeyHash(bytes))
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "KeyHash({self})")
+    }
+}
+
+impl Serialize for KeyHash {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyHash {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<KeyHash, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        KeyHash::parse(&text).ok_or_else(|| D::Error::custom("a key hash is 64 hexadecimal digits"))
+    }
+}
+
+impl JsonSchema for KeyHash {
+    fn schema_name() -> std::borrow::Cow<'static, str> {
+        "KeyHash".into()
+    }
+
+    fn json_schema(_: &mut SchemaGenerator) -> Schema {
+        json_schema!({ "type": "string", "pattern": "^[0-9a-f]{64}$" })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon: adapters around the facade.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The router daemon: adapters around the facade.
+
+fn main() {}
--- /dev/null
+++ b/crates/life/src/lib.rs
@@ -0,0 +1,1 @@
+//! The life cycle of one request as a typestate.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet-wide token rates and bursts.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Zone membership: heartbeats, rosters and ownership.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Idempotency claims for requests that run at most once.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders to targets under a fencing number.
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between routers over tarpc.
--- /dev/null
+++ b/crates/pick/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of the target for a request.
--- /dev/null
+++ b/crates/prefix/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prompt pieces and the index of cached prefixes.
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fair queueing over client accounts.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,20 @@
+//! The facade over one router's whole decision state.
+//!
+//! [`RouterState`] takes one event type and gives one action type. It is deterministic: time comes with each
+//! event and randomness from a seed, so that the same seed and events give the same actions.
+
+mod action;
+mod event;
+mod message;
+mod state;
+
+pub use action::{
+    CallerError, CallerReply, DispatchOrder, ErrorKind, ResumePoint, RouterAction, RunOutcome,
+    StateNotice,
+};
+pub use event::{
+    AttemptReport, CacheBatch, CacheEvent, LoadReport, RequestArrival, RouterEvent, VmListing,
+    VmState,
+};
+pub use message::PeerMessage;
+pub use state::{RouterSettings, RouterState};
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and plain services.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the platform, engines and plain services.
+
+fn main() {}
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered event streams and their resumption.
--- /dev/null
+++ b/crates/sync/src/lib.rs
@@ -0,0 +1,1 @@
+//! Distribution of the accepted configuration to every VM.
