--- /dev/null
+++ b/crates/life/src/stage.rs
@@ -0,0 +1,229 @@
+//! The stages of a request and the steps between them.
+
+use std::marker::PhantomData;
+
+use godwitroad_base::{ClockTime, RequestId};
+
+/// A request in stage `S`.
+///
+/// A step consumes the request, so that no earlier stage of it can be used again.
+#[derive(Debug)]
+pub struct RequestLife<S> {
+    id: RequestId,
+    attempts: u32,
+    stage: S,
+}
+
+/// The request came in and nothing was done for it.
+#[derive(Debug)]
+pub struct Received;
+
+/// Tokens are reserved for the request.
+#[derive(Debug)]
+pub struct Admitted {
+    reserved: u64,
+}
+
+/// The request waits for a target.
+#[derive(Debug)]
+pub struct Queued {
+    reserved: u64,
+    since: ClockTime,
+}
+
+/// The request was given to the adapter, and whether a byte has left is not known yet.
+#[derive(Debug)]
+pub struct Offered<R> {
+    queued: Queued,
+    mode: PhantomData<R>,
+}
+
+/// A byte of the request may have reached the target.
+#[derive(Debug)]
+pub struct Dispatched<R> {
+    queued: Queued,
+    mode: PhantomData<R>,
+}
+
+/// The target has begun to answer.
+#[derive(Debug)]
+pub struct Streaming<R> {
+    queued: Queued,
+    mode: PhantomData<R>,
+}
+
+/// The answer is complete.
+#[derive(Debug)]
+pub struct Finished;
+
+/// The request certainly did not run.
+#[derive(Debug)]
+pub struct Refused;
+
+/// The request may have run, and its answer is not known.
+#[derive(Debug)]
+pub struct Unknown;
+
+/// Marks a request that may run more than once.
+#[derive(Debug)]
+pub enum Repeatable {}
+
+/// Marks a request that runs at most once.
+#[derive(Debug)]
+pub enum RunOnce {}
+
+mod sealed {
+    pub trait Sealed {}
+    impl Sealed for super::Repeatable {}
+    impl Sealed for super::RunOnce {}
+}
+
+/// Whether a request may run more than once: [`Repeatable`] or [`RunOnce`].
+pub trait RepeatMode: sealed::Sealed {}
+
+impl RepeatMode for Repeatable {}
+impl RepeatMode for RunOnce {}
+
+/// The evidence that an attempt did not run.
+#[derive(Clone, Copy, Debug)]
+pub struct NotRunProof(());
+
+impl NotRunProof {
+    /// Returns the evidence that a failed attempt gives, or `None` when the attempt may have run.
+    ///
+    /// `sent` tells whether a byte may have reached the target, and `refused` whether the target itself said that
+    /// it took no part of the request.
+    pub fn of_failure(sent: bool, refused: bool) -> Option<NotRunProof> {
+        (!sent || refused).then_some(NotRunProof(()))
+    }
+}
+
+impl<S> RequestLife<S> {
+    /// Returns the id of the request.
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Returns the number of attempts so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    fn step<T>(self, stage: T) -> RequestLife<T> {
+        RequestLife { id: self.id, attempts: self.attempts, stage }
+    }
+}
+
+impl RequestLife<Received> {
+    /// Returns a request that has just come in.
+    pub fn new(id: RequestId) -> RequestLife<Received> {
+        RequestLife { id, attempts: 0, stage: Received }
+    }
+
+    /// Records that `reserved` tokens are reserved.
+    pub fn admit(self, reserved: u64) -> RequestLife<Admitted> {
+        self.step(Admitted { reserved })
+    }
+
+    /// Ends a request that did not run.
+    pub fn refuse(self) -> RequestLife<Refused> {
+        self.step(Refused)
+    }
+}
+
+impl RequestLife<Admitted> {
+    /// Puts the request into the queue.
+    pub fn enqueue(self, now: ClockTime) -> RequestLife<Queued> {
+        let reserved = self.stage.reserved;
+        self.step(Queued { reserved, since: now })
+    }
+
+    /// Ends a request that did not run.
+    pub fn refuse(self) -> RequestLife<Refused> {
+        self.step(Refused)
+    }
+}
+
+impl RequestLife<Queued> {
+    /// Returns the tokens that are reserved.
+    pub fn reserved(&self) -> u64 {
+        self.stage.reserved
+    }
+
+    /// Returns the time at which the request first entered the queue.
+    pub fn since(&self) -> ClockTime {
+        self.stage.since
+    }
+
+    /// Gives the request to the adapter for one attempt.
+    pub fn offer<R: RepeatMode>(mut self) -> RequestLife<Offered<R>> {
+        self.attempts += 1;
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: Offered { queued: stage, mode: PhantomData } }
+    }
+
+    /// Ends a request that did not run.
+    pub fn refuse(self) -> RequestLife<Refused> {
+        self.step(Refused)
+    }
+}
+
+impl<R: RepeatMode> RequestLife<Offered<R>> {
+    /// Records that a byte may have reached the target.
+    pub fn sent(self) -> RequestLife<Dispatched<R>> {
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: Dispatched { queued: stage.queued, mode: PhantomData } }
+    }
+
+    /// Puts a request back whose attempt certainly did not run.
+    pub fn unsent(self, _proof: NotRunProof) -> RequestLife<Queued> {
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: stage.queued }
+    }
+}
+
+impl<R: RepeatMode> RequestLife<Dispatched<R>> {
+    /// Records that the target has begun to answer.
+    pub fn start(self) -> RequestLife<Streaming<R>> {
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: Streaming { queued: stage.queued, mode: PhantomData } }
+    }
+
+    /// Ends a request whose only attempt certainly did not run.
+    pub fn refuse(self, _proof: NotRunProof) -> RequestLife<Refused> {
+        self.step(Refused)
+    }
+
+    /// Ends a request that may have run.
+    pub fn lose(self) -> RequestLife<Unknown> {
+        self.step(Unknown)
+    }
+}
+
+impl RequestLife<Dispatched<Repeatable>> {
+    /// Puts an idempotent request back into the queue for another attempt.
+    pub fn retry(self) -> RequestLife<Queued> {
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: stage.queued }
+    }
+}
+
+impl<R: RepeatMode> RequestLife<Streaming<R>> {
+    /// Ends a request whose answer is complete.
+    pub fn finish(self) -> RequestLife<Finished> {
+        self.step(Finished)
+    }
+
+    /// Ends a request whose answer broke off.
+    pub fn lose(self) -> RequestLife<Unknown> {
+        self.step(Unknown)
+    }
+}
+
+impl RequestLife<Streaming<Repeatable>> {
+    /// Puts an idempotent request back into the queue, so that its answer goes on at another target.
+    pub fn resume(self) -> RequestLife<Queued> {
+        let RequestLife { id, attempts, stage } = self;
+        RequestLife { id, attempts, stage: stage.queued }
+    }
+}
--- /dev/null
+++ b/crates/life/src/table.rs
@@ -0,0 +1,112 @@
+//! A request of any stage, for a table of requests.
+
+use godwitroad_base::RequestId;
+use godwitroad_config::RepeatRule;
+
+use crate::stage::{NotRunProof, Offered, Queued, Repeatable, RequestLife, RunOnce, Streaming};
+
+/// An offered request, whose repeat mode is only known at run time.
+#[derive(Debug)]
+pub enum OfferedLife {
+    /// The request may run again.
+    Repeatable(RequestLife<Offered<Repeatable>>),
+    /// The request runs at most once.
+    RunOnce(RequestLife<Offered<RunOnce>>),
+}
+
+/// A request that is under way, in whatever stage.
+#[derive(Debug)]
+pub enum LifeStage {
+    /// The request waits.
+    Queued(RequestLife<Queued>),
+    /// An attempt was given to the adapter.
+    Offered(OfferedLife),
+    /// The answer of an idempotent request arrives.
+    StreamingRepeatable(RequestLife<Streaming<Repeatable>>),
+    /// The answer of a run-once request arrives.
+    StreamingOnce(RequestLife<Streaming<RunOnce>>),
+}
+
+/// What follows from the failure of an attempt.
+#[derive(Debug)]
+pub enum FailureStep {
+    /// The request may be attempted again.
+    Again(RequestLife<Queued>),
+    /// The request may have run, and must not run again.
+    Unknown,
+}
+
+impl OfferedLife {
+    /// Offers a queued request under `rule`.
+    pub fn new(life: RequestLife<Queued>, rule: RepeatRule) -> OfferedLife {
+        match rule {
+            RepeatRule::Repeatable => OfferedLife::Repeatable(life.offer()),
+            RepeatRule::RunOnce => OfferedLife::RunOnce(life.offer()),
+        }
+    }
+
+    /// Records that the target has begun to answer.
+    pub fn start(self) -> LifeStage {
+        match self {
+            OfferedLife::Repeatable(life) => LifeStage::StreamingRepeatable(life.sent().start()),
+            OfferedLife::RunOnce(life) => LifeStage::StreamingOnce(life.sent().start()),
+        }
+    }
+
+    /// Decides what follows when the attempt fails before an answer began.
+    pub fn fail(self, proof: Option<NotRunProof>) -> FailureStep {
+        match (self, proof) {
+            (OfferedLife::Repeatable(life), Some(proof)) => FailureStep::Again(life.unsent(proof)),
+            (OfferedLife::RunOnce(life), Some(proof)) => FailureStep::Again(life.unsent(proof)),
+            (OfferedLife::Repeatable(life), None) => FailureStep::Again(life.sent().retry()),
+            (OfferedLife::RunOnce(life), None) => {
+                life.sent().lose();
+                FailureStep::Unknown
+            }
+        }
+    }
+}
+
+impl LifeStage {
+    /// Returns the id of the request.
+    pub fn id(&self) -> RequestId {
+        match self {
+            LifeStage::Queued(life) => life.id(),
+            LifeStage::Offered(OfferedLife::Repeatable(life)) => life.id(),
+            LifeStage::Offered(OfferedLife::RunOnce(life)) => life.id(),
+            LifeStage::StreamingRepeatable(life) => life.id(),
+            LifeStage::StreamingOnce(life) => life.id(),
+        }
+    }
+
+    /// Returns the number of attempts so far.
+    pub fn attempts(&self) -> u32 {
+        match self {
+            LifeStage::Queued(life) => life.attempts(),
+            LifeStage::Offered(OfferedLife::Repeatable(life)) => life.attempts(),
+            LifeStage::Offered(OfferedLife::RunOnce(life)) => life.attempts(),
+            LifeStage::StreamingRepeatable(life) => life.attempts(),
+            LifeStage::StreamingOnce(life) => life.attempts(),
+        }
+    }
+
+    /// Returns whether the request certainly has not run so far.
+    pub fn is_unrun(&self) -> bool {
+        matches!(self, LifeStage::Queued(life) if life.attempts() == 0)
+    }
+
+    /// Decides what follows when the current attempt fails.
+    ///
+    /// A queued request has no attempt that could fail; it stays queued.
+    pub fn fail(self, proof: Option<NotRunProof>) -> FailureStep {
+        match self {
+            LifeStage::Queued(life) => FailureStep::Again(life),
+            LifeStage::Offered(offered) => offered.fail(proof),
+            LifeStage::StreamingRepeatable(life) => FailureStep::Again(life.resume()),
+            LifeStage::StreamingOnce(life) => {
+                life.lose();
+                FailureStep::Unknown
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/life/tests/stages.rs
@@ -0,0 +1,68 @@
+//! Guards against a run-once request that runs twice and against a "not run" that is not certain.
+
+use godwitroad_base::{ClockTime, RequestId};
+use godwitroad_config::RepeatRule;
+use godwitroad_life::{FailureStep, LifeStage, NotRunProof, OfferedLife, RequestLife};
+use proptest::prelude::*;
+use yare::parameterized;
+
+fn queued() -> RequestLife<godwitroad_life::Queued> {
+    RequestLife::new(RequestId { node: 1, serial: 2 }).admit(10).enqueue(ClockTime::from_ms(5))
+}
+
+#[parameterized(
+    sent = { true, false, false },
+    unsent = { false, false, true },
+    refused_by_target = { true, true, true },
+    unsent_and_refused = { false, true, true },
+)]
+fn proof_exists_only_when_the_attempt_cannot_have_run(sent: bool, refused: bool, proven: bool) {
+    assert_eq!(NotRunProof::of_failure(sent, refused).is_some(), proven);
+}
+
+proptest! {
+    /// Drives a request through random failures and counts the attempts that may have run.
+    #[test]
+    fn run_once_never_has_two_attempts_that_may_have_run(
+        steps in prop::collection::vec((any::<bool>(), any::<bool>(), any::<bool>()), 1..20),
+    ) {
+        let mut maybe_run = 0;
+        let mut life = Some(queued());
+        for (sent, refused, started) in steps {
+            let Some(current) = life.take() else { break };
+            let offered = OfferedLife::new(current, RepeatRule::RunOnce);
+            let proof = NotRunProof::of_failure(sent, refused);
+            let stage = if started { offered.start() } else { LifeStage::Offered(offered) };
+            maybe_run += u32::from(started || proof.is_none());
+            if let FailureStep::Again(next) = stage.fail(proof) {
+                prop_assert!(!started && proof.is_some());
+                life = Some(next);
+            }
+        }
+        prop_assert!(maybe_run <= 1);
+    }
+
+    #[test]
+    fn repeatable_request_can_always_go_on(failures in prop::collection::vec(any::<(bool, bool)>(), 1..20)) {
+        let mut life = queued();
+        for (index, (sent, started)) in failures.iter().enumerate() {
+            let offered = OfferedLife::new(life, RepeatRule::Repeatable);
+            let stage = if *started { offered.start() } else { LifeStage::Offered(offered) };
+            prop_assert_eq!(stage.attempts() as usize, index + 1);
+            let FailureStep::Again(next) = stage.fail(NotRunProof::of_failure(*sent, false)) else {
+                return Err(TestCaseError::fail("an idempotent request became unknown"));
+            };
+            life = next;
+        }
+        prop_assert_eq!(life.since(), ClockTime::from_ms(5));
+        prop_assert_eq!(life.reserved(), 10);
+    }
+}
+
+#[test]
+fn only_a_request_without_attempts_counts_as_unrun() {
+    let fresh = LifeStage::Queued(queued());
+    assert!(fresh.is_unrun());
+    let offered = LifeStage::Offered(OfferedLife::new(queued(), RepeatRule::RunOnce));
+    assert!(!offered.is_unrun());
+}
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -124,8 +124,10 @@
         first: u64,
         /// The number of tokens.
         count: u64,
-        /// The event's data as the engine wrote it.
+        /// The data of the event as the engine wrote it.
         data: Arc<str>,
+        /// The text of the tokens, from which another engine can go on.
+        text: Arc<str>,
     },
     /// A plain service sent a part of its body.
     Data(Arc<[u8]>),
