Add the facade with the path of a request

Cause: the daemon needs one state to drive, and every check on a request's way has to be in one place.

Change: the router crate takes a request through key, model, rate, queue, target, stream and end. The life cycle records whether an attempt may have run, so that a refusal after safe attempts still says "not run".

Conclusion: the daemon can be built against the facade.

--- a/crates/life/src/stage.rs
+++ b/crates/life/src/stage.rs
@@ -11,6 +11,7 @@
 pub struct RequestLife<S> {
     id: RequestId,
     attempts: u32,
+    may_have_run: bool,
     stage: S,
 }
 
@@ -109,15 +110,25 @@
         self.attempts
     }
 
+    /// Returns whether an attempt so far may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     fn step<T>(self, stage: T) -> RequestLife<T> {
-        RequestLife { id: self.id, attempts: self.attempts, stage }
+        self.map(|_| stage)
+    }
+
+    fn map<T>(self, change: impl FnOnce(S) -> T) -> RequestLife<T> {
+        let RequestLife { id, attempts, may_have_run, stage } = self;
+        RequestLife { id, attempts, may_have_run, stage: change(stage) }
     }
 }
 
 impl RequestLife<Received> {
     /// Returns a request that has just come in.
     pub fn new(id: RequestId) -> RequestLife<Received> {
-        RequestLife { id, attempts: 0, stage: Received }
+        RequestLife { id, attempts: 0, may_have_run: false, stage: Received }
     }
 
     /// Records that `reserved` tokens are reserved.
@@ -158,8 +169,7 @@
     /// Gives the request to the adapter for one attempt.
     pub fn offer<R: RepeatMode>(mut self) -> RequestLife<Offered<R>> {
         self.attempts += 1;
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: Offered { queued: stage, mode: PhantomData } }
+        self.map(|queued| Offered { queued, mode: PhantomData })
     }
 
     /// Ends a request that did not run.
@@ -171,22 +181,19 @@
 impl<R: RepeatMode> RequestLife<Offered<R>> {
     /// Records that a byte may have reached the target.
     pub fn sent(self) -> RequestLife<Dispatched<R>> {
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: Dispatched { queued: stage.queued, mode: PhantomData } }
+        self.map(|stage| Dispatched { queued: stage.queued, mode: PhantomData })
     }
 
     /// Puts a request back whose attempt certainly did not run.
     pub fn unsent(self, _proof: NotRunProof) -> RequestLife<Queued> {
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: stage.queued }
+        self.map(|stage| stage.queued)
     }
 }
 
 impl<R: RepeatMode> RequestLife<Dispatched<R>> {
     /// Records that the target has begun to answer.
     pub fn start(self) -> RequestLife<Streaming<R>> {
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: Streaming { queued: stage.queued, mode: PhantomData } }
+        self.map(|stage| Streaming { queued: stage.queued, mode: PhantomData })
     }
 
     /// Ends a request whose only attempt certainly did not run.
@@ -202,9 +209,9 @@
 
 impl RequestLife<Dispatched<Repeatable>> {
     /// Puts an idempotent request back into the queue for another attempt.
-    pub fn retry(self) -> RequestLife<Queued> {
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: stage.queued }
+    pub fn retry(mut self) -> RequestLife<Queued> {
+        self.may_have_run = true;
+        self.map(|stage| stage.queued)
     }
 }
 
@@ -222,8 +229,8 @@
 
 impl RequestLife<Streaming<Repeatable>> {
     /// Puts an idempotent request back into the queue, so that its answer goes on at another target.
-    pub fn resume(self) -> RequestLife<Queued> {
-        let RequestLife { id, attempts, stage } = self;
-        RequestLife { id, attempts, stage: stage.queued }
+    pub fn resume(mut self) -> RequestLife<Queued> {
+        self.may_have_run = true;
+        self.map(|stage| stage.queued)
     }
 }
--- a/crates/life/src/table.rs
+++ b/crates/life/src/table.rs
@@ -92,7 +92,7 @@
 
     /// Returns whether the request certainly has not run so far.
     pub fn is_unrun(&self) -> bool {
-        matches!(self, LifeStage::Queued(life) if life.attempts() == 0)
+        matches!(self, LifeStage::Queued(life) if !life.may_have_run())
     }
 
     /// Decides what follows when the current attempt fails.
--- a/crates/life/tests/stages.rs
+++ b/crates/life/tests/stages.rs
@@ -36,6 +36,7 @@
             maybe_run += u32::from(started || proof.is_none());
             if let FailureStep::Again(next) = stage.fail(proof) {
                 prop_assert!(!started && proof.is_some());
+                prop_assert!(!next.may_have_run(), "a refusal now must say that it did not run");
                 life = Some(next);
             }
         }
@@ -54,6 +55,8 @@
             };
             life = next;
         }
+        let ran = failures.iter().any(|&(sent, started)| sent || started);
+        prop_assert_eq!(life.may_have_run(), ran);
         prop_assert_eq!(life.since(), ClockTime::from_ms(5));
         prop_assert_eq!(life.reserved(), 10);
     }
--- /dev/null
+++ b/crates/router/src/caller.rs
@@ -0,0 +1,141 @@
+//! Callers who leave, return, read slowly or lose their key.
+
+use godwitroad_base::RequestId;
+use godwitroad_config::RepeatRule;
+use godwitroad_stream::EventId;
+
+use crate::{
+    CallerError, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterState,
+    request::CallerState, state::EventContext,
+};
+
+impl RouterState {
+    pub(crate) fn caller_left(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        if entry.caller != CallerState::Connected {
+            return;
+        }
+        entry.caller = CallerState::Left(context.now);
+        if entry.is_queued() {
+            self.requests.remove(id);
+        } else if !entry.facts.streams && entry.facts.repeat() == RepeatRule::Repeatable {
+            self.cancel(context, id);
+        }
+    }
+
+    pub(crate) fn caller_drained(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        bytes: u64,
+    ) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        entry.log.drain(bytes);
+        let paused = entry.log.pause_change();
+        let attempt = entry.attempts();
+        context.pause(id, attempt, paused);
+    }
+
+    /// Continues a stream for a caller who comes back with the last event that it has.
+    pub(crate) fn caller_returned(
+        &mut self,
+        context: &mut EventContext<'_>,
+        arrival: &RequestArrival,
+        event: &str,
+    ) {
+        let connection = arrival.connection;
+        let parsed = event.parse::<EventId>();
+        let id = parsed.map_or_else(|_| self.requests.next_id(), |event| event.request);
+        context.actions.push(RouterAction::Accepted { connection, id });
+        let Ok(event) = parsed else {
+            return context.fail(id, CallerError::not_run(ErrorKind::RequestInvalid));
+        };
+        if let Err(error) = self.replay(context, arrival, event) {
+            context.fail(id, error);
+        }
+    }
+
+    fn replay(
+        &mut self,
+        context: &mut EventContext<'_>,
+        arrival: &RequestArrival,
+        event: EventId,
+    ) -> Result<(), CallerError> {
+        let lost = || CallerError::unknown(ErrorKind::StreamLost);
+        let entry = self.requests.get_mut(event.request).ok_or_else(lost)?;
+        // Another key must not learn whether the stream exists.
+        if entry.facts.key != arrival.key {
+            return Err(lost());
+        }
+        entry.log.reconnect();
+        let missed: Vec<_> = entry.log.replay(event.number).map_err(|_| lost())?.cloned().collect();
+        entry.caller = CallerState::Connected;
+        for event_data in missed {
+            entry.log.wait(event_data.data.len() as u64);
+            let reply = CallerReply::Event { number: event_data.number, data: event_data.data };
+            context.reply(event.request, reply);
+        }
+        let attempt = entry.attempts();
+        let paused = entry.log.pause_change();
+        context.pause(event.request, attempt, paused);
+        Ok(())
+    }
+
+    /// Cancels the work for callers who have not returned in time.
+    pub(crate) fn cancel_abandoned(&mut self, context: &mut EventContext<'_>) {
+        let grace = self.settings.return_grace;
+        let abandoned: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, entry)| {
+                let left =
+                    matches!(entry.caller, CallerState::Left(at) if at + grace <= context.now);
+                left && entry.facts.repeat() == RepeatRule::Repeatable
+            })
+            .map(|(id, _)| id)
+            .collect();
+        for id in abandoned {
+            self.cancel(context, id);
+        }
+    }
+
+    /// Ends the requests whose key is no longer valid.
+    pub(crate) fn end_withdrawn(&mut self, context: &mut EventContext<'_>) {
+        let withdrawn: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, entry)| {
+                let key = entry.facts.key.as_ref();
+                let owner = self.view.authorize(&entry.facts.route, key);
+                entry.facts.account.is_some() && owner != Ok(entry.facts.account.clone())
+            })
+            .map(|(id, _)| id)
+            .collect();
+        for id in withdrawn {
+            self.withdraw(context, id);
+        }
+    }
+
+    fn withdraw(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        if entry.is_queued() {
+            return self.end_queued(context, id, ErrorKind::KeyWithdrawn);
+        }
+        if entry.caller == CallerState::Connected {
+            context.fail(id, CallerError::unknown(ErrorKind::KeyWithdrawn));
+        }
+        entry.caller = CallerState::Done;
+        // A run-once request goes on, so that its outcome can be recorded.
+        if entry.facts.repeat() == RepeatRule::Repeatable {
+            self.cancel(context, id);
+        }
+    }
+
+    fn cancel(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.remove(id) else { return };
+        if let Some(target) = &entry.target {
+            self.targets.ended(target, false);
+        }
+        context.actions.push(RouterAction::Cancel { id, attempt: entry.attempts() });
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,9 +4,18 @@
 //! event and randomness from a seed, so that the same seed and events give the same actions.
 
 mod action;
+mod admission;
+mod arrival;
+mod attempt;
+mod caller;
+mod dispatch;
 mod event;
 mod message;
+mod placement;
+mod refusal;
+mod request;
 mod state;
+mod view;
 
 pub use action::{
     CallerError, CallerReply, DispatchOrder, ErrorKind, ResumePoint, RouterAction, RunOutcome,
--- /dev/null
+++ b/crates/router/src/refusal.rs
@@ -0,0 +1,64 @@
+//! The errors that callers get, in one place, so that the same failure always reads the same.
+
+use godwitroad_base::ClockSpan;
+
+use crate::{CallerError, ErrorKind, RunOutcome};
+
+/// The time after which a caller may retry when nothing better is known.
+pub(crate) const DEFAULT_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(1_000);
+
+impl CallerError {
+    /// Returns the error of a request that certainly did not run.
+    pub(crate) fn not_run(kind: ErrorKind) -> CallerError {
+        CallerError {
+            kind,
+            outcome: RunOutcome::NotRun,
+            retry_after: default_retry(kind),
+            message: kind.message().to_owned(),
+        }
+    }
+
+    /// Returns the error of a request that may have run.
+    pub(crate) fn unknown(kind: ErrorKind) -> CallerError {
+        CallerError { outcome: RunOutcome::Unknown, ..CallerError::not_run(kind) }
+    }
+
+    pub(crate) fn retry_after(self, span: ClockSpan) -> CallerError {
+        CallerError { retry_after: Some(span), ..self }
+    }
+}
+
+impl ErrorKind {
+    fn message(self) -> &'static str {
+        match self {
+            ErrorKind::KeyMissing => "the route needs a key in the authorization header",
+            ErrorKind::KeyInvalid => "the key is not valid on this route",
+            ErrorKind::KeyWithdrawn => "the key was withdrawn",
+            ErrorKind::RouteUnknown => "no route takes this path",
+            ErrorKind::ModelUnknown => "no target of this route serves the model",
+            ErrorKind::RequestInvalid => "the request is malformed",
+            ErrorKind::RateExceeded => "the account's rate and burst are used up",
+            ErrorKind::Overloaded => "the request can't be served before its deadline",
+            ErrorKind::TargetUnavailable => "no target can take the request",
+            ErrorKind::TargetFailed => "the target failed before the answer was complete",
+            ErrorKind::ClaimUnavailable => "the idempotency key can't be claimed at the moment",
+            ErrorKind::ClaimPending => "a request with this idempotency key has been claimed",
+            ErrorKind::ClaimMismatch => "the idempotency key was used for another request",
+            ErrorKind::StreamLost => "the stream can't be continued",
+            ErrorKind::NotReady => "the router is not ready or is stopping",
+        }
+    }
+}
+
+fn default_retry(kind: ErrorKind) -> Option<ClockSpan> {
+    let helps = matches!(
+        kind,
+        ErrorKind::RateExceeded
+            | ErrorKind::Overloaded
+            | ErrorKind::TargetUnavailable
+            | ErrorKind::ClaimUnavailable
+            | ErrorKind::ClaimPending
+            | ErrorKind::NotReady
+    );
+    helps.then_some(DEFAULT_RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/router/tests/requests.rs
@@ -0,0 +1,187 @@
+//! Guards against wrong answers on the way of a request from its arrival to its end.
+
+mod support;
+
+use godwitroad_router::{
+    AttemptReport, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterEvent, RunOutcome,
+};
+use support::{TestDriver, chat, dispatches, document, errors, registration, started, token};
+use yare::parameterized;
+
+#[test]
+fn stream_reaches_its_caller_complete_and_in_order() {
+    let mut driver = TestDriver::new();
+    let (id, actions) = driver.request(chat("secret-1"));
+    assert_eq!(dispatches(&actions).len(), 1);
+    driver.report(id, 1, started());
+    (0..5).for_each(|index| drop(driver.report(id, 1, token(index))));
+    driver.report(id, 1, AttemptReport::Ended);
+    assert_eq!(driver.text(id), "t0 t1 t2 t3 t4 ");
+    assert_eq!(driver.replies(id).last(), Some(&CallerReply::End));
+    assert_eq!(driver.state.request_count(), 0);
+}
+
+#[parameterized(
+    no_key = { RequestArrival { key: None, ..chat("") }, ErrorKind::KeyMissing },
+    wrong_key = { chat("guess"), ErrorKind::KeyInvalid },
+    unknown_path = { RequestArrival { path: "/none".into(), ..chat("secret-1") }, ErrorKind::RouteUnknown },
+    path_sharing_only_letters = { RequestArrival { path: "/registered".into(), ..chat("secret-1") }, ErrorKind::RouteUnknown },
+    unknown_model = { RequestArrival { model: Some("other".into()), ..chat("secret-1") }, ErrorKind::ModelUnknown },
+    no_model = { RequestArrival { model: None, ..chat("secret-1") }, ErrorKind::ModelUnknown },
+    over_the_burst = { RequestArrival { max_tokens: Some(50_000), ..chat("secret-1") }, ErrorKind::RateExceeded },
+    malformed_event_id = { RequestArrival { last_event_id: Some("7".into()), ..chat("secret-1") }, ErrorKind::RequestInvalid },
+)]
+fn refused_request_is_not_dispatched(arrival: RequestArrival, kind: ErrorKind) {
+    let mut driver = TestDriver::new();
+    let (_, actions) = driver.request(arrival);
+    let found = errors(&actions);
+    assert_eq!((found[0].kind, found[0].outcome), (kind, RunOutcome::NotRun));
+    assert!(dispatches(&actions).is_empty());
+}
+
+#[test]
+fn open_route_needs_no_key() {
+    let mut driver = TestDriver::new();
+    let arrival = RequestArrival { key: None, path: "/public/a".into(), model: None, ..chat("") };
+    assert_eq!(dispatches(&driver.request(arrival).1).len(), 1);
+}
+
+#[test]
+fn engine_that_dies_is_replaced_without_lost_or_doubled_tokens() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(chat("secret-1"));
+    driver.report(id, 1, started());
+    (0..3).for_each(|index| drop(driver.report(id, 1, token(index))));
+    let failed = AttemptReport::Failed { sent: true, refused: false };
+    let orders = dispatches(&driver.report(id, 1, failed));
+    let resume = orders[0].resume.clone().expect("the answer goes on");
+    assert_eq!((orders[0].attempt, resume.tokens, &*resume.text), (2, 3, "t0 t1 t2 "));
+    driver.report(id, 1, token(3));
+    driver.report(id, 2, started());
+    (3..6).for_each(|index| drop(driver.report(id, 2, token(index))));
+    driver.report(id, 2, AttemptReport::Ended);
+    assert_eq!(driver.text(id), "t0 t1 t2 t3 t4 t5 ");
+}
+
+#[test]
+fn run_once_request_that_may_have_run_is_not_run_again() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(registration("secret-1"));
+    let actions = driver.report(id, 1, AttemptReport::Failed { sent: true, refused: false });
+    assert!(dispatches(&actions).is_empty());
+    assert_eq!(errors(&actions)[0].outcome, RunOutcome::Unknown);
+}
+
+#[test]
+fn run_once_request_that_was_not_sent_goes_to_another_target() {
+    let mut driver = TestDriver::new();
+    let (id, first) = driver.request(registration("secret-1"));
+    let again = driver.report(id, 1, AttemptReport::Failed { sent: false, refused: false });
+    let (first, again) = (dispatches(&first), dispatches(&again));
+    assert_ne!(first[0].target, again[0].target);
+}
+
+#[test]
+fn withdrawn_key_ends_running_and_queued_requests() {
+    let mut driver = TestDriver::new();
+    let ids: Vec<_> = (0..8).map(|_| driver.request(chat("secret-1")).0).collect();
+    let (other, _) = driver.request(chat("secret-2"));
+    let mut next = document();
+    next.accounts[0].keys.clear();
+    driver.configure(2, next);
+    for id in ids {
+        let Some(CallerReply::Failed(error)) = driver.replies(id).pop() else {
+            panic!("the caller was not told")
+        };
+        assert_eq!(error.kind, ErrorKind::KeyWithdrawn);
+    }
+    assert!(driver.replies(other).is_empty(), "another account's request must go on");
+    assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::KeyInvalid);
+}
+
+#[test]
+fn older_configuration_never_comes_back() {
+    let mut driver = TestDriver::new();
+    let mut next = document();
+    next.accounts[0].keys.clear();
+    driver.configure(3, next);
+    driver.configure(2, document());
+    assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::KeyInvalid);
+}
+
+#[test]
+fn late_answer_of_an_earlier_attempt_reaches_nobody() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(chat("secret-1"));
+    driver.report(id, 1, AttemptReport::Failed { sent: true, refused: false });
+    let actions = driver.report(id, 1, AttemptReport::Ended);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(driver.state.request_count(), 1);
+}
+
+#[test]
+fn queued_request_is_refused_truly_at_its_deadline() {
+    let mut driver = TestDriver::new();
+    (0..6).for_each(|_| drop(driver.request(chat("secret-1"))));
+    let (late, actions) = driver.request(chat("secret-1"));
+    assert!(dispatches(&actions).is_empty(), "all slots are taken");
+    let found = errors(&driver.advance(30_001));
+    assert_eq!(found.len(), 1);
+    assert_eq!((found[0].kind, found[0].outcome), (ErrorKind::Overloaded, RunOutcome::NotRun));
+    assert!(!driver.replies(late).is_empty());
+}
+
+#[test]
+fn returning_caller_gets_what_it_missed_and_another_key_gets_nothing() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(chat("secret-1"));
+    driver.report(id, 1, started());
+    (0..2).for_each(|index| drop(driver.report(id, 1, token(index))));
+    driver.send(RouterEvent::CallerLeft { id });
+    driver.report(id, 1, token(2));
+    let last = Some(format!("{id}-1"));
+    let stranger = RequestArrival { last_event_id: last.clone(), ..chat("secret-2") };
+    assert_eq!(errors(&driver.request(stranger).1)[0].kind, ErrorKind::StreamLost);
+    let (_, actions) = driver.request(RequestArrival { last_event_id: last, ..chat("secret-1") });
+    let numbers: Vec<u64> = actions
+        .iter()
+        .filter_map(|action| match action {
+            RouterAction::Reply { reply: CallerReply::Event { number, .. }, .. } => Some(*number),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(numbers, [2, 3]);
+}
+
+#[test]
+fn abandoned_stream_is_cancelled_after_the_grace_time() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(chat("secret-1"));
+    driver.report(id, 1, started());
+    driver.send(RouterEvent::CallerLeft { id });
+    let cancelled = |actions: &[RouterAction]| {
+        actions.iter().any(|action| matches!(action, RouterAction::Cancel { .. }))
+    };
+    assert!(!cancelled(&driver.advance(4_999)));
+    assert!(cancelled(&driver.advance(1)));
+}
+
+#[test]
+fn planned_stop_waits_for_every_request() {
+    let mut driver = TestDriver::new();
+    let (id, _) = driver.request(chat("secret-1"));
+    let exits = |actions: &[RouterAction]| {
+        actions.iter().any(|action| matches!(action, RouterAction::Exit))
+    };
+    assert!(!exits(&driver.send(RouterEvent::Stop)));
+    assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::NotReady);
+    driver.report(id, 1, started());
+    assert!(exits(&driver.report(id, 1, AttemptReport::Ended)));
+    assert_eq!(driver.replies(id).last(), Some(&CallerReply::End));
+}
+
+#[test]
+fn unconfigured_router_refuses() {
+    let mut driver = TestDriver::unconfigured();
+    assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::NotReady);
+}
