Add orders to targets under a fencing number

Cause: weights must be loaded on targets by one router at a time, also when the holder is paused and some targets ignore the fencing number.

Change: orders holds the lease as a value in the store, judged by each router's own clock, and derives a rollout's next steps from the configuration and the targets' reports. bench rollout compares it with loads one at a time and all at once.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod registry;
 pub mod report;
+mod rollout;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::report::BenchRow;
+use crate::{report::BenchRow, rollout};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -17,5 +17,9 @@
 
 /// Returns all experiments in the order of their names.
 pub fn experiments() -> Vec<BenchExperiment> {
-    Vec::new()
+    vec![BenchExperiment {
+        name: "rollout",
+        about: "time and lost capacity of a rollout of weights",
+        run: rollout::run,
+    }]
 }
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,1 +1,22 @@
 //! Orders to targets under a fencing number.
+//!
+//! Loading weights on a target must be decided by one router at a time: two that disagree would load more weights
+//! at once than the targets can bear, or move a target back to an old version. One router holds a lease for each
+//! service; the lease is a value in the store with a fencing number that grows with each new holder.
+//!
+//! Some targets refuse an order with an old number. For those that don't, time takes the place of the check: an
+//! order is sent only while the rest of the lease covers its delivery, and a new holder waits until every order of
+//! the old one must have arrived.
+//!
+//! A rollout has no state of its own. What is left to do follows from the configuration and from what the targets
+//! report, so that a new holder takes up a rollout where the old one stopped.
+
+mod holder;
+mod record;
+mod rollout;
+
+pub use holder::{HolderSettings, OrderAction, OrderEvent, OrderHolder, OrderOutcome};
+pub use record::{LeaseRecord, RecordError, Result};
+pub use rollout::{
+    DesiredTarget, RolloutPlan, RolloutProgress, TargetOrder, TargetReport, WeightVersion,
+};
