--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod registry;
 pub mod report;
 mod rollout;
+mod streams;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::{report::BenchRow, rollout};
+use crate::{report::BenchRow, rollout, streams};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -17,9 +17,16 @@
 
 /// Returns all experiments in the order of their names.
 pub fn experiments() -> Vec<BenchExperiment> {
-    vec![BenchExperiment {
-        name: "rollout",
-        about: "time and lost capacity of a rollout of weights",
-        run: rollout::run,
-    }]
+    vec![
+        BenchExperiment {
+            name: "rollout",
+            about: "time and lost capacity of a rollout of weights",
+            run: rollout::run,
+        },
+        BenchExperiment {
+            name: "streams",
+            about: "tokens decoded again after an engine's death, memory of a stream",
+            run: streams::run,
+        },
+    ]
 }
