Add the store client state machine

Cause: every part that calls the key-value service needs the same care for lost answers and outages. Change: StoreClient with settled writes, leases on the own clock, resuming watches, call budget, back-off, circuit breaker and counters, and a sequential model of the service for tests and benches.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,8 +4,23 @@
 //! to a write can be lost after the write took effect, so that every caller needs the same care. That care lives
 //! here once.
 
+mod breaker;
+mod budget;
+mod client;
+mod counters;
+pub mod model;
+mod operation;
 mod port;
+mod task;
 
+pub use breaker::BreakerSettings;
+pub use budget::BudgetSettings;
+pub use client::{ClientSettings, StoreAction, StoreClient, StoreEvent};
+pub use counters::{CallKind, KindCounters, StoreCounters};
+pub use operation::{
+    CallClass, ChangeMarker, OpId, OperationError, OperationReply, Result, StoreOperation,
+    StoreOrder, WatchUpdate,
+};
 pub use port::{
     CallId, KeyVersion, LeaseId, StoreEntry, StoreFailure, StoreKey, StoreOutcome, StoreReply,
     StoreRequest,
--- /dev/null
+++ b/crates/store/src/model.rs
@@ -0,0 +1,174 @@
+//! A sequential model of the key-value service.
+//!
+//! Tests, benches and the stand-in need one agreed meaning of versions, leases, watches and compaction. The model
+//! applies one request at a time to values in memory; whoever uses it adds delay, loss and outages around it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use godwitroad_base::{ClockSpan, ClockTime};
+
+use crate::port::{KeyVersion, LeaseId, StoreEntry, StoreKey, StoreReply, StoreRequest};
+
+/// The largest value that the service takes, in bytes.
+pub const VALUE_LIMIT_BYTES: usize = 1 << 20;
+
+#[derive(Clone, Debug)]
+struct ModelValue {
+    version: KeyVersion,
+    value: Arc<[u8]>,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Clone, Debug)]
+struct ModelLease {
+    ttl: ClockSpan,
+    until: ClockTime,
+}
+
+/// A sequential key-value service in memory.
+#[derive(Clone, Debug, Default)]
+pub struct StoreModel {
+    version: u64,
+    values: BTreeMap<StoreKey, ModelValue>,
+    removals: Vec<(KeyVersion, StoreKey)>,
+    compacted: u64,
+    leases: BTreeMap<i64, ModelLease>,
+    last_lease: i64,
+}
+
+impl StoreModel {
+    /// Returns a service without values.
+    pub fn new() -> StoreModel {
+        StoreModel::default()
+    }
+
+    /// Returns the newest version.
+    pub fn newest(&self) -> KeyVersion {
+        KeyVersion(self.version)
+    }
+
+    /// Returns the entry of `key`.
+    pub fn entry(&self, key: &StoreKey) -> Option<StoreEntry> {
+        let held = self.values.get(key)?;
+        Some(StoreEntry { key: key.clone(), version: held.version, value: held.value.clone() })
+    }
+
+    /// Returns the entries whose keys begin with `prefix`.
+    pub fn entries(&self, prefix: &StoreKey) -> Vec<StoreEntry> {
+        self.values
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()))
+            .filter_map(|(key, _)| self.entry(key))
+            .collect()
+    }
+
+    /// Discards the history up to the newest version, so that older watches must list again.
+    pub fn compact(&mut self) {
+        self.compacted = self.version;
+        self.removals.clear();
+    }
+
+    /// Applies a request, or returns `None` for a watch with nothing to report yet.
+    ///
+    /// A value above [`VALUE_LIMIT_BYTES`] is for the caller to refuse.
+    pub fn apply(&mut self, now: ClockTime, request: &StoreRequest) -> Option<StoreReply> {
+        self.expire(now);
+        Some(match request {
+            StoreRequest::Get { key } => StoreReply::Value(self.entry(key)),
+            StoreRequest::List { prefix } => StoreReply::Entries {
+                entries: self.entries(prefix),
+                removed: Vec::new(),
+                newest: self.newest(),
+            },
+            StoreRequest::Put { key, value, expected, lease } => {
+                self.put(key, value, *expected, *lease)
+            }
+            StoreRequest::Delete { key, expected } => {
+                let entry = self.entry(key);
+                if entry.as_ref().is_some_and(|entry| entry.version == *expected) {
+                    self.remove(key);
+                    StoreReply::Written(self.newest())
+                } else {
+                    StoreReply::Conflict(entry)
+                }
+            }
+            StoreRequest::Grant { ttl } => {
+                self.last_lease += 1;
+                self.leases.insert(self.last_lease, ModelLease { ttl: *ttl, until: now + *ttl });
+                StoreReply::Lease { lease: LeaseId(self.last_lease), ttl: *ttl }
+            }
+            StoreRequest::KeepAlive { lease } => match self.leases.get_mut(&lease.0) {
+                None => StoreReply::LeaseGone,
+                Some(held) => {
+                    held.until = now + held.ttl;
+                    StoreReply::Lease { lease: *lease, ttl: held.ttl }
+                }
+            },
+            StoreRequest::Watch { prefix, after } => return self.watch(prefix, *after),
+        })
+    }
+
+    fn put(
+        &mut self,
+        key: &StoreKey,
+        value: &Arc<[u8]>,
+        expected: Option<KeyVersion>,
+        lease: Option<LeaseId>,
+    ) -> StoreReply {
+        let entry = self.entry(key);
+        let version = entry.as_ref().map_or(KeyVersion(0), |entry| entry.version);
+        if expected.is_some_and(|expected| expected != version) {
+            return StoreReply::Conflict(entry);
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease.0)) {
+            return StoreReply::LeaseGone;
+        }
+        self.version += 1;
+        let held = ModelValue { version: self.newest(), value: value.clone(), lease };
+        self.values.insert(key.clone(), held);
+        StoreReply::Written(self.newest())
+    }
+
+    fn remove(&mut self, key: &StoreKey) {
+        self.version += 1;
+        self.values.remove(key);
+        self.removals.push((self.newest(), key.clone()));
+    }
+
+    fn expire(&mut self, now: ClockTime) {
+        let gone: Vec<i64> =
+            self.leases.iter().filter(|(_, lease)| lease.until <= now).map(|(id, _)| *id).collect();
+        for id in gone {
+            self.leases.remove(&id);
+            let keys: Vec<StoreKey> = self
+                .values
+                .iter()
+                .filter(|(_, held)| held.lease == Some(LeaseId(id)))
+                .map(|(key, _)| key.clone())
+                .collect();
+            keys.iter().for_each(|key| self.remove(key));
+        }
+    }
+
+    fn watch(&self, prefix: &StoreKey, after: KeyVersion) -> Option<StoreReply> {
+        if after.0 < self.compacted {
+            return Some(StoreReply::Compacted);
+        }
+        let mut entries = self.entries(prefix);
+        entries.retain(|entry| entry.version > after);
+        let removed: Vec<StoreKey> = self
+            .removals
+            .iter()
+            .filter(|(version, key)| {
+                *version > after
+                    && key.as_str().starts_with(prefix.as_str())
+                    && !self.values.contains_key(key)
+            })
+            .map(|(_, key)| key.clone())
+            .collect();
+        if entries.is_empty() && removed.is_empty() {
+            return None;
+        }
+        Some(StoreReply::Entries { entries, removed, newest: self.newest() })
+    }
+}
--- /dev/null
+++ b/crates/store/src/task.rs
@@ -0,0 +1,221 @@
+//! One operation on its way through the calls that it needs.
+//!
+//! The rules by which a lost answer is settled are here, free of queues and timers: given what came of a call, an
+//! operation ends, reads, or is sent again.
+
+use godwitroad_base::{ClockSpan, ClockTime};
+
+use crate::{
+    operation::{ChangeMarker, OperationError, OperationReply, Result, StoreOperation, StoreOrder},
+    port::{KeyVersion, StoreEntry, StoreFailure, StoreOutcome, StoreReply, StoreRequest},
+};
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TaskStep {
+    /// The operation's own call.
+    Main,
+    /// The read that settles a write whose answer was lost.
+    Settle,
+    /// The wait for changes after a version.
+    Poll(KeyVersion),
+}
+
+/// What follows from the outcome of a call.
+#[derive(Debug)]
+pub(crate) enum TaskNext {
+    /// The operation ended.
+    Done(Result<OperationReply>),
+    /// A watch reports and goes on.
+    Report(Vec<StoreEntry>, Option<Vec<crate::port::StoreKey>>),
+    /// The next call follows at once.
+    Again,
+    /// The next call follows after a back-off.
+    Later,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct StoreTask<T> {
+    pub(crate) tag: T,
+    pub(crate) order: StoreOrder,
+    pub(crate) deadline: Option<ClockTime>,
+    pub(crate) step: TaskStep,
+    pub(crate) failures: u32,
+    /// Whether a call of this write may have reached the service without an answer.
+    pub(crate) is_exposed: bool,
+    pub(crate) not_before: ClockTime,
+}
+
+impl<T> StoreTask<T> {
+    pub(crate) fn new(now: ClockTime, tag: T, order: StoreOrder) -> StoreTask<T> {
+        let is_watch = matches!(order.operation, StoreOperation::Watch { .. });
+        let deadline = (!is_watch).then(|| now + order.wait);
+        StoreTask {
+            tag,
+            order,
+            deadline,
+            step: TaskStep::Main,
+            failures: 0,
+            is_exposed: false,
+            not_before: now,
+        }
+    }
+
+    /// Returns the error with which the operation ends when it is given up.
+    pub(crate) fn surrender(&self) -> OperationError {
+        if self.is_exposed { OperationError::Unknown } else { OperationError::NotDone }
+    }
+
+    pub(crate) fn is_write(&self) -> bool {
+        matches!(self.order.operation, StoreOperation::Cas { .. } | StoreOperation::Delete { .. })
+    }
+
+    pub(crate) fn request(&self) -> StoreRequest {
+        match (&self.order.operation, self.step) {
+            (StoreOperation::Watch { prefix }, TaskStep::Poll(after)) => {
+                StoreRequest::Watch { prefix: prefix.clone(), after }
+            }
+            (
+                StoreOperation::Cas { key, .. } | StoreOperation::Delete { key, .. },
+                TaskStep::Settle,
+            )
+            | (StoreOperation::Get { key }, _) => StoreRequest::Get { key: key.clone() },
+            (StoreOperation::List { prefix } | StoreOperation::Watch { prefix }, _) => {
+                StoreRequest::List { prefix: prefix.clone() }
+            }
+            (StoreOperation::Cas { key, value, expected, lease, .. }, _) => StoreRequest::Put {
+                key: key.clone(),
+                value: value.clone(),
+                expected: Some(*expected),
+                lease: *lease,
+            },
+            (StoreOperation::Delete { key, expected }, _) => {
+                StoreRequest::Delete { key: key.clone(), expected: *expected }
+            }
+            (StoreOperation::Grant { ttl }, _) => StoreRequest::Grant { ttl: *ttl },
+            (StoreOperation::KeepAlive { lease }, _) => StoreRequest::KeepAlive { lease: *lease },
+        }
+    }
+
+    /// Takes the outcome of the call that was sent at `sent`.
+    pub(crate) fn settle(
+        &mut self,
+        sent: ClockTime,
+        drift_ppm: u64,
+        outcome: StoreOutcome,
+    ) -> TaskNext {
+        let reply = match outcome {
+            Ok(reply) => reply,
+            Err(StoreFailure::NotSent) => return self.fail(),
+            Err(StoreFailure::Rejected) if self.step == TaskStep::Main && !self.is_exposed => {
+                return TaskNext::Done(Err(OperationError::Rejected));
+            }
+            Err(StoreFailure::Rejected | StoreFailure::Unknown) => {
+                if self.is_write() {
+                    self.is_exposed |= self.step == TaskStep::Main;
+                    self.step = TaskStep::Settle;
+                }
+                return self.fail();
+            }
+        };
+        self.failures = 0;
+        match &self.order.operation {
+            StoreOperation::Watch { .. } => self.settle_watch(reply),
+            StoreOperation::Cas { expected, marker, .. } => {
+                let (expected, marker) = (*expected, *marker);
+                self.settle_write(reply, expected, marker)
+            }
+            StoreOperation::Delete { expected, .. } => {
+                let expected = *expected;
+                self.settle_delete(reply, expected)
+            }
+            _ => TaskNext::Done(read_reply(reply, sent, drift_ppm)),
+        }
+    }
+
+    fn fail(&mut self) -> TaskNext {
+        self.failures += 1;
+        TaskNext::Later
+    }
+
+    fn settle_watch(&mut self, reply: StoreReply) -> TaskNext {
+        match reply {
+            StoreReply::Entries { entries, removed, newest } => {
+                let is_snapshot = self.step == TaskStep::Main;
+                self.step = TaskStep::Poll(newest);
+                TaskNext::Report(entries, (!is_snapshot).then_some(removed))
+            }
+            StoreReply::Compacted => {
+                self.step = TaskStep::Main;
+                TaskNext::Again
+            }
+            _ => self.fail(),
+        }
+    }
+
+    // A version never returns to an earlier value, so that a value at another version than the expected one without
+    // the marker proves that the write neither took effect nor will.
+    fn settle_write(
+        &mut self,
+        reply: StoreReply,
+        expected: KeyVersion,
+        marker: Option<ChangeMarker>,
+    ) -> TaskNext {
+        let entry = match reply {
+            StoreReply::Written(version) => {
+                return TaskNext::Done(Ok(OperationReply::Written { version, entry: None }));
+            }
+            StoreReply::Value(entry) | StoreReply::Conflict(entry) => entry,
+            // The service compares versions first, so that no earlier call of this write took effect, and without
+            // its lease none will.
+            StoreReply::LeaseGone => return TaskNext::Done(Ok(OperationReply::LeaseGone)),
+            _ => return self.fail(),
+        };
+        let version = entry.as_ref().map_or(KeyVersion(0), |entry| entry.version);
+        let holds = |entry: &StoreEntry| {
+            marker.is_some_and(|marker| (marker.holds)(&entry.value, marker.change))
+        };
+        match entry {
+            Some(entry) if self.is_exposed && holds(&entry) => {
+                TaskNext::Done(Ok(OperationReply::Written { version, entry: Some(entry) }))
+            }
+            _ if self.step == TaskStep::Settle && version == expected => {
+                self.step = TaskStep::Main;
+                TaskNext::Again
+            }
+            entry => TaskNext::Done(Ok(OperationReply::Conflict(entry))),
+        }
+    }
+
+    fn settle_delete(&mut self, reply: StoreReply, expected: KeyVersion) -> TaskNext {
+        match reply {
+            StoreReply::Written(_) => TaskNext::Done(Ok(OperationReply::Deleted)),
+            StoreReply::Value(None) | StoreReply::Conflict(None) => {
+                TaskNext::Done(Ok(OperationReply::Deleted))
+            }
+            StoreReply::Value(Some(entry)) if entry.version == expected => {
+                self.step = TaskStep::Main;
+                TaskNext::Again
+            }
+            StoreReply::Value(entry) | StoreReply::Conflict(entry) => {
+                TaskNext::Done(Ok(OperationReply::Conflict(entry)))
+            }
+            _ => self.fail(),
+        }
+    }
+}
+
+fn read_reply(reply: StoreReply, sent: ClockTime, drift_ppm: u64) -> Result<OperationReply> {
+    match reply {
+        StoreReply::Value(entry) => Ok(OperationReply::Value(entry)),
+        StoreReply::Entries { entries, newest, .. } => {
+            Ok(OperationReply::Entries { entries, newest })
+        }
+        StoreReply::Lease { lease, ttl } => {
+            let drift = ttl.as_ms().saturating_mul(drift_ppm) / 1_000_000;
+            let until = sent + ttl.saturating_sub(ClockSpan::from_ms(drift));
+            Ok(OperationReply::Lease { lease, until })
+        }
+        StoreReply::LeaseGone => Ok(OperationReply::LeaseGone),
+        _ => Err(OperationError::Rejected),
+    }
+}
