--- /dev/null
+++ b/crates/sync/src/machine.rs
@@ -0,0 +1,582 @@
+//! The state machine that keeps one node's configuration the newest to be had.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use godwitroad_base::{ClockSpan, ClockTime, SeededRandom, VmName, ZoneName, rendezvous};
+use godwitroad_store::{
+    CallClass, OpId, OperationReply, Result, StoreEntry, StoreOperation, StoreOrder, WatchUpdate,
+};
+
+use crate::{
+    contact::ContactRecord,
+    fetch::{ConfigFetch, FetchNeed, FetchSource},
+    head::{ChunkDigest, SyncHead, assemble, chunk_key, head_key},
+    message::{SyncMessage, SyncStatus},
+    progress::{ProgressBoard, ZoneProgress},
+    settings::{SyncCounters, SyncSettings},
+    startup::{ReadySource, StartupCheck},
+};
+
+/// The key of the ranking that chooses the watchers of a zone.
+const WATCH_RANK_KEY: u64 = 0x636f_6e66_6967;
+
+/// An event that [`ConfigSync::handle`] takes.
+#[derive(Clone, Debug)]
+pub enum SyncEvent {
+    /// The members of each zone as far as they are known, the own VM included.
+    Rosters(BTreeMap<ZoneName, Vec<VmName>>),
+    /// A peer's heartbeat carried its status.
+    Heartbeat {
+        /// The sender.
+        from: VmName,
+        /// The status.
+        status: SyncStatus,
+    },
+    /// A peer sent a message.
+    Message {
+        /// The sender.
+        from: VmName,
+        /// The message.
+        message: SyncMessage,
+    },
+    /// An operation on the store ended.
+    Store {
+        /// The operation.
+        op: OpId,
+        /// The result.
+        result: Result<OperationReply>,
+    },
+    /// The watch on the head reports.
+    Watched {
+        /// The operation.
+        op: OpId,
+        /// The report.
+        update: WatchUpdate,
+    },
+    /// The router took the document of [`SyncAction::Install`] into use.
+    Accepted {
+        /// The generation.
+        generation: u64,
+    },
+    /// The router refused the document of [`SyncAction::Install`] as a whole.
+    Refused {
+        /// The generation.
+        generation: u64,
+    },
+    /// An operator asks where the configuration is in force; see [`ConfigSync::progress`].
+    AskProgress,
+    /// Time passed.
+    Tick,
+}
+
+/// An action that [`ConfigSync::handle`] asks for.
+#[derive(Clone, Debug)]
+pub enum SyncAction {
+    /// Submit an operation to the store client.
+    Submit {
+        /// The operation's number.
+        op: OpId,
+        /// The operation.
+        order: StoreOrder,
+    },
+    /// Cancel an operation.
+    Cancel {
+        /// The operation's number.
+        op: OpId,
+    },
+    /// Send a message to a peer.
+    Send {
+        /// The receiver.
+        to: VmName,
+        /// The message.
+        message: SyncMessage,
+    },
+    /// Check the document and take it into use; answered by [`SyncEvent::Accepted`] or [`SyncEvent::Refused`].
+    Install {
+        /// The head.
+        head: Arc<SyncHead>,
+        /// The document.
+        document: Arc<[u8]>,
+    },
+    /// The node has the newest generation to be had.
+    Ready {
+        /// What proves it.
+        source: ReadySource,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct HeldConfig {
+    pub(crate) head: Arc<SyncHead>,
+    pub(crate) chunks: BTreeMap<ChunkDigest, Arc<[u8]>>,
+    is_first_hand: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerView {
+    pub(crate) status: SyncStatus,
+    pub(crate) heard: ClockTime,
+}
+
+/// The state machine that distributes the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigSync {
+    pub(crate) settings: SyncSettings,
+    pub(crate) random: SeededRandom,
+    pub(crate) counters: SyncCounters,
+    pub(crate) zones: BTreeMap<ZoneName, Vec<VmName>>,
+    pub(crate) peers: BTreeMap<VmName, PeerView>,
+    pub(crate) force: Option<HeldConfig>,
+    offered: Option<HeldConfig>,
+    refused: u64,
+    pub(crate) fetch: Option<ConfigFetch>,
+    startup: StartupCheck,
+    ready: Option<ReadySource>,
+    reason: &'static str,
+    pub(crate) contact: ContactRecord,
+    pub(crate) board: ProgressBoard,
+    pub(crate) nonce: u64,
+    start: ClockTime,
+    watch: Option<OpId>,
+    head_read: Option<OpId>,
+    head_read_at: Option<ClockTime>,
+    entropy_at: ClockTime,
+    last_op: u64,
+}
+
+impl ConfigSync {
+    /// Returns the machine of a node that starts at `now` and holds no configuration.
+    pub fn new(now: ClockTime, settings: SyncSettings, mut random: SeededRandom) -> ConfigSync {
+        let nonce = random.next_u64();
+        let entropy_at = now + ClockSpan::from_ms(random.below(settings.entropy_period.as_ms()));
+        ConfigSync {
+            settings,
+            random,
+            counters: SyncCounters::default(),
+            zones: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            force: None,
+            offered: None,
+            refused: 0,
+            fetch: None,
+            startup: StartupCheck::new(),
+            ready: None,
+            reason: "the store has not answered yet",
+            contact: ContactRecord::default(),
+            board: ProgressBoard::default(),
+            nonce,
+            start: now,
+            watch: None,
+            head_read: None,
+            head_read_at: None,
+            entropy_at,
+            last_op: 0,
+        }
+    }
+
+    /// Takes an event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: ClockTime, event: SyncEvent, actions: &mut Vec<SyncAction>) {
+        match event {
+            SyncEvent::Rosters(zones) => self.take_rosters(zones),
+            SyncEvent::Heartbeat { from, status } => self.hear(now, &from, status),
+            SyncEvent::Message { from, message } => self.take_message(now, from, message, actions),
+            SyncEvent::Store { op, result } => self.take_result(now, op, result),
+            SyncEvent::Watched { op, update } => self.take_watch(now, op, update),
+            SyncEvent::Accepted { generation } => self.accept(now, generation, actions),
+            SyncEvent::Refused { generation } => self.refuse(generation),
+            SyncEvent::AskProgress => self.ask_progress(now, actions),
+            SyncEvent::Tick => self.tick(now, actions),
+        }
+        self.advance(now, actions);
+        self.check_ready(now, actions);
+    }
+
+    /// Returns the generation in force; zero before the first.
+    pub fn generation(&self) -> u64 {
+        self.force.as_ref().map_or(0, |held| held.head.generation)
+    }
+
+    /// Returns the head in force.
+    pub fn head(&self) -> Option<&Arc<SyncHead>> {
+        self.force.as_ref().map(|held| &held.head)
+    }
+
+    /// Returns what proved that the node had the newest generation to be had, or the reason for which it isn't ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason while the node isn't ready.
+    pub fn readiness(&self) -> std::result::Result<ReadySource, &'static str> {
+        self.ready.ok_or(self.reason)
+    }
+
+    /// Returns the age of the zone's newest contact with the store or another zone.
+    pub fn contact_age(&self, now: ClockTime) -> ClockSpan {
+        self.contact.age(now, self.start)
+    }
+
+    /// Returns the status that heartbeats carry.
+    pub fn status(&self, now: ClockTime) -> SyncStatus {
+        SyncStatus {
+            generation: self.generation(),
+            digest: self.force.as_ref().map(|held| held.head.digest),
+            is_ready: self.ready.is_some(),
+            store_age: self.contact.store.map(|at| now.since(at)),
+            outside_age: self.contact.outside.map(|at| now.since(at)),
+        }
+    }
+
+    /// Returns the progress of the zones that answered the last [`SyncEvent::AskProgress`], with the answers' ages.
+    ///
+    /// A zone that is missing hasn't answered: nothing is known of it.
+    pub fn progress(&self, now: ClockTime) -> BTreeMap<ZoneName, (ClockSpan, ZoneProgress)> {
+        self.board.answers(now)
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &SyncCounters {
+        &self.counters
+    }
+
+    /// Returns whether the node watches the head for its zone.
+    pub fn is_watcher(&self) -> bool {
+        self.watch.is_some()
+    }
+
+    pub(crate) fn zone_of(&self, vm: &VmName) -> Option<&ZoneName> {
+        self.zones.iter().find(|(_, members)| members.contains(vm)).map(|(zone, _)| zone)
+    }
+
+    pub(crate) fn is_neighbour(&self, vm: &VmName) -> bool {
+        self.zone_of(vm) == Some(&self.settings.zone)
+    }
+
+    /// Returns the members of `zone` that watch the head, the first one first.
+    pub(crate) fn watchers_of(&self, zone: &ZoneName) -> Vec<VmName> {
+        let Some(members) = self.zones.get(zone) else { return Vec::new() };
+        let order = rendezvous::rank(WATCH_RANK_KEY, members);
+        order.into_iter().take(self.settings.watchers).map(|index| members[index].clone()).collect()
+    }
+
+    fn next_op(&mut self) -> OpId {
+        self.last_op += 1;
+        OpId(self.last_op)
+    }
+
+    fn take_rosters(&mut self, zones: BTreeMap<ZoneName, Vec<VmName>>) {
+        self.zones = zones;
+        let members: BTreeSet<&VmName> = self.zones.values().flatten().collect();
+        self.peers.retain(|peer, _| members.contains(peer));
+        if self.ready.is_none() {
+            let own = &self.settings.vm;
+            self.startup.know(members.into_iter().filter(|peer| *peer != own));
+        }
+    }
+
+    /// Takes a peer's status: a generation above the own one is wanted from now on.
+    pub(crate) fn hear(&mut self, now: ClockTime, from: &VmName, status: SyncStatus) {
+        if self.is_neighbour(from) {
+            self.contact.hear(now, &status);
+        } else if self.zone_of(from).is_some() {
+            self.contact.reach_outside(now);
+        }
+        let view = self.peers.entry(from.clone()).or_insert(PeerView { status, heard: now });
+        // Messages can be reordered, and a node's generation never falls while it runs. After a restart it may, so
+        // that the newest statement counts for progress; a fetch from a peer that has less just goes elsewhere.
+        *view = PeerView { status, heard: now };
+        let own = self.generation();
+        if status.generation == own && own > 0 {
+            let digest = self.force.as_ref().map(|held| held.head.digest);
+            self.counters.forked += u64::from(digest != status.digest);
+        }
+        self.want(now, status.generation);
+    }
+
+    pub(crate) fn answer(&mut self, peer: &VmName, status: &SyncStatus) {
+        self.startup.answer(peer, status.generation);
+    }
+
+    pub(crate) fn want(&mut self, not_before: ClockTime, generation: u64) {
+        let offered = self.offered.as_ref().map_or(0, |held| held.head.generation);
+        if generation <= self.generation().max(offered) || generation == self.refused {
+            return;
+        }
+        match &mut self.fetch {
+            None => self.fetch = Some(ConfigFetch::new(generation, not_before)),
+            Some(fetch) => {
+                fetch.raise(generation);
+                fetch.not_before = fetch.not_before.min(not_before);
+            }
+        }
+    }
+
+    pub(crate) fn take_head(&mut self, not_before: ClockTime, head: Arc<SyncHead>) {
+        self.want(not_before, head.generation);
+        let Some(fetch) = &mut self.fetch else { return };
+        if fetch.head.is_none() && head.generation >= fetch.generation {
+            let empty = BTreeMap::new();
+            let held = self.force.as_ref().map_or(&empty, |held| &held.chunks);
+            fetch.take_head(head, held);
+        }
+    }
+
+    fn take_entry(&mut self, now: ClockTime, not_before: ClockTime, entry: Option<&StoreEntry>) {
+        self.contact.reach_store(now);
+        let Some(entry) = entry else {
+            self.startup.read_store(0);
+            return;
+        };
+        match SyncHead::decode(&entry.value) {
+            Ok(head) => {
+                self.startup.read_store(head.generation);
+                self.take_head(not_before, Arc::new(head));
+            }
+            Err(_) => self.counters.corrupt += 1,
+        }
+    }
+
+    fn take_watch(&mut self, now: ClockTime, op: OpId, update: WatchUpdate) {
+        if self.watch != Some(op) {
+            return;
+        }
+        let entries = match &update {
+            WatchUpdate::Snapshot(entries) | WatchUpdate::Changes { entries, .. } => entries,
+        };
+        // Only the first watcher fetches at once; the second gives it time to do so for the zone.
+        let watchers = self.watchers_of(&self.settings.zone);
+        let is_first = watchers.first() == Some(&self.settings.vm);
+        let not_before = if is_first { now } else { now + self.settings.second_wait };
+        let entry = entries.iter().find(|entry| entry.key == head_key());
+        match (entry, &update) {
+            (Some(entry), _) => self.take_entry(now, not_before, Some(entry)),
+            (None, WatchUpdate::Snapshot(_)) => self.take_entry(now, now, None),
+            (None, WatchUpdate::Changes { .. }) => self.contact.reach_store(now),
+        }
+    }
+
+    fn take_result(&mut self, now: ClockTime, op: OpId, result: Result<OperationReply>) {
+        if self.head_read == Some(op) {
+            self.head_read = None;
+            match &result {
+                Ok(OperationReply::Value(entry)) => {
+                    let sent = self.head_read_at.unwrap_or(now);
+                    self.take_entry(sent, now, entry.as_ref());
+                }
+                _ => self.startup.fail_store(),
+            }
+        }
+        let Some(fetch) = &mut self.fetch else { return };
+        let FetchSource::Store { ops } = &mut fetch.source else { return };
+        let Some(digest) = ops.remove(&op) else { return };
+        let is_last = ops.is_empty();
+        match (digest, result) {
+            (None, Ok(OperationReply::Value(entry))) => {
+                fetch.source = FetchSource::Idle;
+                fetch.is_first_hand = true;
+                self.take_entry(now, now, entry.as_ref());
+                self.recede(now);
+            }
+            (Some(_), Ok(OperationReply::Value(Some(entry)))) => {
+                fetch.is_first_hand = true;
+                if fetch.take_chunk(entry.value) {
+                    self.counters.chunks_from_store += 1;
+                } else {
+                    self.counters.chunks_unwanted += 1;
+                }
+                if is_last {
+                    fetch.source = FetchSource::Idle;
+                }
+            }
+            // The chunk is gone because a later generation is in force: the head must be read again.
+            (Some(_), Ok(_)) => fetch.head = None,
+            (_, _) => {
+                fetch.forsake();
+            }
+        }
+    }
+
+    // The store has an older head than a peer reported, so that only that peer can supply the generation.
+    fn recede(&mut self, now: ClockTime) {
+        if let Some(fetch) = &mut self.fetch
+            && fetch.head.is_none()
+        {
+            fetch.store_failed = true;
+            fetch.not_before = now + self.settings.peer_timeout;
+        }
+    }
+
+    fn accept(&mut self, now: ClockTime, generation: u64, actions: &mut Vec<SyncAction>) {
+        let Some(held) = self.offered.take_if(|held| held.head.generation == generation) else {
+            return;
+        };
+        let is_announcer = held.is_first_hand || self.watch.is_some();
+        self.counters.installed += 1;
+        self.force = Some(held);
+        if is_announcer {
+            let status = self.status(now);
+            let members = self.zones.get(&self.settings.zone).cloned().unwrap_or_default();
+            for to in members.into_iter().filter(|member| *member != self.settings.vm) {
+                actions.push(SyncAction::Send { to, message: SyncMessage::Announce(status) });
+            }
+        }
+    }
+
+    fn refuse(&mut self, generation: u64) {
+        if self.offered.take_if(|held| held.head.generation == generation).is_some() {
+            self.refused = generation;
+            self.counters.refused += 1;
+        }
+    }
+
+    fn tick(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
+        self.do_watch_duty(actions);
+        self.read_head(now, actions);
+        if self.ready.is_none() {
+            for to in self.startup.ask(now, &self.settings) {
+                actions.push(SyncAction::Send {
+                    to,
+                    message: SyncMessage::Query { nonce: self.nonce },
+                });
+            }
+        }
+        if self.entropy_at <= now {
+            let period = self.settings.entropy_period.as_ms();
+            self.entropy_at = now + ClockSpan::from_ms(period / 2 + self.random.below(period));
+            self.ask_random_peers(actions);
+        }
+        self.time_out_peer(now);
+    }
+
+    fn do_watch_duty(&mut self, actions: &mut Vec<SyncAction>) {
+        let is_duty = self.watchers_of(&self.settings.zone).contains(&self.settings.vm);
+        match (is_duty, self.watch) {
+            (true, None) => {
+                let op = self.next_op();
+                self.watch = Some(op);
+                let operation = StoreOperation::Watch { prefix: head_key() };
+                let order = StoreOrder::new(CallClass::Config, operation, 0);
+                actions.push(SyncAction::Submit { op, order });
+            }
+            (false, Some(op)) => {
+                self.watch = None;
+                actions.push(SyncAction::Cancel { op });
+            }
+            _ => {}
+        }
+    }
+
+    fn read_head(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
+        if self.head_read.is_some() {
+            return;
+        }
+        let since = |at: Option<ClockTime>| at.map(|at| now.since(at));
+        let is_first = self.head_read_at.is_none();
+        let is_starting = self.ready.is_none()
+            && since(self.head_read_at).is_some_and(|age| age >= self.settings.store_wait);
+        let is_watching = self.watch.is_some()
+            && since(self.contact.store).is_none_or(|age| age >= self.settings.confirm)
+            && since(self.head_read_at).is_some_and(|age| age >= self.settings.confirm);
+        let zone_age = self.zone_store_age(now);
+        let pause = ClockSpan::from_ms(self.settings.confirm.as_ms() + self.random.below(1_000));
+        let is_substitute = zone_age >= self.settings.substitute_after
+            && since(self.head_read_at).is_some_and(|age| age >= pause);
+        if !(is_first || is_starting || is_watching || is_substitute) {
+            return;
+        }
+        self.counters.substitute_reads += u64::from(is_substitute && self.watch.is_none());
+        let op = self.next_op();
+        self.head_read = Some(op);
+        self.head_read_at = Some(now);
+        let operation = StoreOperation::Get { key: head_key() };
+        let wait = self.settings.store_wait.as_ms();
+        let order = StoreOrder::new(CallClass::Config, operation, wait);
+        actions.push(SyncAction::Submit { op, order });
+    }
+
+    fn zone_store_age(&self, now: ClockTime) -> ClockSpan {
+        let own = self.contact.store.unwrap_or(self.start);
+        let told = self
+            .peers
+            .iter()
+            .filter(|(peer, _)| self.is_neighbour(peer))
+            .filter_map(|(_, view)| view.status.store_age.map(|age| view.heard - age));
+        now.since(told.fold(own, ClockTime::max))
+    }
+
+    // Moves the fetch on: completes it, or asks the next source for what is missing.
+    fn advance(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
+        let own = self.generation();
+        self.fetch.take_if(|fetch| fetch.generation <= own);
+        let Some(fetch) = &self.fetch else { return };
+        let need = fetch.need();
+        if need == FetchNeed::Nothing {
+            self.complete(now, actions);
+        } else if fetch.source == FetchSource::Idle && fetch.not_before <= now {
+            self.ask_source(now, need, actions);
+        }
+    }
+
+    fn complete(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
+        let Some(mut fetch) = self.fetch.take() else { return };
+        let Some(head) = fetch.head.clone() else { return };
+        match assemble(&head, &fetch.parts) {
+            Ok(document) => {
+                let chunks = fetch.parts;
+                let is_first_hand = fetch.is_first_hand;
+                self.offered = Some(HeldConfig { head: head.clone(), chunks, is_first_hand });
+                actions.push(SyncAction::Install { head, document });
+            }
+            Err(_) => {
+                self.counters.corrupt += 1;
+                fetch.head = None;
+                fetch.parts.clear();
+                fetch.not_before = now + self.settings.peer_timeout;
+                self.fetch = Some(fetch);
+            }
+        }
+    }
+
+    pub(crate) fn order_from_store(
+        &mut self,
+        need: FetchNeed,
+        actions: &mut Vec<SyncAction>,
+    ) -> FetchSource {
+        let wants: Vec<Option<ChunkDigest>> = match need {
+            FetchNeed::Head => vec![None],
+            FetchNeed::Chunks(digests) => digests.into_iter().map(Some).collect(),
+            FetchNeed::Nothing => Vec::new(),
+        };
+        let mut ops = BTreeMap::new();
+        for want in wants {
+            let op = self.next_op();
+            let key = want.map_or_else(head_key, chunk_key);
+            let operation = StoreOperation::Get { key };
+            let wait = self.settings.store_wait.as_ms();
+            let order = StoreOrder::new(CallClass::Config, operation, wait);
+            actions.push(SyncAction::Submit { op, order });
+            ops.insert(op, want);
+        }
+        FetchSource::Store { ops }
+    }
+
+    fn check_ready(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
+        if self.ready.is_some() {
+            return;
+        }
+        // A refused generation can't come into force; with an older one in force the node has done what it can.
+        let generation = match self.generation() {
+            0 => 0,
+            generation => generation.max(self.refused),
+        };
+        match self.startup.check(now, &self.settings, generation) {
+            Ok(source) => {
+                self.ready = Some(source);
+                actions.push(SyncAction::Ready { source });
+            }
+            Err(reason) => self.reason = reason,
+        }
+    }
+}
