Add the claim table for requests that run at most once

Cause: a request that must not be repeated may run only under a claim that outlives every router. Change: ClaimTable with batched claims in sealed slices, forwarding to a shard's owner, release of claims of refused requests, recorded answers and lookups.

--- /dev/null
+++ b/crates/once/src/shelf.rs
@@ -0,0 +1,49 @@
+//! The bodies of answers that are too large for the store.
+//!
+//! The VM that ran a request keeps the body for a caller who asks again, within a fixed number of bytes. A lost body
+//! costs the caller the text of the answer; that the request ran stays recorded.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::key::ClaimHash;
+
+/// The bodies that are held in memory; the oldest ones are dropped first.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BodyShelf {
+    bodies: BTreeMap<u64, (ClaimHash, Arc<[u8]>)>,
+    serials: BTreeMap<ClaimHash, u64>,
+    bytes: usize,
+    last: u64,
+}
+
+impl BodyShelf {
+    pub(crate) fn put(&mut self, hash: ClaimHash, body: Arc<[u8]>, limit: usize) {
+        if body.len() > limit {
+            return;
+        }
+        self.last += 1;
+        self.bytes += body.len();
+        self.bodies.insert(self.last, (hash, body));
+        if let Some(old) = self.serials.insert(hash, self.last) {
+            self.remove(old);
+        }
+        while self.bytes > limit {
+            let Some(oldest) = self.bodies.keys().next().copied() else { break };
+            self.remove(oldest);
+        }
+    }
+
+    pub(crate) fn get(&self, hash: ClaimHash) -> Option<Arc<[u8]>> {
+        let serial = self.serials.get(&hash)?;
+        self.bodies.get(serial).map(|(_, body)| body.clone())
+    }
+
+    fn remove(&mut self, serial: u64) {
+        if let Some((hash, body)) = self.bodies.remove(&serial) {
+            self.bytes -= body.len();
+            if self.serials.get(&hash) == Some(&serial) {
+                self.serials.remove(&hash);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/table.rs
@@ -0,0 +1,399 @@
+//! The state machine of one router's claims: those of its own requests, and the shards that it owns.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, RequestId, VmName, rendezvous};
+use godwitroad_store::{OpId, OperationReply, Result, StoreOrder};
+
+use crate::{
+    attempt::{AttemptPhase, ClaimAttempt},
+    book::{BookContext, BookOutput, ShardBook},
+    key::{CLAIM_SHARDS, ClaimHash, RequestDigest},
+    merge::{ClaimEntry, ClaimWork},
+    message::OnceMessage,
+    record::{AnswerRecord, ClaimState},
+    settings::{OnceCounters, OnceSettings},
+    shelf::BodyShelf,
+    waiters::ClaimWaiter,
+};
+
+/// The largest number of refused requests whose claims are still to be released.
+///
+/// A claim beyond it stays in the store and its key can't be used until the claim expires; nothing runs twice.
+const RELEASE_LIMIT: usize = 4_096;
+
+/// An event that [`ClaimTable::handle`] takes.
+#[derive(Clone, Debug)]
+pub enum OnceEvent {
+    /// A run-once request with an idempotency key wants to run; answered by [`OnceAction::Verdict`].
+    Claim {
+        /// The request.
+        id: RequestId,
+        /// The client account.
+        account: AccountName,
+        /// The idempotency key.
+        key: Arc<str>,
+        /// The digest of the request.
+        digest: RequestDigest,
+    },
+    /// A request that was told to run ended.
+    Finish {
+        /// The request.
+        id: RequestId,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// A caller asks for the state of a key; answered by [`OnceAction::State`].
+    Lookup {
+        /// The request that asks.
+        id: RequestId,
+        /// The client account.
+        account: AccountName,
+        /// The idempotency key.
+        key: Arc<str>,
+    },
+    /// The members of the own zone's roster, and all processes known to run in any zone.
+    Rosters {
+        /// The members of the own zone, the own VM included.
+        members: Vec<VmName>,
+        /// The processes that run.
+        live: Vec<NodeId>,
+    },
+    /// A peer sent a message.
+    Peer {
+        /// The sender.
+        from: VmName,
+        /// The message.
+        message: OnceMessage,
+    },
+    /// An operation on the store ended.
+    Store {
+        /// The operation.
+        op: OpId,
+        /// The result.
+        result: Result<OperationReply>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// How a request that was told to run ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The target answered.
+    Answered(Arc<[u8]>),
+    /// A byte of the request may have reached the target, and its outcome can't be known.
+    Unknown,
+    /// No byte of the request reached a target, and none will.
+    NotRun,
+}
+
+/// An action that [`ClaimTable::handle`] asks for.
+#[derive(Clone, Debug)]
+pub enum OnceAction {
+    /// What becomes of a request.
+    Verdict {
+        /// The request.
+        id: RequestId,
+        /// The verdict.
+        verdict: ClaimVerdict,
+    },
+    /// The state of a key that a caller asked for.
+    State {
+        /// The request that asked.
+        id: RequestId,
+        /// The state.
+        state: KeyState,
+    },
+    /// Send a message to a peer.
+    Send {
+        /// The receiver.
+        to: VmName,
+        /// The message.
+        message: OnceMessage,
+    },
+    /// Submit an operation to the store client.
+    Submit {
+        /// The operation's number.
+        op: OpId,
+        /// The operation.
+        order: StoreOrder,
+    },
+}
+
+/// What becomes of a request that must not run twice.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimVerdict {
+    /// The request may run, now and once; [`OnceEvent::Finish`] must follow.
+    Run,
+    /// The key's request ran to its end; the body is missing when no VM holds it any more.
+    Replay {
+        /// The digest of the answer.
+        digest: RequestDigest,
+        /// The answer.
+        body: Option<Arc<[u8]>>,
+    },
+    /// Another request with the key runs or is about to; this one didn't run.
+    Pending,
+    /// The key's request may have run; its outcome can't be known, and no request with the key will run.
+    Unknown,
+    /// The key was used for a request with another digest; this one didn't run.
+    Mismatch,
+    /// The claim couldn't be made certain; the request didn't run and won't.
+    NotRun {
+        /// The time after which the caller may try again.
+        retry_after: ClockSpan,
+    },
+}
+
+/// The state of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyState {
+    /// Nobody has claimed the key.
+    Absent,
+    /// The request with this digest is running or about to.
+    Claimed(RequestDigest),
+    /// The request with this digest ran to its end.
+    Finished(RequestDigest, AnswerRecord),
+    /// The request with this digest may have run.
+    Unknown(RequestDigest),
+    /// The store couldn't be reached in time.
+    Unavailable,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OrphanClaim {
+    pub(crate) hash: ClaimHash,
+    pub(crate) since: ClockTime,
+}
+
+/// The state machine of one router's claims.
+#[derive(Clone, Debug)]
+pub struct ClaimTable {
+    pub(crate) settings: OnceSettings,
+    pub(crate) tag: u64,
+    pub(crate) counters: OnceCounters,
+    pub(crate) attempts: BTreeMap<RequestId, ClaimAttempt>,
+    pub(crate) timers: BTreeSet<(ClockTime, RequestId)>,
+    /// Refused requests that may have a claim in the store.
+    pub(crate) orphans: BTreeMap<RequestId, OrphanClaim>,
+    pub(crate) shelf: BodyShelf,
+    pub(crate) live: BTreeSet<u64>,
+    members: Vec<VmName>,
+    books: Vec<ShardBook>,
+    last_op: u64,
+}
+
+impl ClaimTable {
+    /// Returns the table of a process that starts and knows no peers.
+    pub fn new(settings: OnceSettings) -> ClaimTable {
+        ClaimTable {
+            tag: settings.node.tag(),
+            settings,
+            counters: OnceCounters::default(),
+            attempts: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            orphans: BTreeMap::new(),
+            shelf: BodyShelf::default(),
+            live: BTreeSet::new(),
+            members: Vec::new(),
+            books: (0..CLAIM_SHARDS).map(ShardBook::new).collect(),
+            last_op: 0,
+        }
+    }
+
+    /// Takes an event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: ClockTime, event: OnceEvent, actions: &mut Vec<OnceAction>) {
+        match event {
+            OnceEvent::Claim { id, account, key, digest } => {
+                let hash = ClaimHash::new(&account, &key);
+                self.claim(now, id, hash, digest, actions);
+            }
+            OnceEvent::Finish { id, end } => self.finish(now, id, end, actions),
+            OnceEvent::Lookup { id, account, key } => {
+                let hash = ClaimHash::new(&account, &key);
+                self.start(now, id, hash, ClaimWork::Lookup, actions);
+            }
+            OnceEvent::Rosters { members, live } => {
+                self.members = members;
+                self.live = live.iter().map(NodeId::tag).collect();
+            }
+            OnceEvent::Peer { from, message } => self.take_message(now, from, message, actions),
+            OnceEvent::Store { op, result } => self.take_result(now, op, result, actions),
+            OnceEvent::Tick => {
+                self.expire(now, actions);
+                for shard in 0..CLAIM_SHARDS {
+                    self.work(now, shard, actions, |_, _| {});
+                }
+            }
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &OnceCounters {
+        &self.counters
+    }
+
+    /// Returns the number of requests that wait for a claim, hold one, or whose end is being recorded.
+    pub fn open_attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Returns the next time at which a tick changes something, or `None` when nothing waits.
+    pub fn next_deadline(&self) -> Option<ClockTime> {
+        let books = self.books.iter().filter_map(|book| book.next_deadline(&self.settings));
+        let timer = self.timers.first().map(|(at, _)| *at);
+        books.chain(timer).min()
+    }
+
+    fn claim(
+        &mut self,
+        now: ClockTime,
+        id: RequestId,
+        hash: ClaimHash,
+        digest: RequestDigest,
+        actions: &mut Vec<OnceAction>,
+    ) {
+        self.counters.claims += 1;
+        if self.attempts.len() >= self.settings.max_attempts {
+            let retry_after = self.settings.retry_after;
+            self.counters.not_run += 1;
+            let verdict = ClaimVerdict::NotRun { retry_after };
+            actions.push(OnceAction::Verdict { id, verdict });
+            return;
+        }
+        self.start(now, id, hash, ClaimWork::Claim { digest }, actions);
+    }
+
+    fn start(
+        &mut self,
+        now: ClockTime,
+        id: RequestId,
+        hash: ClaimHash,
+        work: ClaimWork,
+        actions: &mut Vec<OnceAction>,
+    ) {
+        let is_forwarded = self.owner(hash) != self.settings.node.vm;
+        let wait = if is_forwarded { self.settings.forward_wait } else { self.settings.claim_wait };
+        let phase = AttemptPhase::Asking { since: now, is_forwarded };
+        self.attempts.insert(id, ClaimAttempt { hash, work: work.clone(), phase });
+        self.timers.insert((now + wait, id));
+        self.route(now, id, hash, work, is_forwarded, actions);
+    }
+
+    /// Hands work to the shard's owner, or to the own book.
+    pub(crate) fn route(
+        &mut self,
+        now: ClockTime,
+        id: RequestId,
+        hash: ClaimHash,
+        work: ClaimWork,
+        is_forwarded: bool,
+        actions: &mut Vec<OnceAction>,
+    ) {
+        let entry = ClaimEntry { id, vm: self.settings.node.vm.clone(), hash, work, at: now };
+        let owner = self.owner(hash);
+        if is_forwarded && owner != self.settings.node.vm {
+            actions.push(OnceAction::Send { to: owner, message: OnceMessage::Work(entry) });
+        } else {
+            let waiter = ClaimWaiter { from: None, entry };
+            self.work(now, hash.shard(), actions, |book, context| book.push(waiter, context));
+        }
+    }
+
+    /// Returns the VM of the own zone that writes the key's shard; the own VM while no roster is known.
+    pub(crate) fn owner(&self, hash: ClaimHash) -> VmName {
+        let owner = rendezvous::owner(u64::from(hash.shard()), &self.members);
+        owner.map_or_else(|| self.settings.node.vm.clone(), |index| self.members[index].clone())
+    }
+
+    // Changes a shard's book, moves its work on, and hands out what comes of it.
+    fn work(
+        &mut self,
+        now: ClockTime,
+        shard: u8,
+        actions: &mut Vec<OnceAction>,
+        change: impl FnOnce(&mut ShardBook, &mut BookContext<'_>),
+    ) {
+        let book = &mut self.books[usize::from(shard)];
+        let mut context = BookContext {
+            now,
+            settings: &self.settings,
+            counters: &mut self.counters,
+            last_op: &mut self.last_op,
+            output: BookOutput::default(),
+        };
+        change(book, &mut context);
+        book.advance(&mut context);
+        let output = context.output;
+        let submits = output.orders.into_iter();
+        actions.extend(submits.map(|(op, order)| OnceAction::Submit { op, order }));
+        for answer in output.answers {
+            let ClaimEntry { id, hash, .. } = answer.waiter.entry;
+            match answer.waiter.from {
+                Some(to) => {
+                    let message = OnceMessage::Reply { id, hash, reply: answer.reply };
+                    actions.push(OnceAction::Send { to, message });
+                }
+                None => self.take_reply(now, id, hash, answer.reply, actions),
+            }
+        }
+    }
+
+    fn take_result(
+        &mut self,
+        now: ClockTime,
+        op: OpId,
+        result: Result<OperationReply>,
+        actions: &mut Vec<OnceAction>,
+    ) {
+        let shard = (0..CLAIM_SHARDS).find(|shard| self.books[usize::from(*shard)].has_op(op));
+        if let Some(shard) = shard {
+            self.work(now, shard, actions, |book, context| book.take(context, result));
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        now: ClockTime,
+        from: VmName,
+        message: OnceMessage,
+        actions: &mut Vec<OnceAction>,
+    ) {
+        match message {
+            OnceMessage::Work(entry) => {
+                let shard = entry.hash.shard();
+                let entry = ClaimEntry { at: now, ..entry };
+                let waiter = ClaimWaiter { from: Some(from), entry };
+                self.work(now, shard, actions, |book, context| book.push(waiter, context));
+            }
+            OnceMessage::Reply { id, hash, reply } => {
+                self.take_reply(now, id, hash, reply, actions);
+            }
+            OnceMessage::BodyRequest { id, hash } => {
+                let message = OnceMessage::Body { id, body: self.shelf.get(hash) };
+                actions.push(OnceAction::Send { to: from, message });
+            }
+            OnceMessage::Body { id, body } => self.take_body(id, body, actions),
+        }
+    }
+
+    /// Remembers that a refused request may have a claim in the store, which must be removed.
+    pub(crate) fn orphan(&mut self, now: ClockTime, id: RequestId, hash: ClaimHash) {
+        if self.orphans.len() < RELEASE_LIMIT && !self.orphans.contains_key(&id) {
+            self.orphans.insert(id, OrphanClaim { hash, since: now });
+            self.timers.insert((now, id));
+        }
+    }
+
+    /// Records the end of a request, or returns the recorded state that a key's own request has reached here.
+    pub(crate) fn ended_here(&self, id: RequestId) -> Option<&ClaimState> {
+        match &self.attempts.get(&id)?.phase {
+            AttemptPhase::Ended(state) => Some(state),
+            _ => None,
+        }
+    }
+}
