--- /dev/null
+++ b/crates/member/src/roster.rs
@@ -0,0 +1,147 @@
+//! The roster of a zone and its form in the store.
+//!
+//! Beside its members a roster lists the past rosters whose holders may still act. A process that joins knows
+//! nothing of them otherwise, and would start to hold a key beside its old holder.
+
+use std::sync::Arc;
+
+use godwitroad_base::{Incarnation, NodeId, VmName, ZoneName, rendezvous};
+use godwitroad_store::StoreKey;
+use serde::{Deserialize, Serialize};
+
+/// The result of reading a roster.
+pub type Result<T> = std::result::Result<T, RosterError>;
+
+/// Why a stored roster can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum RosterError {
+    /// The value isn't a roster.
+    #[error("the stored roster is malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// One member of a roster.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RosterMember {
+    /// The VM.
+    pub vm: VmName,
+    /// The incarnation of its process.
+    pub incarnation: Incarnation,
+    /// The address at which peers reach it.
+    pub address: String,
+}
+
+/// A past roster whose holders may still act.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PastRoster {
+    /// The epoch of the roster.
+    pub epoch: u64,
+    /// The members of the roster, in the order of their VMs.
+    pub members: Vec<NodeId>,
+    /// The members that left after handing over, or whose VM runs a newer process: they surely stopped.
+    pub stopped: Vec<NodeId>,
+}
+
+/// The members of a zone in one epoch.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Roster {
+    /// The epoch, which grows by one with each change.
+    pub epoch: u64,
+    /// The members in the order of their VMs.
+    pub members: Vec<RosterMember>,
+    /// The past rosters, oldest first, whose holders may still act.
+    pub unsettled: Vec<PastRoster>,
+}
+
+impl RosterMember {
+    /// Returns the identity of the member's process.
+    pub fn node(&self) -> NodeId {
+        NodeId { vm: self.vm.clone(), incarnation: self.incarnation }
+    }
+}
+
+impl AsRef<str> for RosterMember {
+    fn as_ref(&self) -> &str {
+        self.vm.as_str()
+    }
+}
+
+impl PastRoster {
+    /// Returns the owner of `key` in this roster.
+    pub fn owner_of(&self, key: u64) -> Option<&NodeId> {
+        let names: Vec<&str> = self.members.iter().map(|member| member.vm.as_str()).collect();
+        rendezvous::owner(key, &names).map(|index| &self.members[index])
+    }
+}
+
+impl Roster {
+    /// Returns the key under which the roster of `zone` is stored.
+    pub fn store_key(zone: &ZoneName) -> StoreKey {
+        StoreKey::new(format!("roster/{zone}"))
+    }
+
+    /// Returns the roster written in `value`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when `value` isn't a roster.
+    pub fn decode(value: &[u8]) -> Result<Roster> {
+        Ok(serde_json::from_slice(value)?)
+    }
+
+    /// Returns the form of the roster in the store.
+    ///
+    /// # Panics
+    ///
+    /// Never in practice: the type has no map with keys other than strings.
+    pub fn encode(&self) -> Arc<[u8]> {
+        serde_json::to_vec(self).expect("a roster holds only strings and numbers").into()
+    }
+
+    /// Returns the member on `vm`.
+    pub fn member(&self, vm: &VmName) -> Option<&RosterMember> {
+        let index = self.members.binary_search_by(|member| member.vm.cmp(vm)).ok()?;
+        Some(&self.members[index])
+    }
+
+    /// Returns whether exactly this process is a member.
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.member(&node.vm).is_some_and(|member| member.incarnation == node.incarnation)
+    }
+
+    /// Returns the owner of `key`.
+    pub fn owner_of(&self, key: u64) -> Option<&RosterMember> {
+        rendezvous::owner(key, &self.members).map(|index| &self.members[index])
+    }
+
+    /// Returns the member that is second for `key`.
+    pub fn backup_of(&self, key: u64) -> Option<&RosterMember> {
+        rendezvous::rank(key, &self.members).get(1).map(|&index| &self.members[index])
+    }
+
+    /// Returns the number of members that make a majority.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// Returns the roster of the next epoch with `members`, in which `stopped` surely act no more.
+    pub fn next(&self, mut members: Vec<RosterMember>, stopped: &[NodeId]) -> Roster {
+        members.sort();
+        let mut unsettled = self.unsettled.clone();
+        if !self.members.is_empty() {
+            unsettled.push(PastRoster {
+                epoch: self.epoch,
+                members: self.members.iter().map(RosterMember::node).collect(),
+                stopped: Vec::new(),
+            });
+        }
+        for past in &mut unsettled {
+            for node in stopped {
+                if past.members.contains(node) && !past.stopped.contains(node) {
+                    past.stopped.push(node.clone());
+                }
+            }
+        }
+        Roster { epoch: self.epoch + 1, members, unsettled }
+    }
+}
--- /dev/null
+++ b/crates/member/src/work.rs
@@ -0,0 +1,199 @@
+//! The calls to the store that keep the roster.
+//!
+//! Each change begins with a read, and a change whose answer was lost is settled by the next read. At most one
+//! call runs at a time, so that a slow store gets no second call while the first one waits.
+
+use godwitroad_base::{ClockSpan, ClockTime, NodeId, SeededRandom, ZoneName};
+use godwitroad_store::{
+    CallId, KeyVersion, StoreEntry, StoreKey, StoreOutcome, StoreReply, StoreRequest,
+};
+
+use crate::{
+    MemberAction,
+    roster::{Roster, RosterMember},
+    settings::MemberSettings,
+};
+
+/// The shortest wait after a call that failed; a random part of the same size is added.
+const RETRY_MS: u64 = 150;
+
+/// The longest wait after several calls that failed.
+const RETRY_MOST_MS: u64 = 2_000;
+
+/// The time between two reads of the rosters of all zones.
+const READ_ALL_MS: u64 = 5_000;
+
+const ROSTERS: &str = "roster/";
+
+#[derive(Clone, Debug)]
+struct PendingCall {
+    call: CallId,
+    sent: ClockTime,
+    write: Option<Roster>,
+}
+
+/// What an ended call says about the roster.
+#[derive(Clone, Debug)]
+pub(crate) enum WorkNews {
+    /// The store held this roster (or none) at some time after `sent`.
+    Read {
+        sent: ClockTime,
+        roster: Option<Roster>,
+        version: KeyVersion,
+        /// The rosters of other zones, if the call asked for them.
+        others: Vec<(ZoneName, Roster)>,
+    },
+    /// A write took effect after `sent`.
+    Written { sent: ClockTime, roster: Roster },
+}
+
+/// The calls to the store.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreWork {
+    zone: ZoneName,
+    pending: Option<PendingCall>,
+    serial: u64,
+    failures: u32,
+    /// The earliest time of the next read.
+    pub(crate) next: ClockTime,
+    next_all: ClockTime,
+    pub(crate) calls: u64,
+}
+
+impl StoreWork {
+    pub(crate) fn new(zone: ZoneName, first: ClockTime) -> StoreWork {
+        StoreWork {
+            zone,
+            pending: None,
+            serial: 0,
+            failures: 0,
+            next: first,
+            next_all: first,
+            calls: 0,
+        }
+    }
+
+    /// Gives up a call that has had no answer for too long.
+    pub(crate) fn expire(&mut self, now: ClockTime, settings: &MemberSettings) {
+        let late = |pending: &PendingCall| now.since(pending.sent) >= settings.call;
+        if self.pending.as_ref().is_some_and(late) {
+            self.pending = None;
+            self.failures += 1;
+        }
+    }
+
+    /// Reads the own roster, and in some calls those of all zones.
+    pub(crate) fn read(&mut self, now: ClockTime, actions: &mut Vec<MemberAction>) {
+        let all = now >= self.next_all;
+        let request = if all {
+            StoreRequest::List { prefix: ROSTERS.into() }
+        } else {
+            StoreRequest::Get { key: Roster::store_key(&self.zone) }
+        };
+        self.send(now, None, request, actions);
+    }
+
+    pub(crate) fn write(
+        &mut self,
+        now: ClockTime,
+        roster: Roster,
+        expected: KeyVersion,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let request = StoreRequest::Put {
+            key: Roster::store_key(&self.zone),
+            value: roster.encode(),
+            expected: Some(expected),
+            lease: None,
+        };
+        self.send(now, Some(roster), request, actions);
+    }
+
+    pub(crate) fn idle(&self) -> bool {
+        self.pending.is_none()
+    }
+
+    fn send(
+        &mut self,
+        now: ClockTime,
+        write: Option<Roster>,
+        request: StoreRequest,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        self.serial += 1;
+        self.calls += 1;
+        let call = CallId(self.serial);
+        self.pending = Some(PendingCall { call, sent: now, write });
+        actions.push(MemberAction::Store { call, request });
+    }
+
+    /// Takes the end of a call; an answer to a call that was given up is ignored.
+    pub(crate) fn end(
+        &mut self,
+        now: ClockTime,
+        call: CallId,
+        outcome: StoreOutcome,
+        random: &mut SeededRandom,
+    ) -> Option<WorkNews> {
+        let pending = self.pending.take_if(|pending| pending.call == call)?;
+        let sent = pending.sent;
+        let news = match (outcome, pending.write) {
+            (Ok(StoreReply::Value(entry) | StoreReply::Conflict(entry)), _) => {
+                read(sent, entry, Vec::new())
+            }
+            (Ok(StoreReply::Entries { entries, .. }), _) => {
+                self.next_all = now + ClockSpan::from_ms(READ_ALL_MS);
+                read_all(sent, &Roster::store_key(&self.zone), entries)
+            }
+            (Ok(StoreReply::Written(_)), Some(roster)) => Some(WorkNews::Written { sent, roster }),
+            _ => None,
+        };
+        self.failures = if news.is_some() { 0 } else { self.failures + 1 };
+        if news.is_none() {
+            self.next = now + self.pause(random);
+        }
+        news
+    }
+
+    /// Returns a random wait that grows with the number of failures.
+    pub(crate) fn pause(&self, random: &mut SeededRandom) -> ClockSpan {
+        let base = (RETRY_MS << self.failures.min(5)).min(RETRY_MOST_MS);
+        ClockSpan::from_ms(base + random.below(base))
+    }
+}
+
+// A value that can't be read is treated as no answer: nothing may be concluded or overwritten.
+fn read(
+    sent: ClockTime,
+    entry: Option<StoreEntry>,
+    others: Vec<(ZoneName, Roster)>,
+) -> Option<WorkNews> {
+    let Some(entry) = entry else {
+        return Some(WorkNews::Read { sent, roster: None, version: KeyVersion(0), others });
+    };
+    let roster = Roster::decode(&entry.value).ok()?;
+    Some(WorkNews::Read { sent, roster: Some(roster), version: entry.version, others })
+}
+
+fn read_all(sent: ClockTime, own: &StoreKey, entries: Vec<StoreEntry>) -> Option<WorkNews> {
+    let (own, others): (Vec<_>, Vec<_>) = entries.into_iter().partition(|entry| entry.key == *own);
+    let others = others.iter().filter_map(|entry| {
+        let zone = entry.key.as_str().strip_prefix(ROSTERS)?;
+        Some((ZoneName::from(zone), Roster::decode(&entry.value).ok()?))
+    });
+    read(sent, own.into_iter().next(), others.collect())
+}
+
+/// Returns the roster that follows when `me` joins, replacing an older process of the same VM.
+pub(crate) fn with_joined(roster: &Roster, me: &RosterMember) -> Option<Roster> {
+    let node = me.node();
+    match roster.member(&me.vm) {
+        Some(member) if member.incarnation >= me.incarnation => None,
+        older => {
+            let stopped: Vec<NodeId> = older.map(RosterMember::node).into_iter().collect();
+            let others = roster.members.iter().filter(|member| member.vm != node.vm);
+            let members = others.cloned().chain([me.clone()]).collect();
+            Some(roster.next(members, &stopped))
+        }
+    }
+}
