Add the stand-ins for platform, engines and plain services

Cause: the adapters and the whole system are tested against outside systems that answer late, answer twice or don't answer, on one machine and without third-party servers.

Change: three servers that start in the caller's process on loopback. The platform speaks the JSON shape of etcd's v3 gateway with leases, watches, the 1 MB limit and call counters. The engine has slots, priorities, a bounded prefix cache, numbered cache events, lagging load reports, resumption and orders. The plain service counts how often each body ran. Each has fault switches in code and over HTTP; a second handle of each socket lets a fault close a connection without a response.

Conclusion: the stand-ins can be used by other crates' tests. awc ends a body that was cut without an error, so an adapter must rely on the final [DONE] event and not on the end of the body.

--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,116 @@
+//! What the handlers and streams of one engine share.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use godwitroad_base::{ClockSpan, ClockTime};
+use tokio::sync::watch;
+
+use super::{
+    AnswerFault, EngineFaults, EngineSettings, PrefixCache, feed::CacheFeed, orders::OrderBook,
+    slots::SlotTable,
+};
+
+/// The state of one engine.
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) settings: EngineSettings,
+    core: Mutex<EngineCore>,
+    started: Instant,
+    // The incarnation, which ends all streams of earlier ones when it changes.
+    life: watch::Sender<u64>,
+}
+
+/// The data of one engine, behind one lock.
+#[derive(Debug)]
+pub(crate) struct EngineCore {
+    pub(crate) cache: PrefixCache,
+    pub(crate) feed: CacheFeed,
+    pub(crate) slots: SlotTable,
+    pub(crate) orders: OrderBook,
+    pub(crate) faults: EngineFaults,
+    pub(crate) work: EngineWork,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: String,
+}
+
+/// The work that an engine did, for measurements and tests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct EngineWork {
+    /// The requests that were taken.
+    pub taken: u64,
+    /// The answers that were sent to the end.
+    pub finished: u64,
+    /// The requests that ended early, by a disconnect or a fault.
+    pub cut: u64,
+    /// The prompt pieces that were computed.
+    pub computed_pieces: u64,
+    /// The prompt pieces that were found in the cache.
+    pub cached_pieces: u64,
+    /// The tokens that were generated.
+    pub tokens: u64,
+}
+
+impl EngineState {
+    pub(crate) fn new(settings: EngineSettings) -> EngineState {
+        let core = EngineCore::new(&settings);
+        let (life, _) = watch::channel(settings.incarnation);
+        EngineState { settings, core: Mutex::new(core), started: Instant::now(), life }
+    }
+
+    // A panic in another handler leaves the data readable, so a poisoned lock is used as it is.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, EngineCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        ClockTime::from_ms(self.started.elapsed().as_millis() as u64)
+    }
+
+    pub(crate) fn incarnation(&self) -> u64 {
+        *self.life.borrow()
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.life.subscribe()
+    }
+
+    /// Starts a new incarnation with an empty cache and no work.
+    pub(crate) fn restart(&self) {
+        let mut core = self.lock();
+        let faults = std::mem::take(&mut core.faults);
+        let work = core.work;
+        *core = EngineCore { faults, work, ..EngineCore::new(&self.settings) };
+        drop(core);
+        self.life.send_modify(|incarnation| *incarnation += 1);
+    }
+
+    /// Returns the fault of the next answer.
+    pub(crate) fn next_fault(&self) -> AnswerFault {
+        self.lock().faults.answers.pop_front().unwrap_or(AnswerFault::None)
+    }
+
+    /// Returns `span` stretched by the slowness that is switched on.
+    pub(crate) fn stretch(&self, span: ClockSpan) -> Duration {
+        let factor = u64::from(self.lock().faults.slow_factor.max(1));
+        Duration::from_millis(span.as_ms() * factor)
+    }
+}
+
+impl EngineCore {
+    fn new(settings: &EngineSettings) -> EngineCore {
+        let models = settings.models.clone();
+        EngineCore {
+            cache: PrefixCache::new(settings.cache_pieces),
+            feed: CacheFeed::new(settings.event_buffer, settings.event_delay),
+            slots: SlotTable::new(settings.slots),
+            orders: OrderBook::new(settings.checks_fencing, settings.load_time, models),
+            faults: EngineFaults::default(),
+            work: EngineWork::default(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! The platform: a key-value service and the VM list.
+
+mod core;
+mod faults;
+mod server;
+mod shape;
+mod store;
+mod watch;
+
+pub use faults::{CallCounters, PlatformFaults};
+pub use server::PlatformServer;
+pub use store::{KeyValue, KvStore, StoreChange, StoreError};
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,176 @@
+//! The engine answers deterministically and fails on request.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap in a helper fails its test")]
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use awc::Client;
+use godwitroad_base::ClockSpan;
+use godwitroad_router::{CacheBatch, CacheEvent};
+use godwitroad_standin::{
+    AnswerFault, EngineFaults, EngineServer, EngineSettings, PIECE_BYTES, answer_text, chain_pieces,
+};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn quick() -> EngineSettings {
+    EngineSettings {
+        prefill_per_piece: ClockSpan::ZERO,
+        token_time: ClockSpan::ZERO,
+        event_wait: ClockSpan::ZERO,
+        ..Default::default()
+    }
+}
+
+#[derive(Default)]
+struct Answer {
+    text: String,
+    indexes: Vec<u64>,
+    ids: Vec<String>,
+    done: usize,
+    broken: bool,
+}
+
+// Reads the raw connection, because `awc` ends a body that was cut without an error.
+fn exchange(address: SocketAddr, body: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let length = body.len();
+    write!(
+        stream,
+        "POST /v1/completions HTTP/1.1\r\nhost: engine\r\nx-request-id: r1\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )
+    .unwrap();
+    let mut bytes = Vec::new();
+    // A reset connection ends the reading as well.
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8(bytes).unwrap()
+}
+
+async fn ask(engine: &EngineServer, body: Value) -> Answer {
+    let (address, body) = (engine.address(), body.to_string());
+    let raw = actix_rt::task::spawn_blocking(move || exchange(address, &body)).await.unwrap();
+    let is_stream = raw.contains("transfer-encoding: chunked");
+    let broken = raw.is_empty() || is_stream && !raw.ends_with("0\r\n\r\n");
+    let mut answer = Answer { broken, ..Answer::default() };
+    for line in raw.lines() {
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            answer.done += 1;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).unwrap();
+        answer.text += event["choices"][0]["delta"]["content"].as_str().unwrap();
+        answer.indexes.push(event["token_index"].as_u64().unwrap());
+        answer.ids.push(event["id"].as_str().unwrap().into());
+    }
+    answer
+}
+
+async fn events(engine: &EngineServer, after: u64) -> CacheBatch {
+    let url = format!("http://{}/cache/events?after={after}", engine.address());
+    let mut response = Client::default().get(url).send().await.unwrap();
+    serde_json::from_slice(&response.body().await.unwrap()).unwrap()
+}
+
+// Guards against a resumed answer that repeats or skips tokens, or that follows another text.
+#[actix_rt::test]
+async fn resumed_answer_completes_the_text() {
+    let engine = EngineServer::start(quick()).unwrap();
+    let whole = ask(&engine, json!({ "prompt": "p", "max_tokens": 9 })).await;
+    assert_eq!((whole.text.as_str(), whole.done), (answer_text(b"p", 9).as_str(), 1));
+    let resume = json!({ "tokens": 4, "text": answer_text(b"p", 4) });
+    let body = json!({ "prompt": "p", "max_tokens": 9, "resume": resume });
+    let rest = ask(&engine, body).await;
+    assert_eq!(rest.indexes, vec![4, 5, 6, 7, 8]);
+    assert_eq!(answer_text(b"p", 4) + &rest.text, whole.text);
+    let resume = json!({ "tokens": 4, "text": "another text" });
+    let refused = ask(&engine, json!({ "prompt": "p", "resume": resume })).await;
+    assert_eq!(refused.done, 0);
+}
+
+// Guards against a fault switch that doesn't do what its name says.
+#[parameterized(
+    die = { AnswerFault::Die { after_tokens: 2 }, 2, 0, true },
+    truncate = { AnswerFault::Truncate { after_tokens: 3 }, 3, 0, false },
+    twice = { AnswerFault::Twice, 10, 2, false },
+    hang_up = { AnswerFault::HangUp, 0, 0, true },
+    refuse = { AnswerFault::Refuse, 0, 0, false },
+    none = { AnswerFault::None, 5, 1, false },
+)]
+fn fault_shapes_the_answer(fault: AnswerFault, tokens: usize, done: usize, broken: bool) {
+    actix_rt::System::new().block_on(async move {
+        let engine = EngineServer::start(quick()).unwrap();
+        engine.push_faults([fault]);
+        let answer = ask(&engine, json!({ "prompt": "p", "max_tokens": 5 })).await;
+        assert_eq!((answer.indexes.len(), answer.done, answer.broken), (tokens, done, broken));
+        let next = ask(&engine, json!({ "prompt": "p", "max_tokens": 5 })).await;
+        assert_eq!((next.text, next.done), (answer_text(b"p", 5), 1));
+    });
+}
+
+// Guards against crossed answers that can't be told from one's own.
+#[actix_rt::test]
+async fn wrong_id_is_visible() {
+    let engine = EngineServer::start(quick()).unwrap();
+    engine.push_faults([AnswerFault::WrongId]);
+    let wrong = ask(&engine, json!({ "prompt": "p", "max_tokens": 1 })).await;
+    let right = ask(&engine, json!({ "prompt": "p", "max_tokens": 1 })).await;
+    assert_eq!((wrong.ids, right.ids), (vec!["other-r1".into()], vec![String::from("r1")]));
+}
+
+// Guards against cache events whose chain or sequence can't be followed across a gap, an eviction and a restart.
+#[actix_rt::test]
+async fn cache_events_follow_the_cache() {
+    let settings = EngineSettings { cache_pieces: 3, event_buffer: 8, ..quick() };
+    let engine = EngineServer::start(settings).unwrap();
+    let prompt = |letter: &str, pieces: usize| letter.repeat(pieces * PIECE_BYTES + 10);
+    let body = |prompt: &str| json!({ "prompt": prompt, "cache_salt": "s", "max_tokens": 1 });
+    let first = prompt("a", 2);
+    ask(&engine, body(&first)).await;
+    let chain = chain_pieces("s", first.as_bytes());
+    let batch = events(&engine, 0).await;
+    let stored = |piece, parent| CacheEvent::Stored { piece, parent };
+    assert_eq!(batch.events, vec![stored(chain[0], 0), stored(chain[1], chain[0])]);
+    engine.set_faults(EngineFaults { lose_events: 1, ..Default::default() });
+    ask(&engine, body(&prompt("b", 2))).await;
+    let batch = events(&engine, 2).await;
+    assert_eq!((batch.first, batch.events.len()), (4, 2), "the lost event leaves a gap");
+    ask(&engine, body(&first)).await;
+    assert_eq!(engine.work().cached_pieces, 1, "the last piece of the prompt was evicted first");
+    engine.restart();
+    let batch = events(&engine, 5).await;
+    assert_eq!((batch.snapshot, batch.incarnation, batch.events.len()), (true, 2, 0));
+}
+
+// Guards against work that goes on, or a slot that stays taken, after the caller has gone.
+#[actix_rt::test]
+async fn disconnect_frees_the_slot() {
+    let engine = EngineServer::start(EngineSettings { slots: 1, ..quick() }).unwrap();
+    engine.push_faults([AnswerFault::Stall { after_tokens: 1 }]);
+    let url = format!("http://{}/v1/completions", engine.address());
+    let client = Client::default();
+    let response = client.post(url).send_json(&json!({ "prompt": "p" })).await.unwrap();
+    drop(response);
+    drop(client);
+    let next = ask(&engine, json!({ "prompt": "q", "max_tokens": 2 })).await;
+    assert_eq!(next.text, answer_text(b"q", 2));
+    assert_eq!((engine.work().cut, engine.work().finished), (1, 1));
+}
+
+// Guards against a target that carries out the orders of a holder that lost its lease.
+#[parameterized(checking = { true, 409 }, trusting = { false, 200 })]
+fn old_fence(checks_fencing: bool, status: u16) {
+    actix_rt::System::new().block_on(async move {
+        let engine = EngineServer::start(EngineSettings { checks_fencing, ..quick() }).unwrap();
+        let order = async |fence: u64| {
+            let url = format!("http://{}/orders", engine.address());
+            let body = json!({ "fence": fence, "order": "load", "model": "m", "version": "v" });
+            Client::default().post(url).send_json(&body).await.unwrap().status().as_u16()
+        };
+        assert_eq!((order(2).await, order(1).await), (200, status));
+    });
+}
