--- /dev/null
+++ b/crates/prefix/src/index.rs
@@ -0,0 +1,560 @@
+//! Which target holds which pieces.
+//!
+//! An entry is a piece at a target. It belongs to an epoch of the target: each gap, snapshot or restart begins a
+//! new epoch, so that all older entries become unconfirmed or dead at once without being visited. A sweep in
+//! small steps removes the dead ones later. No dead entry ever matches, whether or not it was swept.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{ClockSpan, ClockTime, Incarnation, TargetName};
+
+use crate::{
+    chain::{PieceChain, PieceHash},
+    feed::{CacheChange, FeedAction},
+    table::{EntryTable, GROUP_TARGETS, entry_key},
+};
+
+/// The number of targets that an index can hold; their number takes 12 bits of an entry.
+const MAX_TARGETS: usize = 1 << 12;
+
+/// The number of epochs that an entry can tell apart; the epoch takes 6 bits.
+const EPOCHS: u32 = 1 << 6;
+
+/// The number of live epochs of one target at which its entries are rewritten, before numbers repeat.
+const EPOCH_LIMIT: u32 = EPOCHS - 8;
+
+/// The length of a unit of an entry's age as a power of two of milliseconds; 13 bits of it last 17 minutes.
+const STAMP_SHIFT: u32 = 7;
+const STAMP_MASK: u32 = (1 << 13) - 1;
+const PROVISIONAL: u32 = 1 << 13;
+const EPOCH_SHIFT: u32 = 14;
+const TARGET_SHIFT: u32 = 20;
+
+/// The number of entries among which eviction looks for the oldest.
+const EVICT_SAMPLE: usize = 16;
+
+/// The position of a target in an index; valid in that index only.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetId(pub u16);
+
+impl TargetId {
+    /// Returns the position for indexing vectors.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// The settings of an index.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IndexSettings {
+    /// The number of entries held at most; 16 bytes each are set aside.
+    pub max_entries: usize,
+    /// The time for which a dispatch counts as cached without an event that says so.
+    pub provisional_span: ClockSpan,
+}
+
+impl Default for IndexSettings {
+    fn default() -> IndexSettings {
+        IndexSettings { max_entries: 1 << 18, provisional_span: ClockSpan::from_secs(3) }
+    }
+}
+
+/// What an index has done so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct IndexCounters {
+    /// Pieces stored, including repeated ones.
+    pub stored: u64,
+    /// Entries removed because the engine evicted the piece.
+    pub evicted: u64,
+    /// Entries removed to stay within the memory bound.
+    pub displaced: u64,
+    /// Epochs begun by a gap.
+    pub gaps: u64,
+    /// Epochs begun by a snapshot.
+    pub snapshots: u64,
+    /// Epochs begun by a restart of a target.
+    pub restarts: u64,
+}
+
+/// The longest usable prefix at each target.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixMatches {
+    usable: Vec<u16>,
+    confirmed: Vec<u16>,
+}
+
+impl PrefixMatches {
+    /// Returns the number of leading pieces that `target` holds as far as is known.
+    pub fn usable(&self, target: TargetId) -> usize {
+        self.usable.get(target.index()).copied().map_or(0, usize::from)
+    }
+
+    /// Returns the number of leading pieces that events confirm at `target`.
+    pub fn confirmed(&self, target: TargetId) -> usize {
+        self.confirmed.get(target.index()).copied().map_or(0, usize::from)
+    }
+
+    /// Empties the matches and makes room for `targets` targets.
+    pub fn reset(&mut self, targets: usize) {
+        self.usable.clear();
+        self.usable.resize(targets, 0);
+        self.confirmed.clear();
+        self.confirmed.resize(targets, 0);
+    }
+
+    /// Sets the match of a target, as a lookup at another router reported it.
+    pub fn set(&mut self, target: TargetId, usable: usize, confirmed: usize) {
+        let clamp = |pieces: usize| pieces.min(usize::from(u16::MAX)) as u16;
+        if let Some(place) = self.usable.get_mut(target.index()) {
+            *place = clamp(usable);
+            self.confirmed[target.index()] = clamp(confirmed);
+        }
+    }
+
+    /// Raises the match of a target to at least `usable` pieces.
+    pub fn raise(&mut self, target: TargetId, usable: usize) {
+        if usable > self.usable(target) {
+            self.set(target, usable, self.confirmed(target));
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct TargetState {
+    name: Option<TargetName>,
+    incarnation: Option<Incarnation>,
+    epoch: u32,
+    /// The number of epochs before the current one whose entries are unconfirmed rather than dead.
+    kept: u32,
+    /// The number of epochs before the current one in the same incarnation.
+    lived: u32,
+    /// The number of epochs before the current one of which entries may still be in the table.
+    present: u32,
+}
+
+impl TargetState {
+    fn begin_epoch(&mut self) {
+        self.epoch = (self.epoch + 1) % EPOCHS;
+        self.kept += 1;
+        self.lived += 1;
+        self.present += 1;
+    }
+}
+
+/// Whether an entry counts.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum EntryStanding {
+    Confirmed,
+    Unconfirmed,
+    Dead,
+}
+
+/// The index of cached prefixes.
+#[derive(Clone, Debug)]
+pub struct PrefixIndex {
+    settings: IndexSettings,
+    table: EntryTable,
+    targets: Vec<TargetState>,
+    names: BTreeMap<TargetName, TargetId>,
+    counters: IndexCounters,
+    evict_hand: usize,
+    sweep_hand: usize,
+}
+
+impl PrefixIndex {
+    /// Returns an empty index.
+    pub fn new(settings: IndexSettings) -> PrefixIndex {
+        PrefixIndex {
+            settings,
+            table: EntryTable::new(settings.max_entries),
+            targets: Vec::new(),
+            names: BTreeMap::new(),
+            counters: IndexCounters::default(),
+            evict_hand: 0,
+            sweep_hand: 0,
+        }
+    }
+
+    /// Returns the position of the target `name`, adding it when it is new.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more than 4,096 targets are added, which the configuration check rules out for one zone.
+    pub fn add_target(&mut self, name: &TargetName) -> TargetId {
+        if let Some(&id) = self.names.get(name) {
+            return id;
+        }
+        let free = self.targets.iter().position(|state| state.name.is_none());
+        let place = free.unwrap_or(self.targets.len());
+        assert!(place < MAX_TARGETS, "more than {MAX_TARGETS} targets in one index");
+        if free.is_none() {
+            self.targets.push(TargetState {
+                name: None,
+                incarnation: None,
+                epoch: 0,
+                kept: 0,
+                lived: 0,
+                present: 0,
+            });
+        }
+        let id = TargetId(place as u16);
+        self.targets[place].name = Some(name.clone());
+        self.names.insert(name.clone(), id);
+        id
+    }
+
+    /// Forgets the target `name`; its entries die.
+    pub fn remove_target(&mut self, name: &TargetName) {
+        if let Some(id) = self.names.remove(name) {
+            self.end_incarnation(id);
+            let state = &mut self.targets[id.index()];
+            state.name = None;
+            state.incarnation = None;
+        }
+    }
+
+    /// Returns the position of the target `name`.
+    pub fn target_id(&self, name: &str) -> Option<TargetId> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the name of a target.
+    pub fn target_name(&self, target: TargetId) -> Option<&TargetName> {
+        self.targets.get(target.index())?.name.as_ref()
+    }
+
+    /// Returns the incarnation to which a target's entries are bound, if any was seen.
+    pub fn incarnation(&self, target: TargetId) -> Option<Incarnation> {
+        self.targets.get(target.index())?.incarnation
+    }
+
+    /// Returns the positions of all targets in the order of their names.
+    pub fn targets(&self) -> impl Iterator<Item = (&TargetName, TargetId)> {
+        self.names.iter().map(|(name, &id)| (name, id))
+    }
+
+    /// Returns the number of positions in use, for the size of vectors indexed by [`TargetId`].
+    pub fn target_slots(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns the number of entries, including dead ones that are not swept yet.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Returns whether the index holds no entry.
+    pub fn is_empty(&self) -> bool {
+        self.table.len() == 0
+    }
+
+    /// Returns the bytes that the entries occupy.
+    pub fn bytes(&self) -> usize {
+        self.table.bytes() + self.targets.capacity() * size_of::<TargetState>()
+    }
+
+    /// Returns what the index has done so far.
+    pub fn counters(&self) -> IndexCounters {
+        self.counters
+    }
+
+    /// Binds a target's entries to `incarnation` and returns whether that is the current one afterwards.
+    ///
+    /// Entries of an earlier incarnation die at once; an earlier incarnation than the bound one is not accepted.
+    pub fn bind(&mut self, target: TargetId, incarnation: Incarnation) -> bool {
+        let state = &mut self.targets[target.index()];
+        match state.incarnation {
+            Some(current) if current == incarnation => true,
+            Some(current) if incarnation < current => false,
+            earlier => {
+                state.incarnation = Some(incarnation);
+                if earlier.is_some() {
+                    self.counters.restarts += 1;
+                    self.end_incarnation(target);
+                }
+                true
+            }
+        }
+    }
+
+    /// Applies what an engine's feed asks for.
+    pub fn apply(&mut self, now: ClockTime, target: TargetId, action: &FeedAction) {
+        match action {
+            FeedAction::Restarted(incarnation) => {
+                self.bind(target, *incarnation);
+            }
+            FeedAction::Gap => self.mark_unconfirmed(target),
+            FeedAction::Replace => self.replace(target),
+            FeedAction::Change(CacheChange::Stored { piece, .. }) => {
+                self.store(now, target, piece.short());
+            }
+            FeedAction::Change(CacheChange::Evicted { piece }) => {
+                self.evict(target, piece.short());
+            }
+            FeedAction::Change(CacheChange::Cleared) => self.replace(target),
+            FeedAction::AskSnapshot => {}
+        }
+    }
+
+    /// Records that events confirm `piece` (in its short form) at `target`.
+    pub fn store(&mut self, now: ClockTime, target: TargetId, piece: u64) {
+        self.counters.stored += 1;
+        self.put(now, target, piece, 0);
+    }
+
+    /// Records that the engine evicted `piece`.
+    pub fn evict(&mut self, target: TargetId, piece: u64) {
+        let Some(slot) = self.find(target, piece) else { return };
+        // An eviction that arrives after a dispatch happened before it: the engine reports a piece that it
+        // computed as stored before it evicts it again.
+        if self.table.at(slot).is_some_and(|(_, state)| state & PROVISIONAL == 0) {
+            self.table.remove(slot);
+            self.counters.evicted += 1;
+        }
+    }
+
+    /// Counts the pieces of a prompt that was dispatched to `target` as cached until events or a time-out decide.
+    pub fn note_dispatch(&mut self, now: ClockTime, target: TargetId, pieces: &[PieceHash]) {
+        for piece in pieces {
+            self.note_piece(now, target, piece.short());
+        }
+    }
+
+    /// Counts one piece, in its short form, as cached until events or a time-out decide.
+    pub fn note_piece(&mut self, now: ClockTime, target: TargetId, piece: u64) {
+        if let Some(slot) = self.find(target, piece)
+            && let Some((_, state)) = self.table.at(slot)
+            && state & PROVISIONAL == 0
+            && self.standing(now, state) != EntryStanding::Dead
+        {
+            // What events said stays as it is; only its age is renewed.
+            self.table.set_state(slot, state & !STAMP_MASK | stamp(now));
+            return;
+        }
+        self.put(now, target, piece, PROVISIONAL);
+    }
+
+    /// Marks all entries of `target` as unconfirmed, because an eviction may have been missed.
+    pub fn mark_unconfirmed(&mut self, target: TargetId) {
+        self.counters.gaps += 1;
+        self.targets[target.index()].begin_epoch();
+        self.guard_epochs(target);
+    }
+
+    /// Begins a snapshot: entries of `target` die unless they are provisional or stored again.
+    pub fn replace(&mut self, target: TargetId) {
+        self.counters.snapshots += 1;
+        let state = &mut self.targets[target.index()];
+        state.begin_epoch();
+        state.kept = 0;
+        self.guard_epochs(target);
+    }
+
+    /// Finds the longest usable prefix of `chain` at every target.
+    pub fn lookup(&self, now: ClockTime, chain: &PieceChain, matches: &mut PrefixMatches) {
+        self.lookup_short(now, chain.pieces().iter().map(|piece| piece.short()), matches);
+    }
+
+    /// Finds the longest usable prefix of a chain whose pieces are given in their short form.
+    pub fn lookup_short(
+        &self,
+        now: ClockTime,
+        pieces: impl Iterator<Item = u64> + Clone,
+        matches: &mut PrefixMatches,
+    ) {
+        matches.reset(self.targets.len());
+        for (group, states) in self.targets.chunks(GROUP_TARGETS).enumerate() {
+            let base = group * GROUP_TARGETS;
+            let mut usable = u64::MAX >> (GROUP_TARGETS - states.len());
+            let mut confirmed = usable;
+            for (depth, piece) in pieces.clone().enumerate() {
+                let (held, firm) = self.holders(now, entry_key(piece, group), base);
+                settle(usable & !held, base, depth, &mut matches.usable);
+                settle(confirmed & !firm, base, depth, &mut matches.confirmed);
+                usable &= held;
+                confirmed &= firm;
+                if usable == 0 {
+                    break;
+                }
+            }
+            let depth = pieces.clone().count();
+            settle(usable, base, depth, &mut matches.usable);
+            settle(confirmed & usable, base, depth, &mut matches.confirmed);
+        }
+    }
+
+    /// Sweeps `slots` slots of the table and removes what is dead there.
+    pub fn sweep(&mut self, now: ClockTime, slots: usize) {
+        for _ in 0..slots.min(self.table.slots()) {
+            self.sweep_slot(now, self.sweep_hand);
+            self.sweep_hand = (self.sweep_hand + 1) % self.table.slots();
+        }
+    }
+
+    /// Calls `visit` with each live entry: its target, its piece's short form and whether it is provisional.
+    pub fn for_each_live(&self, now: ClockTime, mut visit: impl FnMut(TargetId, u64, bool)) {
+        for slot in 0..self.table.slots() {
+            let Some((key, state)) = self.table.at(slot) else { continue };
+            if self.standing(now, state) == EntryStanding::Dead {
+                continue;
+            }
+            let target = target_of(state);
+            visit(target, entry_key(key, group_of(target)), state & PROVISIONAL != 0);
+        }
+    }
+
+    fn holders(&self, now: ClockTime, key: u64, base: usize) -> (u64, u64) {
+        let (mut held, mut firm) = (0, 0);
+        self.table.for_each(key, |state| {
+            let bit = 1u64 << (target_of(state).index() - base);
+            match self.standing(now, state) {
+                EntryStanding::Confirmed => {
+                    held |= bit;
+                    firm |= bit;
+                }
+                EntryStanding::Unconfirmed => held |= bit,
+                EntryStanding::Dead => {}
+            }
+        });
+        (held, firm)
+    }
+
+    fn standing(&self, now: ClockTime, state: u32) -> EntryStanding {
+        let target = &self.targets[target_of(state).index()];
+        let age = (target.epoch + EPOCHS - epoch_of(state)) % EPOCHS;
+        if state & PROVISIONAL != 0 {
+            let units = stamp(now).wrapping_sub(state) & STAMP_MASK;
+            let span = ClockSpan::from_ms(u64::from(units) << STAMP_SHIFT);
+            let expired = span > self.settings.provisional_span;
+            return if age > target.lived || expired {
+                EntryStanding::Dead
+            } else {
+                EntryStanding::Unconfirmed
+            };
+        }
+        match age {
+            0 => EntryStanding::Confirmed,
+            age if age <= target.kept => EntryStanding::Unconfirmed,
+            _ => EntryStanding::Dead,
+        }
+    }
+
+    fn find(&self, target: TargetId, piece: u64) -> Option<usize> {
+        let key = entry_key(piece, group_of(target));
+        self.table.find(key, |state| target_of(state) == target)
+    }
+
+    fn put(&mut self, now: ClockTime, target: TargetId, piece: u64, flag: u32) {
+        let epoch = self.targets[target.index()].epoch;
+        let state = u32::from(target.0) << TARGET_SHIFT | epoch << EPOCH_SHIFT | flag | stamp(now);
+        if let Some(slot) = self.find(target, piece) {
+            self.table.set_state(slot, state);
+            return;
+        }
+        if self.table.is_full() {
+            self.displace(now);
+        }
+        self.table.insert(entry_key(piece, group_of(target)), state);
+    }
+
+    fn displace(&mut self, now: ClockTime) {
+        let mut oldest: Option<(usize, u32)> = None;
+        let mut seen = 0;
+        while seen < EVICT_SAMPLE {
+            let slot = self.evict_hand;
+            self.evict_hand = (self.evict_hand + 1) % self.table.slots();
+            let Some((_, state)) = self.table.at(slot) else { continue };
+            seen += 1;
+            let age = if self.standing(now, state) == EntryStanding::Dead {
+                u32::MAX
+            } else {
+                stamp(now).wrapping_sub(state) & STAMP_MASK
+            };
+            if oldest.is_none_or(|(_, best)| age > best) {
+                oldest = Some((slot, age));
+            }
+        }
+        if let Some((slot, _)) = oldest {
+            self.table.remove(slot);
+            self.counters.displaced += 1;
+        }
+    }
+
+    fn end_incarnation(&mut self, target: TargetId) {
+        let state = &mut self.targets[target.index()];
+        state.begin_epoch();
+        state.kept = 0;
+        state.lived = 0;
+        self.guard_epochs(target);
+    }
+
+    /// Rewrites all entries before the epoch numbers of `target` repeat, because a dead entry would live again.
+    fn guard_epochs(&mut self, target: TargetId) {
+        if self.targets[target.index()].present < EPOCH_LIMIT {
+            return;
+        }
+        let mut slot = 0;
+        while slot < self.table.slots() {
+            match self.table.at(slot).map(|(_, entry)| self.rebased(entry)) {
+                // The slot is looked at again, because removal moves a later entry into it.
+                Some(None) => self.table.remove(slot),
+                Some(Some(entry)) => {
+                    self.table.set_state(slot, entry);
+                    slot += 1;
+                }
+                None => slot += 1,
+            }
+        }
+        for state in &mut self.targets {
+            state.kept = state.kept.min(1);
+            state.lived = state.lived.min(1);
+            state.present = state.present.min(1);
+        }
+    }
+
+    /// Returns `entry` in the current epoch or the one before it, or `None` when it is dead.
+    fn rebased(&self, entry: u32) -> Option<u32> {
+        let state = &self.targets[target_of(entry).index()];
+        let age = (state.epoch + EPOCHS - epoch_of(entry)) % EPOCHS;
+        let bound = if entry & PROVISIONAL != 0 { state.lived } else { state.kept };
+        if age == 0 {
+            return Some(entry);
+        }
+        let epoch = (state.epoch + EPOCHS - 1) % EPOCHS;
+        let rest = entry & !((EPOCHS - 1) << EPOCH_SHIFT);
+        (age <= bound).then_some(rest | epoch << EPOCH_SHIFT)
+    }
+
+    fn sweep_slot(&mut self, now: ClockTime, slot: usize) {
+        while let Some((_, state)) = self.table.at(slot) {
+            if self.standing(now, state) != EntryStanding::Dead {
+                return;
+            }
+            self.table.remove(slot);
+        }
+    }
+}
+
+fn settle(mut ended: u64, base: usize, depth: usize, places: &mut [u16]) {
+    let depth = depth.min(usize::from(u16::MAX)) as u16;
+    while ended != 0 {
+        places[base + ended.trailing_zeros() as usize] = depth;
+        ended &= ended - 1;
+    }
+}
+
+fn stamp(now: ClockTime) -> u32 {
+    (now.as_ms() >> STAMP_SHIFT) as u32 & STAMP_MASK
+}
+
+fn target_of(state: u32) -> TargetId {
+    TargetId((state >> TARGET_SHIFT) as u16)
+}
+
+fn epoch_of(state: u32) -> u32 {
+    state >> EPOCH_SHIFT & (EPOCHS - 1)
+}
+
+fn group_of(target: TargetId) -> usize {
+    target.index() / GROUP_TARGETS
+}
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -1,1 +1,22 @@
 //! Prompt pieces and the index of cached prefixes.
+//!
+//! An engine answers sooner when the start of a prompt is still in its prefix cache. This crate knows which
+//! engine holds which pieces: [`PieceChain`] names the pieces of a prompt, [`EventFeed`] puts an engine's cache
+//! events in order, [`PrefixIndex`] holds the entries and [`IndexPart`] divides them over the routers of a zone.
+
+mod chain;
+mod feed;
+mod index;
+mod part;
+mod reader;
+mod table;
+mod wire;
+
+pub use chain::{ChainSalt, PIECE_BYTES, PieceChain, PieceHash};
+pub use feed::{CacheChange, EventFeed, FeedAction, FeedBatch, FeedSettings};
+pub use index::{IndexCounters, IndexSettings, PrefixIndex, PrefixMatches, TargetId};
+pub use part::{
+    IndexPart, LookupSource, PartAction, PartCounters, PartEvent, PartMessage, PartSettings,
+    TargetMatch,
+};
+pub use wire::{EntryBatch, EntryOp, Error, Result, TargetEntries, TargetTag};
--- /dev/null
+++ b/crates/prefix/src/table.rs
@@ -0,0 +1,129 @@
+//! The hash table below the index.
+//!
+//! Millions of entries must fit in little memory, so an entry is 12 bytes in two parallel arrays: a key of 64
+//! bits and 32 bits of state. The table has a fixed number of slots, linear probing and backward-shift deletion.
+//! One key stands for a piece and a group of 64 targets. A piece that every target holds therefore makes runs of
+//! at most 64 slots, and one probe finds all holders in a group.
+
+/// The number of targets that share one probe.
+pub(crate) const GROUP_TARGETS: usize = 64;
+
+/// The share of slots that may be in use, in percent; runs grow steeply beyond it.
+const MAX_FILL_PERCENT: usize = 75;
+
+const EMPTY: u64 = 0;
+
+#[derive(Clone, Debug)]
+pub(crate) struct EntryTable {
+    keys: Vec<u64>,
+    states: Vec<u32>,
+    used: usize,
+    limit: usize,
+}
+
+/// Returns the key of `piece` in the target group `group`.
+pub(crate) fn entry_key(piece: u64, group: usize) -> u64 {
+    let spread = (group as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (piece ^ spread).max(1)
+}
+
+impl EntryTable {
+    pub(crate) fn new(limit: usize) -> EntryTable {
+        let limit = limit.max(16);
+        let slots = limit * 100 / MAX_FILL_PERCENT + 1;
+        EntryTable { keys: vec![EMPTY; slots], states: vec![0; slots], used: 0, limit }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.used
+    }
+
+    pub(crate) fn slots(&self) -> usize {
+        self.keys.len()
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.used >= self.limit
+    }
+
+    pub(crate) fn bytes(&self) -> usize {
+        self.keys.capacity() * size_of::<u64>() + self.states.capacity() * size_of::<u32>()
+    }
+
+    fn home(&self, key: u64) -> usize {
+        ((u128::from(key) * self.keys.len() as u128) >> 64) as usize
+    }
+
+    fn after(&self, slot: usize) -> usize {
+        if slot + 1 == self.keys.len() { 0 } else { slot + 1 }
+    }
+
+    /// Calls `visit` with the state of each entry under `key`.
+    pub(crate) fn for_each(&self, key: u64, mut visit: impl FnMut(u32)) {
+        let mut slot = self.home(key);
+        loop {
+            let found = self.keys[slot];
+            if found == EMPTY {
+                return;
+            }
+            if found == key {
+                visit(self.states[slot]);
+            }
+            slot = self.after(slot);
+        }
+    }
+
+    /// Returns the slot of the entry under `key` whose state satisfies `matches`.
+    pub(crate) fn find(&self, key: u64, matches: impl Fn(u32) -> bool) -> Option<usize> {
+        let mut slot = self.home(key);
+        while self.keys[slot] != EMPTY {
+            if self.keys[slot] == key && matches(self.states[slot]) {
+                return Some(slot);
+            }
+            slot = self.after(slot);
+        }
+        None
+    }
+
+    /// Returns the key and state in `slot`, or `None` when it is empty.
+    pub(crate) fn at(&self, slot: usize) -> Option<(u64, u32)> {
+        (self.keys[slot] != EMPTY).then(|| (self.keys[slot], self.states[slot]))
+    }
+
+    pub(crate) fn set_state(&mut self, slot: usize, state: u32) {
+        self.states[slot] = state;
+    }
+
+    /// Adds an entry; the caller has made room.
+    pub(crate) fn insert(&mut self, key: u64, state: u32) {
+        debug_assert!(!self.is_full(), "the caller evicts before it inserts");
+        let mut slot = self.home(key);
+        while self.keys[slot] != EMPTY {
+            slot = self.after(slot);
+        }
+        self.keys[slot] = key;
+        self.states[slot] = state;
+        self.used += 1;
+    }
+
+    /// Removes the entry in `slot` and closes the run behind it.
+    pub(crate) fn remove(&mut self, slot: usize) {
+        let count = self.keys.len();
+        let distance =
+            |from: usize, to: usize| if to >= from { to - from } else { to + count - from };
+        let mut hole = slot;
+        let mut next = self.after(slot);
+        while self.keys[next] != EMPTY {
+            // An entry moves back only if the hole isn't before its home.
+            let home = self.home(self.keys[next]);
+            if distance(home, next) >= distance(hole, next) {
+                self.keys[hole] = self.keys[next];
+                self.states[hole] = self.states[next];
+                hole = next;
+            }
+            next = self.after(next);
+        }
+        self.keys[hole] = EMPTY;
+        self.used -= 1;
+    }
+}
