--- /dev/null
+++ b/crates/pick/src/choice.rs
@@ -0,0 +1,331 @@
+//! The choice itself.
+//!
+//! The estimate of a target is its queue wait, the time to compute the missing pieces, and the time on the
+//! network. Estimates within a small margin count as equal, and a seeded choice among them keeps many routers
+//! with the same view from sending everything to one target.
+
+use godwitroad_base::{ClockTime, SeededRandom};
+use godwitroad_prefix::{PrefixMatches, TargetId};
+use serde::Serialize;
+
+use crate::{health::TargetHealth, hot::HotPrefixes, link::LinkMeter, load::LoadView};
+
+/// The settings of the choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceSettings {
+    /// The prompt tokens of one piece.
+    pub piece_tokens: u64,
+    /// The network time to a target in this zone, in milliseconds.
+    pub zone_ms: f64,
+    /// The network time to a target in another zone of the region, in milliseconds.
+    pub region_ms: f64,
+    /// The network time to a target in another region, in milliseconds, without the transfer.
+    pub remote_ms: f64,
+    /// The bytes per millisecond of the link between regions.
+    pub link_bytes_per_ms: f64,
+    /// The least advantage for which a request crosses the link, in milliseconds.
+    pub cross_advantage_ms: f64,
+    /// The difference up to which two estimates count as equal, as a share of the better one.
+    pub tie_share: f64,
+    /// The difference up to which two estimates count as equal, in milliseconds.
+    pub tie_ms: f64,
+    /// The part of an unconfirmed piece that counts as cached.
+    pub unconfirmed_share: f64,
+    /// The weight of a copy that displaces other cached pieces, as a share of the pieces' prefill time.
+    pub copy_cost: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> ChoiceSettings {
+        ChoiceSettings {
+            piece_tokens: 2_000,
+            zone_ms: 0.5,
+            region_ms: 1.5,
+            remote_ms: 8.0,
+            link_bytes_per_ms: 3_000.0,
+            cross_advantage_ms: 50.0,
+            tie_share: 0.05,
+            tie_ms: 5.0,
+            unconfirmed_share: 0.9,
+            copy_cost: 0.5,
+        }
+    }
+}
+
+/// Where a target is, seen from this router.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Distance {
+    /// In the same availability zone.
+    #[default]
+    Zone,
+    /// In another zone of the region.
+    Region,
+    /// In another region.
+    Remote,
+}
+
+/// A target that may serve the request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetPlace {
+    /// The target.
+    pub target: TargetId,
+    /// Where it is.
+    pub distance: Distance,
+}
+
+/// The facts of one request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ChoiceRequest<'a> {
+    /// The short form of the first piece, if the prompt has a complete one.
+    pub first: Option<u64>,
+    /// The number of complete pieces.
+    pub pieces: usize,
+    /// The prompt tokens, including those after the last complete piece.
+    pub tokens: u64,
+    /// The bytes that go to the target.
+    pub bytes: u64,
+    /// The number of routers that share the traffic.
+    pub routers: usize,
+    /// Targets that failed this request already.
+    pub excluded: &'a [TargetId],
+}
+
+/// The estimate for one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TargetEstimate {
+    /// The position of the target.
+    #[serde(skip)]
+    pub target: TargetId,
+    /// Where the target is.
+    pub distance: Distance,
+    /// The estimated wait before the prompt is computed.
+    pub queue_ms: f64,
+    /// The time to compute the missing part of the prompt.
+    pub prefill_ms: f64,
+    /// The time on the network.
+    pub network_ms: f64,
+    /// The leading pieces held as far as is known.
+    pub usable_pieces: usize,
+    /// The leading pieces that events confirm.
+    pub confirmed_pieces: usize,
+    /// The penalty for a further copy of a prefix that has enough targets.
+    pub copy_ms: f64,
+}
+
+impl TargetEstimate {
+    /// Returns the estimated time to first token.
+    pub fn first_token_ms(&self) -> f64 {
+        self.queue_ms + self.prefill_ms + self.network_ms
+    }
+
+    fn cost_ms(&self) -> f64 {
+        self.first_token_ms() + self.copy_ms
+    }
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ChoiceExplain {
+    /// The estimate of the chosen target.
+    pub chosen: TargetEstimate,
+    /// The best of the others, in the order of their cost.
+    pub others: Vec<TargetEstimate>,
+    /// The number of targets that counted as equal.
+    pub tied: usize,
+    /// The number of targets that the prefix should have at its load.
+    pub wanted_copies: usize,
+    /// The number of targets that hold the first piece.
+    pub holders: usize,
+    /// The targets left out because of probation, gradual return or leaving.
+    pub unhealthy: usize,
+    /// Whether the link's budget kept the request in the region.
+    pub link_refused: bool,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenTarget {
+    /// The target.
+    pub target: TargetId,
+    /// The prompt tokens that the target must compute, for [`LoadView::note_dispatch`].
+    pub missing_tokens: u64,
+    /// Why it was chosen.
+    pub explain: ChoiceExplain,
+}
+
+/// The number of other targets that an explanation lists.
+const EXPLAIN_OTHERS: usize = 4;
+
+/// The choice of a target by the least estimated time to first token.
+#[derive(Clone, Debug)]
+pub struct TargetChoice {
+    settings: ChoiceSettings,
+    estimates: Vec<TargetEstimate>,
+}
+
+impl TargetChoice {
+    /// Returns a choice with these settings.
+    pub fn new(settings: ChoiceSettings) -> TargetChoice {
+        TargetChoice { settings, estimates: Vec::new() }
+    }
+
+    /// Returns the target for a request, or `None` when no target can take it.
+    #[expect(clippy::too_many_arguments, reason = "each argument is another owner's state")]
+    pub fn choose(
+        &mut self,
+        now: ClockTime,
+        request: &ChoiceRequest<'_>,
+        places: &[TargetPlace],
+        matches: &PrefixMatches,
+        load: &LoadView,
+        health: &TargetHealth,
+        hot: &HotPrefixes,
+        link: &LinkMeter,
+        random: &mut SeededRandom,
+    ) -> Option<ChosenTarget> {
+        let mut explain = ChoiceExplain {
+            wanted_copies: request.first.map_or(1, |first| hot.wanted(now, first)),
+            ..Default::default()
+        };
+        self.estimates.clear();
+        for place in places {
+            if request.excluded.contains(&place.target) {
+                continue;
+            }
+            if !health.admits(now, place.target, random) {
+                explain.unhealthy += 1;
+                continue;
+            }
+            let estimate = self.estimate(now, request, *place, matches, load);
+            explain.holders += usize::from(estimate.usable_pieces > 0);
+            self.estimates.push(estimate);
+        }
+        if self.estimates.is_empty() {
+            self.take_returning(now, request, places, matches, load, health);
+        }
+        self.price_copies(&explain);
+        self.drop_remote(now, request, link, &mut explain);
+        let least = self.estimates.iter().map(TargetEstimate::cost_ms).reduce(f64::min)?;
+        let bound = least + (least * self.settings.tie_share).max(self.settings.tie_ms);
+        let is_tied = |estimate: &&TargetEstimate| estimate.cost_ms() <= bound;
+        let tied: Vec<TargetEstimate> = self.estimates.iter().filter(is_tied).copied().collect();
+        let chosen = pick_tied(&tied, random);
+        explain.tied = tied.len();
+        explain.chosen = chosen;
+        explain.others = self.others(chosen.target);
+        let cached = chosen.usable_pieces as u64 * self.settings.piece_tokens;
+        let missing_tokens = request.tokens.saturating_sub(cached);
+        Some(ChosenTarget { target: chosen.target, missing_tokens, explain })
+    }
+
+    fn estimate(
+        &self,
+        now: ClockTime,
+        request: &ChoiceRequest<'_>,
+        place: TargetPlace,
+        matches: &PrefixMatches,
+        load: &LoadView,
+    ) -> TargetEstimate {
+        let settings = &self.settings;
+        let usable_pieces = matches.usable(place.target).min(request.pieces);
+        let confirmed_pieces = matches.confirmed(place.target).min(usable_pieces);
+        let doubtful = (usable_pieces - confirmed_pieces) as f64 * settings.unconfirmed_share;
+        let cached = (confirmed_pieces as f64 + doubtful) * settings.piece_tokens as f64;
+        let missing = (request.tokens as f64 - cached).max(0.0);
+        let network_ms = match place.distance {
+            Distance::Zone => settings.zone_ms,
+            Distance::Region => settings.region_ms,
+            Distance::Remote => {
+                settings.remote_ms + request.bytes as f64 / settings.link_bytes_per_ms
+            }
+        };
+        TargetEstimate {
+            target: place.target,
+            distance: place.distance,
+            queue_ms: load.queue_wait_ms(now, place.target),
+            prefill_ms: missing * 1_000.0 / load.prefill_rate(place.target),
+            network_ms,
+            usable_pieces,
+            confirmed_pieces,
+            copy_ms: 0.0,
+        }
+    }
+
+    /// Considers returning targets at any share when no other target is left.
+    fn take_returning(
+        &mut self,
+        now: ClockTime,
+        request: &ChoiceRequest<'_>,
+        places: &[TargetPlace],
+        matches: &PrefixMatches,
+        load: &LoadView,
+        health: &TargetHealth,
+    ) {
+        for place in places {
+            let is_usable = health.share(now, place.target) > 0.0;
+            if is_usable && !request.excluded.contains(&place.target) {
+                let estimate = self.estimate(now, request, *place, matches, load);
+                self.estimates.push(estimate);
+            }
+        }
+    }
+
+    /// Charges for pieces that a target would have to cache anew although enough targets hold them.
+    ///
+    /// A copy displaces other pieces from the target's limited cache, which costs a later request about as much as
+    /// it costs this one. The charge falls to zero while the prefix has fewer targets than its load asks for.
+    fn price_copies(&mut self, explain: &ChoiceExplain) {
+        let best = self.estimates.iter().map(|estimate| estimate.usable_pieces).max().unwrap_or(0);
+        if explain.holders < explain.wanted_copies || best == 0 {
+            return;
+        }
+        let least = |list: &[TargetEstimate]| {
+            list.iter().map(|estimate| estimate.prefill_ms).reduce(f64::min).unwrap_or(0.0)
+        };
+        let least = least(&self.estimates);
+        for estimate in &mut self.estimates {
+            estimate.copy_ms = self.settings.copy_cost * (estimate.prefill_ms - least);
+        }
+    }
+
+    /// Leaves out other regions unless waiting here costs clearly more and the budget allows it.
+    fn drop_remote(
+        &mut self,
+        now: ClockTime,
+        request: &ChoiceRequest<'_>,
+        link: &LinkMeter,
+        explain: &mut ChoiceExplain,
+    ) {
+        let near = |estimate: &&TargetEstimate| estimate.distance != Distance::Remote;
+        let costs = self.estimates.iter().filter(near).map(TargetEstimate::cost_ms);
+        let Some(nearest) = costs.reduce(f64::min) else { return };
+        let limit = nearest - self.settings.cross_advantage_ms;
+        let wanted = |estimate: &TargetEstimate| estimate.cost_ms() < limit;
+        let is_allowed = link.allows(now, request.bytes);
+        let is_remote = |estimate: &TargetEstimate| estimate.distance == Distance::Remote;
+        explain.link_refused = !is_allowed
+            && self.estimates.iter().any(|estimate| is_remote(estimate) && wanted(estimate));
+        self.estimates.retain(|estimate| !is_remote(estimate) || is_allowed && wanted(estimate));
+    }
+
+    fn others(&self, chosen: TargetId) -> Vec<TargetEstimate> {
+        let mut others: Vec<TargetEstimate> = Vec::with_capacity(EXPLAIN_OTHERS + 1);
+        for estimate in self.estimates.iter().filter(|estimate| estimate.target != chosen) {
+            let place = others.partition_point(|other| other.cost_ms() <= estimate.cost_ms());
+            if place < EXPLAIN_OTHERS {
+                others.insert(place, *estimate);
+                others.truncate(EXPLAIN_OTHERS);
+            }
+        }
+        others
+    }
+}
+
+/// Takes two of the near-equal targets by chance and returns the better one.
+fn pick_tied(tied: &[TargetEstimate], random: &mut SeededRandom) -> TargetEstimate {
+    let count = tied.len() as u64;
+    let first = tied[random.below(count) as usize];
+    let second = tied[random.below(count) as usize];
+    if second.cost_ms() < first.cost_ms() { second } else { first }
+}
--- /dev/null
+++ b/crates/pick/src/health.rs
@@ -0,0 +1,168 @@
+//! Which targets may get new work.
+//!
+//! A failing target is put on probation: it gets nothing for a time that doubles with each failure in a row. It
+//! returns gradually, because a target that just restarted would otherwise draw all traffic at once. A leaving
+//! target gets nothing new.
+
+use godwitroad_base::{ClockSpan, ClockTime, SeededRandom};
+use godwitroad_prefix::TargetId;
+
+/// The settings of target health.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HealthSettings {
+    /// The failures in a row that put a target on probation.
+    pub failures: u32,
+    /// The first probation.
+    pub probation: ClockSpan,
+    /// The longest probation.
+    pub max_probation: ClockSpan,
+    /// The time over which a target returns to its full share.
+    pub return_span: ClockSpan,
+}
+
+impl Default for HealthSettings {
+    fn default() -> HealthSettings {
+        HealthSettings {
+            failures: 2,
+            probation: ClockSpan::from_ms(500),
+            max_probation: ClockSpan::from_secs(30),
+            return_span: ClockSpan::from_secs(3),
+        }
+    }
+}
+
+/// The state of one target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum HealthState {
+    /// The target takes its full share.
+    #[default]
+    Healthy,
+    /// The target gets nothing before this time.
+    Probation {
+        /// The end of the probation.
+        until: ClockTime,
+    },
+    /// The target takes a growing share.
+    Returning {
+        /// The start of the return.
+        since: ClockTime,
+    },
+    /// The target takes nothing new for good.
+    Leaving,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetRecord {
+    state: HealthState,
+    failures: u32,
+    probations: u32,
+}
+
+/// The health of all targets.
+#[derive(Clone, Debug)]
+pub struct TargetHealth {
+    settings: HealthSettings,
+    targets: Vec<TargetRecord>,
+}
+
+impl TargetHealth {
+    /// Returns a record in which every target is healthy.
+    pub fn new(settings: HealthSettings) -> TargetHealth {
+        TargetHealth { settings, targets: Vec::new() }
+    }
+
+    /// Returns the state of `target` at `now`.
+    pub fn state(&self, now: ClockTime, target: TargetId) -> HealthState {
+        let record = self.targets.get(target.index()).copied().unwrap_or_default();
+        match record.state {
+            HealthState::Probation { until } if now >= until => self.returning_state(now, until),
+            HealthState::Returning { since } => self.returning_state(now, since),
+            state => state,
+        }
+    }
+
+    /// Returns the share of its usual work that `target` may get now, between zero and one.
+    pub fn share(&self, now: ClockTime, target: TargetId) -> f64 {
+        match self.state(now, target) {
+            HealthState::Healthy => 1.0,
+            HealthState::Probation { .. } | HealthState::Leaving => 0.0,
+            HealthState::Returning { since } => {
+                let span = self.settings.return_span.as_ms().max(1) as f64;
+                // A small share from the start shows whether the target works again.
+                (now.since(since).as_ms() as f64 / span).clamp(0.05, 1.0)
+            }
+        }
+    }
+
+    /// Decides by chance whether `target` is considered for one request.
+    pub fn admits(&self, now: ClockTime, target: TargetId, random: &mut SeededRandom) -> bool {
+        let share = self.share(now, target);
+        share >= 1.0 || share > 0.0 && random.chance(share)
+    }
+
+    /// Counts a request that `target` answered.
+    pub fn note_success(&mut self, now: ClockTime, target: TargetId) {
+        let state = self.state(now, target);
+        let record = self.entry(target);
+        record.failures = 0;
+        if state == HealthState::Healthy {
+            record.state = state;
+            record.probations = 0;
+        }
+    }
+
+    /// Counts a failed request and returns whether the target is on probation from now on.
+    pub fn note_failure(&mut self, now: ClockTime, target: TargetId) -> bool {
+        let state = self.state(now, target);
+        let settings = self.settings;
+        let record = self.entry(target);
+        record.failures += 1;
+        let is_returning = matches!(state, HealthState::Returning { .. });
+        if state == HealthState::Leaving
+            || matches!(state, HealthState::Probation { .. })
+            || record.failures < settings.failures && !is_returning
+        {
+            return false;
+        }
+        let doubled = settings.probation.as_ms() << record.probations.min(16);
+        let span = ClockSpan::from_ms(doubled).min(settings.max_probation);
+        record.probations += 1;
+        record.failures = 0;
+        record.state = HealthState::Probation { until: now + span };
+        true
+    }
+
+    /// Starts the gradual return of a target that restarted.
+    pub fn restart(&mut self, now: ClockTime, target: TargetId) {
+        let record = self.entry(target);
+        if record.state != HealthState::Leaving {
+            record.state = HealthState::Returning { since: now };
+        }
+    }
+
+    /// Sets whether `target` is leaving.
+    pub fn set_leaving(&mut self, now: ClockTime, target: TargetId, is_leaving: bool) {
+        let record = self.entry(target);
+        let was_leaving = record.state == HealthState::Leaving;
+        if is_leaving {
+            record.state = HealthState::Leaving;
+        } else if was_leaving {
+            record.state = HealthState::Returning { since: now };
+        }
+    }
+
+    fn returning_state(&self, now: ClockTime, since: ClockTime) -> HealthState {
+        if now.since(since) >= self.settings.return_span {
+            HealthState::Healthy
+        } else {
+            HealthState::Returning { since }
+        }
+    }
+
+    fn entry(&mut self, target: TargetId) -> &mut TargetRecord {
+        if self.targets.len() <= target.index() {
+            self.targets.resize(target.index() + 1, TargetRecord::default());
+        }
+        &mut self.targets[target.index()]
+    }
+}
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -1,1 +1,21 @@
 //! Choice of the target for a request.
+//!
+//! [`TargetChoice`] takes the cached prefixes, the load and the health of the targets and picks the one with the
+//! least estimated time to first token, in a way that keeps many routers from making the same choice at once.
+
+mod choice;
+mod health;
+mod hot;
+mod link;
+mod load;
+mod retry;
+
+pub use choice::{
+    ChoiceExplain, ChoiceRequest, ChoiceSettings, ChosenTarget, Distance, TargetChoice,
+    TargetEstimate, TargetPlace,
+};
+pub use health::{HealthSettings, HealthState, TargetHealth};
+pub use hot::{HotPrefixes, HotSettings};
+pub use link::{LinkMeter, LinkSettings};
+pub use load::{LoadSettings, LoadView, TargetReport};
+pub use retry::{RetryBudget, RetrySettings};
--- /dev/null
+++ b/crates/pick/src/load.rs
@@ -0,0 +1,210 @@
+//! The load of each target as this router sees it.
+//!
+//! Load reports lag. What this router and its peers dispatched since the report was taken is added to it, and
+//! what the target can have computed meanwhile is subtracted, so that a stale report does not draw every router to
+//! the same target.
+
+use std::collections::VecDeque;
+
+use godwitroad_base::{ClockSpan, ClockTime};
+use godwitroad_prefix::TargetId;
+
+/// The number of dispatches remembered per target; older ones are covered by a report by then.
+const MAX_DISPATCHES: usize = 512;
+
+/// The settings of a load view.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadSettings {
+    /// The prompt tokens that a target computes per second until its own rate is measured.
+    pub prefill_rate: f64,
+    /// The time that a request occupies a slot until it is measured.
+    pub service_span: ClockSpan,
+    /// The time after which a dispatch counts as reported even when no report arrived.
+    pub report_span: ClockSpan,
+}
+
+impl Default for LoadSettings {
+    fn default() -> LoadSettings {
+        LoadSettings {
+            prefill_rate: 20_000.0,
+            service_span: ClockSpan::from_secs(2),
+            report_span: ClockSpan::from_secs(3),
+        }
+    }
+}
+
+/// The load that a target reported.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetReport {
+    /// The number of requests that run.
+    pub running: u32,
+    /// The number of requests that wait.
+    pub waiting: u32,
+    /// The number of prompt tokens that wait to be computed.
+    pub waiting_tokens: u64,
+    /// The age of the figures.
+    pub age: ClockSpan,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentWork {
+    at: ClockTime,
+    tokens: u64,
+    request: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TargetLoad {
+    slots: u32,
+    taken: ClockTime,
+    report: TargetReport,
+    sent: VecDeque<SentWork>,
+    /// Requests that ended since the report was taken.
+    ended: VecDeque<ClockTime>,
+    prefill_rate: Option<f64>,
+    service_ms: Option<f64>,
+}
+
+/// The load of all targets.
+#[derive(Clone, Debug)]
+pub struct LoadView {
+    settings: LoadSettings,
+    targets: Vec<TargetLoad>,
+}
+
+impl LoadView {
+    /// Returns a view without any report.
+    pub fn new(settings: LoadSettings) -> LoadView {
+        LoadView { settings, targets: Vec::new() }
+    }
+
+    /// Sets the number of requests that `target` runs at once.
+    pub fn set_slots(&mut self, target: TargetId, slots: u32) {
+        self.entry(target).slots = slots;
+    }
+
+    /// Takes a report.
+    pub fn report(&mut self, now: ClockTime, target: TargetId, report: TargetReport) {
+        let taken = now - report.age;
+        let load = self.entry(target);
+        if taken < load.taken {
+            return;
+        }
+        load.taken = taken;
+        load.report = report;
+        load.sent.retain(|sent| sent.at > taken);
+        load.ended.retain(|&ended| ended > taken);
+    }
+
+    /// Forgets what is known of a target that restarted.
+    pub fn restart(&mut self, now: ClockTime, target: TargetId) {
+        let load = self.entry(target);
+        load.taken = now;
+        load.report = TargetReport::default();
+        load.sent.clear();
+        load.ended.clear();
+    }
+
+    /// Counts a dispatch of `tokens` prompt tokens that the target must compute.
+    ///
+    /// `request` is this router's number for a dispatch of its own and `None` for that of a peer.
+    pub fn note_dispatch(
+        &mut self,
+        now: ClockTime,
+        target: TargetId,
+        tokens: u64,
+        request: Option<u64>,
+    ) {
+        let load = self.entry(target);
+        if load.sent.len() == MAX_DISPATCHES {
+            load.sent.pop_front();
+        }
+        load.sent.push_back(SentWork { at: now, tokens, request });
+    }
+
+    /// Counts the end of one of this router's requests.
+    pub fn note_end(&mut self, now: ClockTime, target: TargetId, request: u64, span: ClockSpan) {
+        let load = self.entry(target);
+        let before = load.sent.len();
+        load.sent.retain(|sent| sent.request != Some(request));
+        if load.sent.len() == before {
+            if load.ended.len() == MAX_DISPATCHES {
+                load.ended.pop_front();
+            }
+            load.ended.push_back(now);
+        }
+        smooth(&mut load.service_ms, span.as_ms() as f64);
+    }
+
+    /// Measures the target's rate from a first token that came without waiting.
+    pub fn note_prefill(&mut self, target: TargetId, tokens: u64, span: ClockSpan) {
+        if span > ClockSpan::ZERO && tokens > 0 {
+            let rate = tokens as f64 * 1_000.0 / span.as_ms() as f64;
+            smooth(&mut self.entry(target).prefill_rate, rate);
+        }
+    }
+
+    /// Returns the prompt tokens that `target` computes per second.
+    pub fn prefill_rate(&self, target: TargetId) -> f64 {
+        let known = self.targets.get(target.index()).and_then(|load| load.prefill_rate);
+        known.unwrap_or(self.settings.prefill_rate).max(1.0)
+    }
+
+    /// Returns the estimated prompt tokens that wait at `target`.
+    pub fn queued_tokens(&self, now: ClockTime, target: TargetId) -> u64 {
+        let Some(load) = self.targets.get(target.index()) else { return 0 };
+        let rate = self.prefill_rate(target) / 1_000.0;
+        let mut clock = load.taken;
+        let mut queued = load.report.waiting_tokens as f64;
+        // The work is replayed in order, because a target can't have computed work before it arrived.
+        for sent in self.recent(now, load) {
+            queued = (queued - rate * sent.at.since(clock).as_ms() as f64).max(0.0);
+            queued += sent.tokens as f64;
+            clock = sent.at;
+        }
+        (queued - rate * now.since(clock).as_ms() as f64).max(0.0) as u64
+    }
+
+    /// Returns the estimated number of requests that `target` runs or holds.
+    pub fn occupied(&self, now: ClockTime, target: TargetId) -> u32 {
+        let Some(load) = self.targets.get(target.index()) else { return 0 };
+        let reported = load.report.running + load.report.waiting;
+        let sent = self.recent(now, load).count() as u32;
+        (reported + sent).saturating_sub(load.ended.len() as u32)
+    }
+
+    /// Returns the estimated time that a request sent now waits before its prompt is computed.
+    pub fn queue_wait_ms(&self, now: ClockTime, target: TargetId) -> f64 {
+        let queued = self.queued_tokens(now, target) as f64;
+        let prefill = queued * 1_000.0 / self.prefill_rate(target);
+        let Some(load) = self.targets.get(target.index()) else { return prefill };
+        if load.slots == 0 {
+            return prefill;
+        }
+        let over = (self.occupied(now, target) + 1).saturating_sub(load.slots);
+        let service = load.service_ms.unwrap_or(self.settings.service_span.as_ms() as f64);
+        // With all slots taken, one of them becomes free each service time divided by the slots.
+        prefill.max(f64::from(over) * service / f64::from(load.slots))
+    }
+
+    fn recent<'a>(
+        &'a self,
+        now: ClockTime,
+        load: &'a TargetLoad,
+    ) -> impl Iterator<Item = &'a SentWork> {
+        let span = self.settings.report_span;
+        load.sent.iter().filter(move |sent| now.since(sent.at) <= span)
+    }
+
+    fn entry(&mut self, target: TargetId) -> &mut TargetLoad {
+        if self.targets.len() <= target.index() {
+            self.targets.resize_with(target.index() + 1, TargetLoad::default);
+        }
+        &mut self.targets[target.index()]
+    }
+}
+
+/// Moves `value` an eighth of the way to `sample`.
+fn smooth(value: &mut Option<f64>, sample: f64) {
+    *value = Some(value.map_or(sample, |value| value + (sample - value) / 8.0));
+}
