Add the links between routers

Cause: routers need one-way messages between two releases, without showing the shared secret and without unbounded memory for a peer that is gone.

Change: a handshake with nonces and keyed hashes in both directions runs before tarpc reads a byte and agrees on the newest common protocol version. A hub holds a bounded queue per peer that drops its oldest message. Bytes are counted by kind and by own or other region. Messages travel as JSON inside bincode frames, because a release must be able to skip a kind that it doesn't know.

--- /dev/null
+++ b/crates/peers/src/link.rs
@@ -0,0 +1,107 @@
+//! The sending side of the link to one peer.
+
+use std::{sync::Arc, time::Duration};
+
+use tarpc::{client, context, serde_transport, tokio_serde::formats::Bincode};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    backoff::RetryBackoff,
+    counters::{LinkScope, PeerCounters},
+    error::{PeerError, Result},
+    hello,
+    queue::MessageQueue,
+    server::frame_codec,
+    settings::{PeerAddress, PeerSettings},
+    wire::{PeerLinkClient, PeerPayload, WireBatch},
+};
+
+/// Everything that the task of one link holds.
+pub(crate) struct LinkParts<M> {
+    pub(crate) settings: Arc<PeerSettings>,
+    pub(crate) peer: PeerAddress,
+    pub(crate) queue: Arc<MessageQueue<M>>,
+    pub(crate) counters: Arc<PeerCounters>,
+}
+
+impl<M: PeerPayload> LinkParts<M> {
+    /// Connects, delivers and reconnects until the task is aborted.
+    pub(crate) async fn run(self) {
+        let settings = &self.settings;
+        // The tag gives each pair of routers its own sequence of waits under one seed.
+        let seed = settings.seed ^ settings.node.tag() ^ u64::from(self.peer.address.port());
+        let mut backoff = RetryBackoff::new(settings.backoff_floor, settings.backoff_ceiling, seed);
+        loop {
+            if let Ok(client) = self.connect().await {
+                backoff.reset();
+                self.deliver(client).await;
+            }
+            sleep(Duration::from_millis(backoff.next_wait().as_ms())).await;
+        }
+    }
+
+    async fn connect(&self) -> Result<PeerLinkClient> {
+        let limit = Duration::from_millis(self.settings.answer_limit.as_ms());
+        let connect = TcpStream::connect(self.peer.address);
+        let mut stream = timeout(limit, connect).await.map_err(|_| PeerError::TimedOut)??;
+        stream.set_nodelay(true)?;
+        let proven = hello::greet(&mut stream, &self.settings).await?;
+        if proven.node.vm != self.peer.vm {
+            // The address was given to another VM; its messages aren't meant for this one.
+            return Err(PeerError::Unproven);
+        }
+        let framed = frame_codec(&self.settings).new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        Ok(PeerLinkClient::new(client::Config::default(), transport).spawn())
+    }
+
+    /// Delivers batches until one fails.
+    async fn deliver(&self, client: PeerLinkClient) {
+        loop {
+            let messages = self.queue.take(self.settings.batch_limit).await;
+            let (batch, kinds) = encode(&messages);
+            let mut context = context::current();
+            let limit = Duration::from_millis(self.settings.answer_limit.as_ms());
+            context.deadline = std::time::Instant::now() + limit;
+            let confirmed = client.deliver(context, batch).await.is_ok();
+            for (kind, bytes) in kinds {
+                self.counters.change(kind, self.scope(), |row| {
+                    if confirmed {
+                        row.sent += 1;
+                        row.sent_bytes += bytes;
+                    } else {
+                        row.unconfirmed += 1;
+                    }
+                });
+            }
+            if !confirmed {
+                return;
+            }
+        }
+    }
+
+    fn scope(&self) -> LinkScope {
+        scope_of(&self.settings, &self.peer.region)
+    }
+}
+
+/// Returns whether `region` is the own region.
+pub(crate) fn scope_of(settings: &PeerSettings, region: &godwitroad_base::RegionName) -> LinkScope {
+    if *region == settings.region { LinkScope::OwnRegion } else { LinkScope::OtherRegion }
+}
+
+/// Encodes messages and gives the kind and size of each.
+fn encode<M: PeerPayload>(messages: &[M]) -> (WireBatch, Vec<(&'static str, u64)>) {
+    let mut batch = WireBatch { messages: Vec::with_capacity(messages.len()) };
+    let mut kinds = Vec::with_capacity(messages.len());
+    for message in messages {
+        // A message that has no JSON form (a map with keys that aren't text) can't be sent by any retry either.
+        let Ok(bytes) = serde_json::to_vec(message) else { continue };
+        kinds.push((message.kind(), bytes.len() as u64));
+        batch.messages.push(bytes);
+    }
+    (batch, kinds)
+}
