--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,5 @@
 
 pub mod registry;
 pub mod report;
+mod rollout;
+mod streams;
