Add the first version of the fair queue

Cause: the facade needs the interface of the queue. Change: FairQueue with start-time fair queueing, priorities, deadlines and refusals, and SlotTable.

--- /dev/null
+++ b/crates/queue/src/class.rs
@@ -0,0 +1,178 @@
+//! The requests of one priority, ordered by start-time fair queueing.
+//!
+//! Each account has a finish tag: the tokens it was given divided by its weight. The head of the account with the
+//! lowest start tag goes next. An account that was idle starts at the present virtual time, so that it can neither
+//! save up service nor be punished for what it used while others were idle.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use godwitroad_base::{AccountName, ClockTime, RequestId};
+
+use crate::fair::QueuedRequest;
+
+/// The parts of a token in a tag; a weight of up to this number changes a tag exactly enough.
+pub(crate) const TAG_UNIT: u128 = 1 << 20;
+
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) request: QueuedRequest,
+    pub(crate) arrived: ClockTime,
+    /// The virtual time at arrival.
+    born: u128,
+}
+
+#[derive(Clone, Debug, Default)]
+struct AccountQueue {
+    waiting: VecDeque<WaitingRequest>,
+    tokens: u64,
+    finish: u128,
+    /// The start tag under which the account stands in the order.
+    start: u128,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PriorityQueue {
+    accounts: BTreeMap<AccountName, AccountQueue>,
+    order: BTreeSet<(u128, AccountName)>,
+    virtual_time: u128,
+    tokens: u64,
+    count: usize,
+}
+
+/// Returns the length of `tokens` tokens in tags for an account of weight `weight`.
+fn tag_length(tokens: u64, weight: u32) -> u128 {
+    u128::from(tokens) * TAG_UNIT / u128::from(weight.max(1))
+}
+
+impl PriorityQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    pub(crate) fn push(&mut self, now: ClockTime, request: QueuedRequest) {
+        let account = request.account.clone();
+        let queue = self.accounts.entry(account.clone()).or_default();
+        self.tokens += request.tokens;
+        self.count += 1;
+        queue.tokens += request.tokens;
+        let born = self.virtual_time;
+        queue.waiting.push_back(WaitingRequest { request, arrived: now, born });
+        if queue.waiting.len() == 1 {
+            queue.start = queue.finish.max(born);
+            self.order.insert((queue.start, account));
+        }
+    }
+
+    /// Returns the accounts in the order in which their heads would go next.
+    pub(crate) fn heads(&self) -> impl Iterator<Item = (&AccountName, &WaitingRequest)> {
+        self.order.iter().filter_map(|(_, account)| {
+            let queue = self.accounts.get(account)?;
+            Some((account, queue.waiting.front()?))
+        })
+    }
+
+    /// Takes the head of `account` for service.
+    pub(crate) fn take(&mut self, account: &AccountName, weight: u32) -> Option<WaitingRequest> {
+        let queue = self.accounts.get_mut(account)?;
+        let head = queue.waiting.pop_front()?;
+        self.order.remove(&(queue.start, account.clone()));
+        self.virtual_time = self.virtual_time.max(queue.start);
+        queue.finish = queue.start + tag_length(head.request.tokens, weight);
+        queue.tokens -= head.request.tokens;
+        self.tokens -= head.request.tokens;
+        self.count -= 1;
+        self.settle(account);
+        Some(head)
+    }
+
+    /// Removes a request that will not be served.
+    pub(crate) fn remove(
+        &mut self,
+        account: &AccountName,
+        id: RequestId,
+    ) -> Option<WaitingRequest> {
+        let queue = self.accounts.get_mut(account)?;
+        let place = queue.waiting.iter().position(|waiting| waiting.request.id == id)?;
+        let removed = queue.waiting.remove(place)?;
+        queue.tokens -= removed.request.tokens;
+        self.tokens -= removed.request.tokens;
+        self.count -= 1;
+        if place == 0 {
+            self.order.remove(&(queue.start, account.clone()));
+            self.settle(account);
+        }
+        Some(removed)
+    }
+
+    /// Charges or returns the difference between the estimated and the real tokens of a request.
+    pub(crate) fn correct(
+        &mut self,
+        account: &AccountName,
+        weight: u32,
+        estimated: u64,
+        real: u64,
+    ) {
+        let Some(queue) = self.accounts.get_mut(account) else { return };
+        let charged = tag_length(estimated, weight);
+        queue.finish = (queue.finish + tag_length(real, weight)).saturating_sub(charged);
+        if !queue.waiting.is_empty() {
+            self.order.remove(&(queue.start, account.clone()));
+            self.settle(account);
+        }
+    }
+
+    /// Returns the tokens served before a request of `account` with `ahead` own tokens before it.
+    ///
+    /// Until then each other account gets at most its backlog, and at most its weighted part of the same stretch of
+    /// virtual time.
+    pub(crate) fn tokens_before(
+        &self,
+        account: &AccountName,
+        ahead: u64,
+        weight_of: impl Fn(&AccountName) -> u32,
+    ) -> u64 {
+        let own = self.accounts.get(account);
+        let finish = own.map_or(0, |queue| queue.finish).max(self.virtual_time);
+        let start = finish + tag_length(ahead, weight_of(account));
+        let others = self.order.iter().filter(|(_, other)| other != account);
+        let mut total = ahead;
+        for (begin, other) in others {
+            if *begin >= start {
+                break;
+            }
+            let Some(queue) = self.accounts.get(other) else { continue };
+            let share = (start - begin) * u128::from(weight_of(other)) / TAG_UNIT;
+            total += queue.tokens.min(u64::try_from(share).unwrap_or(u64::MAX));
+        }
+        total
+    }
+
+    pub(crate) fn account_tokens(&self, account: &AccountName) -> u64 {
+        self.accounts.get(account).map_or(0, |queue| queue.tokens)
+    }
+
+    pub(crate) fn waiting(
+        &self,
+    ) -> impl Iterator<Item = (&AccountName, &VecDeque<WaitingRequest>)> {
+        self.accounts.iter().map(|(account, queue)| (account, &queue.waiting))
+    }
+
+    /// Forgets accounts that are idle and have no advantage or debt left.
+    pub(crate) fn forget_idle(&mut self) {
+        let present = self.virtual_time;
+        self.accounts.retain(|_, queue| !queue.waiting.is_empty() || queue.finish > present);
+    }
+
+    /// Gives `account` its place in the order after its head changed.
+    fn settle(&mut self, account: &AccountName) {
+        let Some(queue) = self.accounts.get_mut(account) else { return };
+        if let Some(head) = queue.waiting.front() {
+            queue.start = queue.finish.max(head.born);
+            self.order.insert((queue.start, account.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/fair.rs
@@ -0,0 +1,379 @@
+//! The queue over all priorities.
+//!
+//! Interactive goes before batch, and overnight runs on idle capacity. Within a priority, accounts share by weight.
+//! A request that can't be served before its deadline is refused as soon as that is known; a request that was
+//! taken is never refused by the queue.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, RequestId};
+use thiserror::Error;
+
+use crate::{
+    QueuePriority,
+    class::{PriorityQueue, WaitingRequest},
+    rate::RateMeter,
+};
+
+/// The settings of a fair queue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueSettings {
+    /// The requests that wait at most.
+    pub max_requests: usize,
+    /// The share of slots that must be free before overnight work starts.
+    pub overnight_idle: f64,
+    /// The wait after which an overnight request counts as batch, so that a fleet that is never idle still serves
+    /// it.
+    pub overnight_patience: ClockSpan,
+    /// The share of slots kept free for accounts that use less than their share.
+    pub reserve: f64,
+    /// The time for which an account counts as active after its last request.
+    pub active_span: ClockSpan,
+    /// The estimated wait, relative to the time left, beyond which a request is refused.
+    ///
+    /// The value above one leaves room for the error of the estimate, because a refusal can't be taken back while
+    /// a request that waits can still be refused.
+    pub refuse_at: f64,
+}
+
+impl Default for QueueSettings {
+    fn default() -> QueueSettings {
+        QueueSettings {
+            max_requests: 10_000,
+            overnight_idle: 0.5,
+            overnight_patience: ClockSpan::from_secs(6 * 3_600),
+            reserve: 0.15,
+            active_span: ClockSpan::from_secs(60),
+            refuse_at: 1.2,
+        }
+    }
+}
+
+/// A request as the queue sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueuedRequest {
+    /// The request.
+    pub id: RequestId,
+    /// The client account.
+    pub account: AccountName,
+    /// The priority.
+    pub priority: QueuePriority,
+    /// The estimated tokens of prompt and answer.
+    pub tokens: u64,
+    /// The time by which the request must be taken.
+    pub deadline: ClockTime,
+}
+
+/// The error of a request that the queue refuses.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Error {
+    /// The request can't be taken before its deadline.
+    #[error("the request can't be served before its deadline; retry after {retry_after}")]
+    TooLate {
+        /// The time after which a retry is expected to succeed.
+        retry_after: ClockSpan,
+    },
+    /// The queue holds as many requests as it may.
+    #[error("the queue is full; retry after {retry_after}")]
+    Full {
+        /// The time after which a retry is expected to succeed.
+        retry_after: ClockSpan,
+    },
+}
+
+/// The result of adding a request.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A waiting request that was refused; no part of it ran.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueueRefusal {
+    /// The request.
+    pub id: RequestId,
+    /// The client account.
+    pub account: AccountName,
+    /// The reason with the time at which to retry.
+    pub reason: Error,
+}
+
+/// The slots that can take work now.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FreeSlots {
+    /// The free slots.
+    pub free: u32,
+    /// All slots.
+    pub total: u32,
+}
+
+/// What a queue has done so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct QueueCounters {
+    /// Requests taken for service.
+    pub taken: u64,
+    /// Requests refused on arrival.
+    pub refused: u64,
+    /// Requests refused while they waited.
+    pub expired: u64,
+    /// Requests cancelled while they waited.
+    pub cancelled: u64,
+    /// Times a request was passed over because its account uses its share and few slots are free.
+    pub held_back: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AccountUse {
+    weight: u32,
+    running: u32,
+    seen: Option<ClockTime>,
+}
+
+impl Default for AccountUse {
+    fn default() -> AccountUse {
+        AccountUse { weight: 1, running: 0, seen: None }
+    }
+}
+
+/// The shortest retry-after, so that a refused caller doesn't return at once.
+const RETRY_MIN_MS: u64 = 100;
+
+/// The fair queue of one router.
+#[derive(Clone, Debug)]
+pub struct FairQueue {
+    settings: QueueSettings,
+    classes: [PriorityQueue; 3],
+    accounts: BTreeMap<AccountName, AccountUse>,
+    places: BTreeMap<RequestId, (QueuePriority, AccountName)>,
+    rate: RateMeter,
+    counters: QueueCounters,
+}
+
+impl FairQueue {
+    /// Returns an empty queue.
+    pub fn new(settings: QueueSettings) -> FairQueue {
+        FairQueue {
+            settings,
+            classes: Default::default(),
+            accounts: BTreeMap::new(),
+            places: BTreeMap::new(),
+            rate: RateMeter::default(),
+            counters: QueueCounters::default(),
+        }
+    }
+
+    /// Sets the weight of an account; accounts without one have the weight one.
+    pub fn set_weight(&mut self, account: &AccountName, weight: u32) {
+        self.accounts.entry(account.clone()).or_default().weight = weight.max(1);
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the tokens that wait under `priority`.
+    pub fn waiting_tokens(&self, priority: QueuePriority) -> u64 {
+        self.classes[priority as usize].tokens()
+    }
+
+    /// Returns what was done so far.
+    pub fn counters(&self) -> QueueCounters {
+        self.counters
+    }
+
+    /// Adds a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that can't be taken before its deadline, and any request while the queue is full.
+    pub fn push(&mut self, now: ClockTime, request: QueuedRequest) -> Result<()> {
+        self.rate.advance(now, !self.is_empty());
+        self.accounts.entry(request.account.clone()).or_default().seen = Some(now);
+        if self.len() >= self.settings.max_requests {
+            self.counters.refused += 1;
+            let all = QueuePriority::ALL.map(|priority| self.waiting_tokens(priority));
+            let span = self.rate.span_of(all.iter().sum::<u64>() / 2).unwrap_or_default();
+            return Err(Error::Full { retry_after: at_least_minimum(span) });
+        }
+        let ahead = self.classes[request.priority as usize].account_tokens(&request.account);
+        if let Some(late) =
+            self.lateness(now, &request.account, request.priority, ahead, request.deadline)
+        {
+            self.counters.refused += 1;
+            return Err(Error::TooLate { retry_after: late });
+        }
+        self.places.insert(request.id, (request.priority, request.account.clone()));
+        self.classes[request.priority as usize].push(now, request);
+        Ok(())
+    }
+
+    /// Takes the next request, if one may use the free slots.
+    ///
+    /// The request counts as running for its account until [`FairQueue::finish`].
+    pub fn pop(&mut self, now: ClockTime, slots: FreeSlots) -> Option<QueuedRequest> {
+        if slots.free == 0 || self.is_empty() {
+            return None;
+        }
+        self.rate.advance(now, true);
+        let priority = QueuePriority::ALL.into_iter().find(|priority| {
+            self.classes[*priority as usize].len() > 0 && self.may_run(*priority, slots)
+        })?;
+        let account = self.next_account(now, priority, slots)?;
+        let weight = self.weight(&account);
+        let waiting = self.classes[priority as usize].take(&account, weight)?;
+        self.places.remove(&waiting.request.id);
+        self.rate.count(waiting.request.tokens);
+        self.counters.taken += 1;
+        self.accounts.entry(account).or_default().running += 1;
+        Some(waiting.request)
+    }
+
+    /// Counts the end of a request that was taken, and charges the account for its real tokens.
+    pub fn finish(&mut self, request: &QueuedRequest, real_tokens: u64) {
+        let weight = self.weight(&request.account);
+        if let Some(account) = self.accounts.get_mut(&request.account) {
+            account.running = account.running.saturating_sub(1);
+        }
+        let class = &mut self.classes[request.priority as usize];
+        class.correct(&request.account, weight, request.tokens, real_tokens);
+    }
+
+    /// Removes a waiting request whose caller left, and returns whether it waited.
+    pub fn cancel(&mut self, id: RequestId) -> bool {
+        let Some((priority, account)) = self.places.remove(&id) else { return false };
+        self.counters.cancelled += 1;
+        self.classes[priority as usize].remove(&account, id).is_some()
+    }
+
+    /// Refuses waiting requests that can't be taken before their deadline any more.
+    pub fn tick(&mut self, now: ClockTime, refusals: &mut Vec<QueueRefusal>) {
+        self.rate.advance(now, !self.is_empty());
+        self.promote_overnight(now);
+        let mut late = Vec::new();
+        for priority in QueuePriority::ALL {
+            for (account, waiting) in self.classes[priority as usize].waiting() {
+                let mut ahead = 0;
+                for entry in waiting {
+                    let request = &entry.request;
+                    match self.lateness(now, account, priority, ahead, request.deadline) {
+                        Some(retry_after) => late.push((request.id, account.clone(), retry_after)),
+                        None => ahead += request.tokens,
+                    }
+                }
+            }
+        }
+        for (id, account, retry_after) in late {
+            if let Some((priority, _)) = self.places.remove(&id) {
+                self.classes[priority as usize].remove(&account, id);
+                self.counters.expired += 1;
+                let reason = Error::TooLate { retry_after };
+                refusals.push(QueueRefusal { id, account, reason });
+            }
+        }
+        self.classes.iter_mut().for_each(PriorityQueue::forget_idle);
+    }
+
+    /// Returns the estimated wait of a new request of `account`, or `None` while the rate isn't known.
+    pub fn estimated_wait(
+        &self,
+        account: &AccountName,
+        priority: QueuePriority,
+    ) -> Option<ClockSpan> {
+        let ahead = self.classes[priority as usize].account_tokens(account);
+        self.rate.span_of(self.tokens_before(account, priority, ahead))
+    }
+
+    fn tokens_before(&self, account: &AccountName, priority: QueuePriority, ahead: u64) -> u64 {
+        let higher: u64 = self.classes[..priority as usize].iter().map(PriorityQueue::tokens).sum();
+        let class = &self.classes[priority as usize];
+        higher + class.tokens_before(account, ahead, |account| self.weight(account))
+    }
+
+    /// Returns the retry-after of a request that will be late, or `None` when it may be in time.
+    fn lateness(
+        &self,
+        now: ClockTime,
+        account: &AccountName,
+        priority: QueuePriority,
+        ahead: u64,
+        deadline: ClockTime,
+    ) -> Option<ClockSpan> {
+        let left = deadline.since(now);
+        // Overnight work has no estimate: its wait depends on idle times and not on the queue.
+        let is_estimated = priority != QueuePriority::Overnight;
+        let tokens = if is_estimated { self.tokens_before(account, priority, ahead) } else { 0 };
+        let wait = self.rate.span_of(tokens).unwrap_or_default();
+        let is_late = left == ClockSpan::ZERO
+            || wait.as_ms() as f64 > left.as_ms() as f64 * self.settings.refuse_at;
+        is_late.then(|| at_least_minimum(wait.saturating_sub(left)))
+    }
+
+    fn may_run(&self, priority: QueuePriority, slots: FreeSlots) -> bool {
+        priority != QueuePriority::Overnight
+            || f64::from(slots.free) >= self.settings.overnight_idle * f64::from(slots.total)
+    }
+
+    /// Returns the account that goes next under `priority`.
+    ///
+    /// While few slots are free, an account that uses its share already is passed over when other accounts are
+    /// active. Otherwise a burst of one account would fill all slots, and the others would wait for a slot to become
+    /// free although the order of the queue favours them.
+    fn next_account(
+        &mut self,
+        now: ClockTime,
+        priority: QueuePriority,
+        slots: FreeSlots,
+    ) -> Option<AccountName> {
+        let reserve = (self.settings.reserve * f64::from(slots.total)).floor();
+        let is_scarce = f64::from(slots.free) <= reserve;
+        let active = |account: &&AccountUse| {
+            let seen = account.seen.is_some_and(|seen| now.since(seen) < self.settings.active_span);
+            account.running > 0 || seen
+        };
+        let weights = || self.accounts.values().filter(active).map(|account| account.weight);
+        let weights: u32 = if is_scarce { weights().sum() } else { 0 };
+        let mut passed = 0;
+        let mut next = None;
+        for (name, _) in self.classes[priority as usize].heads() {
+            let account = self.accounts.get(name).copied().unwrap_or_default();
+            let share = f64::from(account.weight) / f64::from(weights.max(1));
+            let is_over = f64::from(account.running) >= (share * f64::from(slots.total)).ceil();
+            if !is_scarce || !is_over {
+                next = Some(name.clone());
+                break;
+            }
+            passed += 1;
+        }
+        self.counters.held_back += passed;
+        next
+    }
+
+    /// Moves overnight requests that have waited for very long to batch.
+    fn promote_overnight(&mut self, now: ClockTime) {
+        let patience = self.settings.overnight_patience;
+        let is_due = |waiting: &&WaitingRequest| now.since(waiting.arrived) >= patience;
+        let due: Vec<QueuedRequest> = self.classes[QueuePriority::Overnight as usize]
+            .waiting()
+            .flat_map(|(_, waiting)| waiting.iter().take_while(is_due))
+            .map(|waiting| waiting.request.clone())
+            .collect();
+        for request in due {
+            let (id, account) = (request.id, request.account.clone());
+            self.classes[QueuePriority::Overnight as usize].remove(&account, id);
+            let request = QueuedRequest { priority: QueuePriority::Batch, ..request };
+            self.places.insert(id, (QueuePriority::Batch, account));
+            self.classes[QueuePriority::Batch as usize].push(now, request);
+        }
+    }
+
+    fn weight(&self, account: &AccountName) -> u32 {
+        self.accounts.get(account).map_or(1, |account| account.weight)
+    }
+}
+
+fn at_least_minimum(span: ClockSpan) -> ClockSpan {
+    span.max(ClockSpan::from_ms(RETRY_MIN_MS))
+}
--- /dev/null
+++ b/crates/queue/src/slots.rs
@@ -0,0 +1,93 @@
+//! What this router may have running at each target.
+//!
+//! A target's slots are divided over the routers, with some overlap because routers are seldom all busy at once.
+//! Work beyond the share waits in the router's fair queue, where accounts and priorities still count.
+
+/// The settings of a slot table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotSettings {
+    /// The sum of all routers' shares relative to the slots of a target.
+    pub overlap: f64,
+    /// The least share of one router.
+    pub least: u32,
+}
+
+impl Default for SlotSettings {
+    fn default() -> SlotSettings {
+        SlotSettings { overlap: 2.0, least: 1 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetSlots {
+    slots: u32,
+    running: u32,
+}
+
+/// The slots of all targets; a target is known by its position.
+#[derive(Clone, Debug)]
+pub struct SlotTable {
+    settings: SlotSettings,
+    routers: u32,
+    targets: Vec<TargetSlots>,
+}
+
+impl SlotTable {
+    /// Returns a table without targets for a fleet of one router.
+    pub fn new(settings: SlotSettings) -> SlotTable {
+        SlotTable { settings, routers: 1, targets: Vec::new() }
+    }
+
+    /// Sets the number of routers that share the targets.
+    pub fn set_routers(&mut self, routers: usize) {
+        self.routers = u32::try_from(routers).unwrap_or(u32::MAX).max(1);
+    }
+
+    /// Sets the slots of a target; zero removes it from the count.
+    pub fn set_slots(&mut self, target: usize, slots: u32) {
+        if self.targets.len() <= target {
+            self.targets.resize(target + 1, TargetSlots::default());
+        }
+        self.targets[target].slots = slots;
+    }
+
+    /// Returns this router's share of a target's slots.
+    pub fn share(&self, target: usize) -> u32 {
+        let slots = self.targets.get(target).map_or(0, |target| target.slots);
+        if slots == 0 {
+            return 0;
+        }
+        let part = f64::from(slots) * self.settings.overlap / f64::from(self.routers);
+        (part.ceil() as u32).clamp(self.settings.least, slots.max(self.settings.least))
+    }
+
+    /// Returns the number of further requests that may go to a target.
+    pub fn free(&self, target: usize) -> u32 {
+        let running = self.targets.get(target).map_or(0, |target| target.running);
+        self.share(target).saturating_sub(running)
+    }
+
+    /// Takes a slot of a target and returns whether there was one.
+    pub fn take(&mut self, target: usize) -> bool {
+        let is_free = self.free(target) > 0;
+        if is_free {
+            self.targets[target].running += 1;
+        }
+        is_free
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, target: usize) {
+        if let Some(target) = self.targets.get_mut(target) {
+            target.running = target.running.saturating_sub(1);
+        }
+    }
+
+    /// Returns the free and all slots of the targets that `usable` selects.
+    pub fn totals(&self, usable: impl Fn(usize) -> bool) -> (u32, u32) {
+        let selected = (0..self.targets.len()).filter(|&target| usable(target));
+        selected.fold((0, 0), |(free, all), target| {
+            (free + self.free(target), all + self.share(target))
+        })
+    }
+}
