--- a/crates/life/src/table.rs
+++ b/crates/life/src/table.rs
@@ -3,7 +3,9 @@
 use godwitroad_base::RequestId;
 use godwitroad_config::RepeatRule;
 
-use crate::stage::{NotRunProof, Offered, Queued, Repeatable, RequestLife, RunOnce, Streaming};
+use crate::stage::{
+    Admitted, NotRunProof, Offered, Queued, Repeatable, RequestLife, RunOnce, Streaming,
+};
 
 /// An offered request, whose repeat mode is only known at run time.
 #[derive(Debug)]
@@ -17,7 +19,9 @@
 /// A request that is under way, in whatever stage.
 #[derive(Debug)]
 pub enum LifeStage {
-    /// The request waits.
+    /// Tokens are reserved, and the request waits for its idempotency claim.
+    Admitted(RequestLife<Admitted>),
+    /// The request waits for a target.
     Queued(RequestLife<Queued>),
     /// An attempt was given to the adapter.
     Offered(OfferedLife),
@@ -71,6 +75,7 @@
     /// Returns the id of the request.
     pub fn id(&self) -> RequestId {
         match self {
+            LifeStage::Admitted(life) => life.id(),
             LifeStage::Queued(life) => life.id(),
             LifeStage::Offered(OfferedLife::Repeatable(life)) => life.id(),
             LifeStage::Offered(OfferedLife::RunOnce(life)) => life.id(),
@@ -82,6 +87,7 @@
     /// Returns the number of attempts so far.
     pub fn attempts(&self) -> u32 {
         match self {
+            LifeStage::Admitted(life) => life.attempts(),
             LifeStage::Queued(life) => life.attempts(),
             LifeStage::Offered(OfferedLife::Repeatable(life)) => life.attempts(),
             LifeStage::Offered(OfferedLife::RunOnce(life)) => life.attempts(),
@@ -92,20 +98,26 @@
 
     /// Returns whether the request certainly has not run so far.
     pub fn is_unrun(&self) -> bool {
-        matches!(self, LifeStage::Queued(life) if !life.may_have_run())
+        match self {
+            LifeStage::Admitted(_) => true,
+            LifeStage::Queued(life) => !life.may_have_run(),
+            _ => false,
+        }
     }
 
     /// Decides what follows when the current attempt fails.
     ///
-    /// A queued request has no attempt that could fail; it stays queued.
-    pub fn fail(self, proof: Option<NotRunProof>) -> FailureStep {
+    /// # Errors
+    ///
+    /// Returns the stage unchanged when no attempt is under way that could fail.
+    pub fn fail(self, proof: Option<NotRunProof>) -> Result<FailureStep, LifeStage> {
         match self {
-            LifeStage::Queued(life) => FailureStep::Again(life),
-            LifeStage::Offered(offered) => offered.fail(proof),
-            LifeStage::StreamingRepeatable(life) => FailureStep::Again(life.resume()),
+            LifeStage::Admitted(_) | LifeStage::Queued(_) => Err(self),
+            LifeStage::Offered(offered) => Ok(offered.fail(proof)),
+            LifeStage::StreamingRepeatable(life) => Ok(FailureStep::Again(life.resume())),
             LifeStage::StreamingOnce(life) => {
                 life.lose();
-                FailureStep::Unknown
+                Ok(FailureStep::Unknown)
             }
         }
     }
--- a/crates/life/tests/stages.rs
+++ b/crates/life/tests/stages.rs
@@ -34,7 +34,7 @@
             let proof = NotRunProof::of_failure(sent, refused);
             let stage = if started { offered.start() } else { LifeStage::Offered(offered) };
             maybe_run += u32::from(started || proof.is_none());
-            if let FailureStep::Again(next) = stage.fail(proof) {
+            if let Ok(FailureStep::Again(next)) = stage.fail(proof) {
                 prop_assert!(!started && proof.is_some());
                 prop_assert!(!next.may_have_run(), "a refusal now must say that it did not run");
                 life = Some(next);
@@ -50,7 +50,7 @@
             let offered = OfferedLife::new(life, RepeatRule::Repeatable);
             let stage = if *started { offered.start() } else { LifeStage::Offered(offered) };
             prop_assert_eq!(stage.attempts() as usize, index + 1);
-            let FailureStep::Again(next) = stage.fail(NotRunProof::of_failure(*sent, false)) else {
+            let Ok(FailureStep::Again(next)) = stage.fail(NotRunProof::of_failure(*sent, false)) else {
                 return Err(TestCaseError::fail("an idempotent request became unknown"));
             };
             life = next;
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -436,7 +436,7 @@
         self.index.note_dispatch(now, id, chain.pieces());
         let tag = TargetTag::of(target.as_str());
         let order = &self.holders.get(usize::from(part_of(first.short())));
-        for &place in order.into_iter().flat_map(|order| order.iter()) {
+        for &place in order.iter().flat_map(|order| order.iter()) {
             let vm = &self.members[place];
             if *vm != self.vm {
                 let hints = self.hints.entry((vm.clone(), tag)).or_default();
--- a/crates/router/src/action.rs
+++ b/crates/router/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{ClockSpan, RequestId, TargetName, VmName};
+use godwitroad_base::{ClockSpan, Incarnation, RequestId, TargetName, VmName, ZoneName};
 use godwitroad_config::PriorityClass;
 use godwitroad_store::{CallId, StoreRequest};
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// The peers that are known now, with their addresses; earlier lists are void.
+    Peers(Vec<PeerPlace>),
     /// Call the store.
     Store {
         /// The call, echoed in the outcome.
@@ -64,6 +66,19 @@
     Exit,
 }
 
+/// Where a peer is reached.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerPlace {
+    /// The VM.
+    pub vm: VmName,
+    /// The IP address and port for messages between routers.
+    pub address: String,
+    /// The availability zone, if a roster names the VM.
+    pub zone: Option<ZoneName>,
+    /// The incarnation of the process, if a roster names the VM.
+    pub incarnation: Option<Incarnation>,
+}
+
 /// A request on its way to a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DispatchOrder {
@@ -158,14 +173,20 @@
     TargetFailed,
     /// The idempotency claim couldn't be made certain.
     ClaimUnavailable,
-    /// Another request with the same idempotency key runs.
+    /// A request with the same idempotency key runs or is about to.
     ClaimPending,
+    /// The request with this idempotency key may have run, and its outcome can't be known.
+    ClaimUnknown,
+    /// The request with this idempotency key ran, and its answer is no longer held.
+    AnswerLost,
     /// The idempotency key was used for another request.
     ClaimMismatch,
     /// The stream to go on with is not to be had any more.
     StreamLost,
     /// The router isn't ready or is stopping.
     NotReady,
+    /// The availability zone is cut off, and the account is set to be refused then.
+    ZoneCutOff,
 }
 
 /// Whether a request without an answer ran.
@@ -176,6 +197,8 @@
     NotRun,
     /// The request may have run.
     Unknown,
+    /// The request ran to its end under the same idempotency key.
+    Ran,
 }
 
 /// A change of state that is worth a log line.
@@ -222,13 +245,14 @@
             ErrorKind::RouteUnknown | ErrorKind::ModelUnknown => 404,
             ErrorKind::RequestInvalid => 400,
             ErrorKind::RateExceeded => 429,
-            ErrorKind::ClaimPending | ErrorKind::ClaimMismatch => 409,
-            ErrorKind::StreamLost => 410,
+            ErrorKind::ClaimPending | ErrorKind::ClaimUnknown | ErrorKind::ClaimMismatch => 409,
+            ErrorKind::AnswerLost | ErrorKind::StreamLost => 410,
             ErrorKind::TargetFailed => 502,
             ErrorKind::Overloaded
             | ErrorKind::TargetUnavailable
             | ErrorKind::ClaimUnavailable
-            | ErrorKind::NotReady => 503,
+            | ErrorKind::NotReady
+            | ErrorKind::ZoneCutOff => 503,
         }
     }
 }
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -1,13 +1,18 @@
 //! What happens when a request arrives: each check in turn, and a typed refusal where one fails.
 
-use godwitroad_base::RequestId;
-use godwitroad_config::{RouteConfig, ServiceConfig, ServiceKind};
+use std::sync::Arc;
+
+use godwitroad_base::{ClockTime, RequestId};
+use godwitroad_config::{
+    CutOffPolicy, ModelConfig, RepeatRule, RouteConfig, ServiceConfig, ServiceKind,
+};
 use godwitroad_life::{LifeStage, RequestLife};
 use godwitroad_stream::StreamLog;
 
 use crate::{
     CallerError, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterState,
     admission::AdmissionOutcome,
+    claim::ClaimedAnswer,
     request::{CallerState, RequestEntry, RequestFacts},
     state::EventContext,
 };
@@ -41,7 +46,9 @@
             return Err(CallerError::not_run(ErrorKind::NotReady));
         }
         let cost = cost_of(&arrival);
+        let claim = arrival.idempotency_key.as_deref().map(Arc::<str>::from);
         let facts = self.check(context, arrival)?;
+        self.check_contact(context.now, &facts)?;
         if let Some(account) = &facts.account
             && let Some(config) = self.view.account(account)
             && let AdmissionOutcome::Refused { retry_after } =
@@ -50,15 +57,36 @@
             let error = CallerError::not_run(ErrorKind::RateExceeded);
             return Err(error.retry_after(retry_after));
         }
-        let life = RequestLife::new(id).admit(cost).enqueue(context.now);
+        let claim = claim.filter(|_| facts.repeat() == RepeatRule::RunOnce);
+        let life = RequestLife::new(id).admit(cost);
+        let stage = match claim {
+            Some(_) => LifeStage::Admitted(life),
+            None => LifeStage::Queued(life.enqueue(context.now)),
+        };
         let entry = RequestEntry {
             facts,
-            stage: Some(LifeStage::Queued(life)),
+            stage: Some(stage),
             log: StreamLog::new(self.settings.log),
             target: None,
             caller: CallerState::Connected,
+            claim: claim.as_ref().map(|_| ClaimedAnswer::default()),
         };
         self.requests.insert(id, entry);
+        match claim {
+            Some(key) => self.claim(context, id, key),
+            None => Ok(()),
+        }
+    }
+
+    // An account can be set to be refused while its zone can't learn of a withdrawn key.
+    fn check_contact(&self, now: ClockTime, facts: &RequestFacts) -> Result<(), CallerError> {
+        let Some(fleet) = &self.fleet else { return Ok(()) };
+        let account = facts.account.as_ref().and_then(|name| self.view.account(name));
+        let refuses = account.is_some_and(|account| account.cut_off == CutOffPolicy::Refuse);
+        let limit = self.view.document.fleet.cut_off_after_ms;
+        if refuses && fleet.sync.contact_age(now) > limit {
+            return Err(CallerError::not_run(ErrorKind::ZoneCutOff));
+        }
         Ok(())
     }
 
@@ -79,6 +107,7 @@
             account,
             key: arrival.key,
             model,
+            path: arrival.path,
             prompt: arrival.prompt,
             priority: arrival.priority.unwrap_or(route.priority),
             deadline: context.now + arrival.deadline.unwrap_or(route.deadline_ms),
@@ -91,7 +120,7 @@
         &self,
         service: &ServiceConfig,
         arrival: &RequestArrival,
-    ) -> Result<Option<godwitroad_config::ModelConfig>, CallerError> {
+    ) -> Result<Option<ModelConfig>, CallerError> {
         if service.kind == ServiceKind::Plain {
             return Ok(None);
         }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use godwitroad_base::RequestId;
 use godwitroad_life::{FailureStep, LifeStage, NotRunProof};
+use godwitroad_once::RunEnd;
 use godwitroad_stream::{TokenBatch, TokenOutcome};
 
 use crate::{
@@ -20,9 +21,10 @@
         attempt: u32,
         report: AttemptReport,
     ) {
-        let current = self.requests.get(id).is_some_and(|entry| {
-            entry.attempts() == attempt && !matches!(entry.stage, Some(LifeStage::Queued(_)))
-        });
+        let current = self
+            .requests
+            .get(id)
+            .is_some_and(|entry| entry.attempts() == attempt && entry.is_running());
         // A report of an earlier attempt comes late: what it says must reach no caller.
         if !current {
             return;
@@ -55,6 +57,7 @@
         {
             entry.stage = Some(offered.start());
         }
+        entry.keep_header(status, &content_type);
         // A resumed stream has its header already.
         if entry.log.tokens() == 0 && entry.caller == CallerState::Connected {
             context.reply(id, CallerReply::Header { status, content_type });
@@ -84,6 +87,7 @@
 
     fn data(&mut self, context: &mut EventContext<'_>, id: RequestId, bytes: std::sync::Arc<[u8]>) {
         let Some(entry) = self.requests.get_mut(id) else { return };
+        entry.keep_answer(&bytes);
         if entry.caller == CallerState::Connected {
             entry.log.wait(bytes.len() as u64);
             let paused = entry.log.pause_change();
@@ -104,7 +108,9 @@
         if entry.caller == CallerState::Connected {
             context.reply(id, CallerReply::End);
         }
-        self.requests.remove(id);
+        if let Some(entry) = self.requests.remove(id) {
+            self.record_answer(context, id, entry);
+        }
     }
 
     fn failed(
@@ -118,7 +124,13 @@
             self.targets.ended(target, true);
         }
         let Some(stage) = entry.stage.take() else { return };
-        let step = stage.fail(proof);
+        let step = match stage.fail(proof) {
+            Ok(step) => step,
+            Err(stage) => {
+                entry.stage = Some(stage);
+                return;
+            }
+        };
         match step {
             FailureStep::Again(life) if life.attempts() < MAX_ATTEMPTS => {
                 entry.stage = Some(LifeStage::Queued(life));
@@ -134,6 +146,7 @@
 
     fn give_up(&mut self, context: &mut EventContext<'_>, id: RequestId, unrun: bool) {
         let Some(entry) = self.requests.remove(id) else { return };
+        self.record_end(context, id, &entry, if unrun { RunEnd::NotRun } else { RunEnd::Unknown });
         let kind = ErrorKind::TargetFailed;
         let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
         if entry.caller == CallerState::Connected {
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -16,8 +16,8 @@
             return;
         }
         entry.caller = CallerState::Left(context.now);
-        if entry.is_queued() {
-            self.requests.remove(id);
+        if entry.is_waiting() {
+            self.end_queued(context, id, ErrorKind::NotReady);
         } else if !entry.facts.streams && entry.facts.repeat() == RepeatRule::Repeatable {
             self.cancel(context, id);
         }
@@ -118,7 +118,7 @@
 
     fn withdraw(&mut self, context: &mut EventContext<'_>, id: RequestId) {
         let Some(entry) = self.requests.get_mut(id) else { return };
-        if entry.is_queued() {
+        if entry.is_waiting() {
             return self.end_queued(context, id, ErrorKind::KeyWithdrawn);
         }
         if entry.caller == CallerState::Connected {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 use godwitroad_base::RequestId;
 use godwitroad_config::ServiceKind;
 use godwitroad_life::{LifeStage, OfferedLife};
+use godwitroad_once::RunEnd;
 
 use crate::{
     CallerError, DispatchOrder, ErrorKind, ResumePoint, RouterAction, RouterState,
@@ -52,7 +53,7 @@
         let late: Vec<RequestId> = self
             .requests
             .iter()
-            .filter(|(_, entry)| entry.is_queued() && entry.facts.deadline <= context.now)
+            .filter(|(_, entry)| entry.is_waiting() && entry.facts.deadline <= context.now)
             .map(|(id, _)| id)
             .collect();
         for id in late {
@@ -68,6 +69,7 @@
         kind: ErrorKind,
     ) {
         let Some(entry) = self.requests.remove(id) else { return };
+        self.record_end(context, id, &entry, RunEnd::NotRun);
         let unrun = entry.stage.as_ref().is_some_and(LifeStage::is_unrun);
         let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
         if entry.caller == CallerState::Connected {
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -197,6 +197,9 @@
     pub vm: VmName,
     /// The state that the platform shows, which can be old.
     pub state: VmState,
+    /// The address of the VM's router for messages between routers, if the platform knows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<String>,
 }
 
 /// The state of a VM in the platform's list.
--- /dev/null
+++ b/crates/router/src/fleet/desk.rs
@@ -0,0 +1,66 @@
+//! The one place through which a router's parts call the store.
+//!
+//! Some parts use the store client, which settles lost answers for them; others emit calls of their own and settle
+//! them themselves. Both number their calls from one, so that the calls get numbers of the router here.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{ClockTime, SeededRandom};
+use godwitroad_store::{CallId, ClientSettings, OpId, StoreAction, StoreClient, StoreEvent};
+
+/// The owner of an operation of the store client.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum StoreTag {
+    Claims(OpId),
+    Sync(OpId),
+}
+
+/// The owner of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RawOwner {
+    Client,
+    Member,
+}
+
+/// The calls of all parts.
+#[derive(Debug)]
+pub(crate) struct StoreDesk {
+    client: StoreClient<StoreTag>,
+    calls: BTreeMap<CallId, (RawOwner, CallId)>,
+    last: u64,
+}
+
+/// The first number of the calls that don't go through the client; the client numbers its own from one.
+const RAW_CALLS_FROM: u64 = 1 << 48;
+
+impl StoreDesk {
+    pub(crate) fn new(settings: ClientSettings, random: SeededRandom) -> StoreDesk {
+        let client = StoreClient::new(settings, random);
+        StoreDesk { client, calls: BTreeMap::new(), last: RAW_CALLS_FROM }
+    }
+
+    pub(crate) fn handle(
+        &mut self,
+        now: ClockTime,
+        event: StoreEvent<StoreTag>,
+    ) -> Vec<StoreAction<StoreTag>> {
+        let mut actions = Vec::new();
+        self.client.handle(now, event, &mut actions);
+        actions
+    }
+
+    /// Returns the router's number for call `call` of `owner`.
+    pub(crate) fn raw(&mut self, owner: RawOwner, call: CallId) -> CallId {
+        self.last += 1;
+        self.calls.insert(CallId(self.last), (owner, call));
+        CallId(self.last)
+    }
+
+    /// Returns the owner of an ended call and its own number for it.
+    pub(crate) fn resolve(&mut self, call: CallId) -> Option<(RawOwner, CallId)> {
+        if call.0 < RAW_CALLS_FROM {
+            return Some((RawOwner::Client, call));
+        }
+        self.calls.remove(&call)
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet/mod.rs
@@ -0,0 +1,327 @@
+//! The parts of a router that need the store and its peers.
+//!
+//! Each part is a state machine of its own; here the actions of one become the events of another. What concerns
+//! the requests comes out as a [`FleetOutcome`], so that the parts know nothing of requests.
+
+mod desk;
+mod settings;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use godwitroad_base::{ClockTime, NodeId, RequestId, SeededRandom, VmName, ZoneName};
+use godwitroad_member::{MemberAction, MemberEvent, MemberMessage, MemberReport, MemberTable};
+use godwitroad_once::{ClaimTable, ClaimVerdict, OnceAction, OnceEvent};
+use godwitroad_store::{CallId, StoreAction, StoreEvent, StoreOutcome};
+use godwitroad_sync::{ConfigSync, SyncAction, SyncEvent, SyncHead};
+
+pub(crate) use desk::{RawOwner, StoreDesk, StoreTag};
+pub use settings::FleetSettings;
+
+use crate::{PeerMessage, PeerPlace, RouterAction, RouterSettings, StateNotice};
+
+/// The parts of a router that need the store and its peers.
+#[derive(Debug)]
+pub(crate) struct FleetParts {
+    pub(crate) desk: StoreDesk,
+    pub(crate) member: MemberTable,
+    pub(crate) sync: ConfigSync,
+    pub(crate) claims: ClaimTable,
+    // The addresses that the platform's VM list gives, for peers that are in no known roster.
+    listed: BTreeMap<VmName, String>,
+    places: Vec<PeerPlace>,
+}
+
+/// An event for one of the parts.
+#[derive(Debug)]
+pub(crate) enum FleetEvent {
+    Store { call: CallId, outcome: StoreOutcome },
+    Desk(StoreEvent<StoreTag>),
+    Member(MemberEvent),
+    Sync(SyncEvent),
+    Claims(OnceEvent),
+}
+
+/// What the parts ask of the rest of the router.
+#[derive(Debug)]
+pub(crate) enum FleetOutcome {
+    Act(RouterAction),
+    Install { head: Arc<SyncHead>, document: Arc<[u8]> },
+    Ready,
+    Verdict { id: RequestId, verdict: ClaimVerdict },
+    Report(MemberReport),
+}
+
+impl FleetParts {
+    pub(crate) fn new(
+        now: ClockTime,
+        router: &RouterSettings,
+        fleet: &FleetSettings,
+        random: &mut SeededRandom,
+    ) -> FleetParts {
+        FleetParts {
+            desk: StoreDesk::new(fleet.store.clone(), random.fork()),
+            member: MemberTable::new(fleet.member_settings(router), now, random.fork()),
+            sync: ConfigSync::new(now, fleet.sync_settings(router), random.fork()),
+            claims: ClaimTable::new(fleet.claim_settings(router)),
+            listed: BTreeMap::new(),
+            places: Vec::new(),
+        }
+    }
+
+    /// Gives an event to its part, and what follows from it to the others, until nothing is left to do.
+    pub(crate) fn run(&mut self, now: ClockTime, event: FleetEvent) -> Vec<FleetOutcome> {
+        let mut outcomes = Vec::new();
+        let mut queue = VecDeque::from([event]);
+        while let Some(event) = queue.pop_front() {
+            self.step(now, event, &mut queue, &mut outcomes);
+        }
+        outcomes
+    }
+
+    /// Gives time to all parts.
+    pub(crate) fn tick(&mut self, now: ClockTime) -> Vec<FleetOutcome> {
+        let mut outcomes = self.run(now, FleetEvent::Member(MemberEvent::Tick));
+        outcomes.extend(self.tell_rosters(now));
+        let events = [
+            FleetEvent::Desk(StoreEvent::Tick),
+            FleetEvent::Sync(SyncEvent::Tick),
+            FleetEvent::Claims(OnceEvent::Tick),
+        ];
+        for event in events {
+            outcomes.extend(self.run(now, event));
+        }
+        outcomes
+    }
+
+    /// Takes a message of a peer.
+    pub(crate) fn hear(
+        &mut self,
+        now: ClockTime,
+        from: NodeId,
+        message: PeerMessage,
+    ) -> Vec<FleetOutcome> {
+        match message {
+            PeerMessage::Heartbeat { heartbeat, status } => {
+                let vm = from.vm.clone();
+                let message = MemberMessage::Heartbeat(heartbeat);
+                let event = MemberEvent::Peer { from, message };
+                let mut outcomes = self.run(now, FleetEvent::Member(event));
+                let event = SyncEvent::Heartbeat { from: vm, status };
+                outcomes.extend(self.run(now, FleetEvent::Sync(event)));
+                outcomes
+            }
+            PeerMessage::Member(message) => {
+                self.run(now, FleetEvent::Member(MemberEvent::Peer { from, message }))
+            }
+            PeerMessage::Sync(message) => {
+                self.run(now, FleetEvent::Sync(SyncEvent::Message { from: from.vm, message }))
+            }
+            PeerMessage::Claim(message) => {
+                self.run(now, FleetEvent::Claims(OnceEvent::Peer { from: from.vm, message }))
+            }
+        }
+    }
+
+    /// Takes the addresses that the platform's VM list gives.
+    pub(crate) fn list(&mut self, addresses: BTreeMap<VmName, String>) {
+        self.listed = addresses;
+    }
+
+    /// Returns the members of each zone as far as they are known.
+    pub(crate) fn zones(&self) -> BTreeMap<ZoneName, Vec<VmName>> {
+        let own = self.member.roster().map(|roster| (self.member.zone(), roster));
+        let rosters = self.member.neighbours().iter().chain(own);
+        rosters
+            .map(|(zone, roster)| {
+                let members = roster.members.iter().map(|member| member.vm.clone());
+                (zone.clone(), members.collect())
+            })
+            .collect()
+    }
+
+    fn step(
+        &mut self,
+        now: ClockTime,
+        event: FleetEvent,
+        queue: &mut VecDeque<FleetEvent>,
+        outcomes: &mut Vec<FleetOutcome>,
+    ) {
+        match event {
+            FleetEvent::Store { call, outcome } => match self.desk.resolve(call) {
+                Some((RawOwner::Client, _)) => {
+                    queue.push_back(FleetEvent::Desk(StoreEvent::Outcome { call, outcome }));
+                }
+                Some((RawOwner::Member, call)) => {
+                    let event = MemberEvent::Store { call, outcome };
+                    queue.push_back(FleetEvent::Member(event));
+                }
+                None => {}
+            },
+            FleetEvent::Desk(event) => self.run_desk(now, event, queue, outcomes),
+            FleetEvent::Member(event) => self.run_member(now, event, outcomes),
+            FleetEvent::Sync(event) => self.run_sync(now, event, queue, outcomes),
+            FleetEvent::Claims(event) => self.run_claims(now, event, queue, outcomes),
+        }
+    }
+
+    fn run_desk(
+        &mut self,
+        now: ClockTime,
+        event: StoreEvent<StoreTag>,
+        queue: &mut VecDeque<FleetEvent>,
+        outcomes: &mut Vec<FleetOutcome>,
+    ) {
+        for action in self.desk.handle(now, event) {
+            match action {
+                StoreAction::Call { call, request } => {
+                    outcomes.push(FleetOutcome::Act(RouterAction::Store { call, request }));
+                }
+                StoreAction::Done { tag: StoreTag::Sync(op), result } => {
+                    queue.push_back(FleetEvent::Sync(SyncEvent::Store { op, result }));
+                }
+                StoreAction::Done { tag: StoreTag::Claims(op), result } => {
+                    queue.push_back(FleetEvent::Claims(OnceEvent::Store { op, result }));
+                }
+                StoreAction::Watched { tag: StoreTag::Sync(op), update } => {
+                    queue.push_back(FleetEvent::Sync(SyncEvent::Watched { op, update }));
+                }
+                // The claims watch nothing.
+                StoreAction::Watched { tag: StoreTag::Claims(_), .. } => {}
+                StoreAction::Reachable(reachable) => {
+                    let notice = StateNotice::StoreReachable { reachable };
+                    outcomes.push(FleetOutcome::Act(RouterAction::Notice(notice)));
+                }
+            }
+        }
+    }
+
+    fn run_member(&mut self, now: ClockTime, event: MemberEvent, outcomes: &mut Vec<FleetOutcome>) {
+        let mut actions = Vec::new();
+        self.member.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                MemberAction::Send { to, message, .. } => {
+                    let message = match message {
+                        MemberMessage::Heartbeat(heartbeat) => {
+                            PeerMessage::Heartbeat { heartbeat, status: self.sync.status(now) }
+                        }
+                        other => PeerMessage::Member(other),
+                    };
+                    outcomes.push(FleetOutcome::Act(RouterAction::Peer { to, message }));
+                }
+                MemberAction::Store { call, request } => {
+                    let call = self.desk.raw(RawOwner::Member, call);
+                    outcomes.push(FleetOutcome::Act(RouterAction::Store { call, request }));
+                }
+                MemberAction::Report(report) => outcomes.push(FleetOutcome::Report(report)),
+            }
+        }
+    }
+
+    fn run_sync(
+        &mut self,
+        now: ClockTime,
+        event: SyncEvent,
+        queue: &mut VecDeque<FleetEvent>,
+        outcomes: &mut Vec<FleetOutcome>,
+    ) {
+        let mut actions = Vec::new();
+        self.sync.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                SyncAction::Submit { op, order } => {
+                    let event = StoreEvent::Submit { tag: StoreTag::Sync(op), order };
+                    queue.push_back(FleetEvent::Desk(event));
+                }
+                SyncAction::Cancel { op } => {
+                    let event = StoreEvent::Cancel { tag: StoreTag::Sync(op) };
+                    queue.push_back(FleetEvent::Desk(event));
+                }
+                SyncAction::Send { to, message } => {
+                    let message = PeerMessage::Sync(message);
+                    outcomes.push(FleetOutcome::Act(RouterAction::Peer { to, message }));
+                }
+                SyncAction::Install { head, document } => {
+                    outcomes.push(FleetOutcome::Install { head, document });
+                }
+                SyncAction::Ready { .. } => outcomes.push(FleetOutcome::Ready),
+            }
+        }
+    }
+
+    fn run_claims(
+        &mut self,
+        now: ClockTime,
+        event: OnceEvent,
+        queue: &mut VecDeque<FleetEvent>,
+        outcomes: &mut Vec<FleetOutcome>,
+    ) {
+        let mut actions = Vec::new();
+        self.claims.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                OnceAction::Verdict { id, verdict } => {
+                    outcomes.push(FleetOutcome::Verdict { id, verdict });
+                }
+                // The router's callers ask by sending the request again, so that no lookup is under way.
+                OnceAction::State { .. } => {}
+                OnceAction::Send { to, message } => {
+                    let message = PeerMessage::Claim(message);
+                    outcomes.push(FleetOutcome::Act(RouterAction::Peer { to, message }));
+                }
+                OnceAction::Submit { op, order } => {
+                    let event = StoreEvent::Submit { tag: StoreTag::Claims(op), order };
+                    queue.push_back(FleetEvent::Desk(event));
+                }
+            }
+        }
+    }
+
+    // Tells the parts and the adapters who the peers are, when that has changed.
+    fn tell_rosters(&mut self, now: ClockTime) -> Vec<FleetOutcome> {
+        let places = self.known_places();
+        if places == self.places {
+            return Vec::new();
+        }
+        self.places = places.clone();
+        let zones = self.zones();
+        let members = zones.get(self.member.zone()).cloned().unwrap_or_default();
+        let live = self.live_nodes();
+        let mut outcomes = vec![FleetOutcome::Act(RouterAction::Peers(places))];
+        outcomes.extend(self.run(now, FleetEvent::Sync(SyncEvent::Rosters(zones))));
+        let event = OnceEvent::Rosters { members, live };
+        outcomes.extend(self.run(now, FleetEvent::Claims(event)));
+        outcomes
+    }
+
+    fn live_nodes(&self) -> Vec<NodeId> {
+        let rosters = self.member.neighbours().values().chain(self.member.roster());
+        rosters.flat_map(|roster| &roster.members).map(|member| member.node()).collect()
+    }
+
+    fn known_places(&self) -> Vec<PeerPlace> {
+        let own = self.member.roster().map(|roster| (self.member.zone(), roster));
+        let rosters = self.member.neighbours().iter().chain(own);
+        let mut places: BTreeMap<VmName, PeerPlace> = BTreeMap::new();
+        for (vm, address) in &self.listed {
+            let (vm, address) = (vm.clone(), address.clone());
+            places.insert(vm.clone(), PeerPlace { vm, address, zone: None, incarnation: None });
+        }
+        for (zone, roster) in rosters {
+            for member in &roster.members {
+                let place = PeerPlace {
+                    vm: member.vm.clone(),
+                    address: member.address.clone(),
+                    zone: Some(zone.clone()),
+                    incarnation: Some(member.incarnation),
+                };
+                places.insert(member.vm.clone(), place);
+            }
+        }
+        places.remove(&self.member.node().vm);
+        places.into_values().collect()
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of the parts that need the store and the peers.
+
+use godwitroad_member::MemberSettings;
+use godwitroad_once::OnceSettings;
+use godwitroad_store::ClientSettings;
+use godwitroad_sync::SyncSettings;
+
+use crate::RouterSettings;
+
+/// Settings of the parts that need the store and the peers.
+///
+/// The node, the zone and the address in the parts' own settings are taken from the router's settings.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSettings {
+    /// The address at which peers reach this router.
+    pub address: String,
+    /// The settings of the store client.
+    pub store: ClientSettings,
+    /// The settings of the membership.
+    pub member: MemberSettings,
+    /// The settings of the distribution of the configuration.
+    pub sync: SyncSettings,
+    /// The settings of the idempotency claims.
+    pub claims: OnceSettings,
+}
+
+impl FleetSettings {
+    pub(crate) fn member_settings(&self, router: &RouterSettings) -> MemberSettings {
+        MemberSettings {
+            zone: router.zone.clone(),
+            node: router.node.clone(),
+            address: self.address.clone(),
+            ..self.member.clone()
+        }
+    }
+
+    pub(crate) fn sync_settings(&self, router: &RouterSettings) -> SyncSettings {
+        SyncSettings { vm: router.node.vm.clone(), zone: router.zone.clone(), ..self.sync.clone() }
+    }
+
+    pub(crate) fn claim_settings(&self, router: &RouterSettings) -> OnceSettings {
+        OnceSettings { node: router.node.clone(), ..self.claims.clone() }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,22 +8,26 @@
 mod arrival;
 mod attempt;
 mod caller;
+mod claim;
 mod dispatch;
 mod event;
+mod fleet;
 mod message;
 mod placement;
 mod refusal;
 mod request;
 mod state;
+mod stop;
 mod view;
 
 pub use action::{
-    CallerError, CallerReply, DispatchOrder, ErrorKind, ResumePoint, RouterAction, RunOutcome,
-    StateNotice,
+    CallerError, CallerReply, DispatchOrder, ErrorKind, PeerPlace, ResumePoint, RouterAction,
+    RunOutcome, StateNotice,
 };
 pub use event::{
     AttemptReport, CacheBatch, CacheEvent, LoadReport, RequestArrival, RouterEvent, VmListing,
     VmState,
 };
+pub use fleet::FleetSettings;
 pub use message::PeerMessage;
 pub use state::{RouterSettings, RouterState};
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -1,15 +1,41 @@
 //! Messages between routers.
 
+use godwitroad_member::{Heartbeat, MemberMessage};
+use godwitroad_once::OnceMessage;
+use godwitroad_sync::{SyncMessage, SyncStatus};
 use serde::{Deserialize, Serialize};
 
 /// A message from one router to another.
 ///
-/// All messages are one-way. A lost message is repaired by the next period of the part that sent it.
+/// All messages are one-way. A lost message is repaired by the next period of the part that sent it. A release that
+/// doesn't know a kind can't decode it; the link counts and drops it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 #[non_exhaustive]
 pub enum PeerMessage {
-    /// A kind that this release doesn't know; it is counted and dropped.
-    #[serde(other)]
-    Unknown,
+    /// A sign of life, with the state of the sender's configuration.
+    Heartbeat {
+        /// The sign of life.
+        heartbeat: Heartbeat,
+        /// The state of the configuration.
+        status: SyncStatus,
+    },
+    /// A message of the membership.
+    Member(MemberMessage),
+    /// A message of the distribution of the configuration.
+    Sync(SyncMessage),
+    /// A message of the idempotency claims.
+    Claim(OnceMessage),
+}
+
+impl PeerMessage {
+    /// Returns the kind under which the message is counted.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Heartbeat { .. } => "heartbeat",
+            PeerMessage::Member(_) => "member",
+            PeerMessage::Sync(_) => "sync",
+            PeerMessage::Claim(_) => "claim",
+        }
+    }
 }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -42,10 +42,13 @@
             ErrorKind::TargetUnavailable => "no target can take the request",
             ErrorKind::TargetFailed => "the target failed before the answer was complete",
             ErrorKind::ClaimUnavailable => "the idempotency key can't be claimed at the moment",
-            ErrorKind::ClaimPending => "a request with this idempotency key has been claimed",
+            ErrorKind::ClaimPending => "a request with this idempotency key runs or is about to",
+            ErrorKind::ClaimUnknown => "the request with this idempotency key may have run",
+            ErrorKind::AnswerLost => "the request ran, and its answer is no longer held",
             ErrorKind::ClaimMismatch => "the idempotency key was used for another request",
             ErrorKind::StreamLost => "the stream can't be continued",
             ErrorKind::NotReady => "the router is not ready or is stopping",
+            ErrorKind::ZoneCutOff => "the availability zone is cut off",
         }
     }
 }
@@ -59,6 +62,7 @@
             | ErrorKind::ClaimUnavailable
             | ErrorKind::ClaimPending
             | ErrorKind::NotReady
+            | ErrorKind::ZoneCutOff
     );
     helps.then_some(DEFAULT_RETRY_AFTER)
 }
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -9,10 +9,13 @@
 use godwitroad_life::LifeStage;
 use godwitroad_stream::StreamLog;
 
+use crate::claim::ClaimedAnswer;
+
 /// What a router knows of one request from its arrival on.
 #[derive(Debug)]
 pub(crate) struct RequestFacts {
     pub(crate) route: RouteConfig,
+    pub(crate) path: String,
     pub(crate) kind: ServiceKind,
     pub(crate) account: Option<AccountName>,
     pub(crate) key: Option<KeyHash>,
@@ -32,6 +35,7 @@
     pub(crate) log: StreamLog,
     pub(crate) target: Option<TargetName>,
     pub(crate) caller: CallerState,
+    pub(crate) claim: Option<ClaimedAnswer>,
 }
 
 /// Whether a caller listens to a request's answer.
@@ -67,6 +71,28 @@
     pub(crate) fn is_queued(&self) -> bool {
         matches!(self.stage, Some(LifeStage::Queued(_)))
     }
+
+    /// Returns whether the request waits, for its claim or for a target.
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self.stage, Some(LifeStage::Admitted(_) | LifeStage::Queued(_)))
+    }
+
+    /// Returns whether an attempt is under way.
+    pub(crate) fn is_running(&self) -> bool {
+        self.stage.is_some() && !self.is_waiting()
+    }
+
+    pub(crate) fn keep_header(&mut self, status: u16, content_type: &str) {
+        if let Some(claim) = &mut self.claim {
+            claim.start(status, content_type);
+        }
+    }
+
+    pub(crate) fn keep_answer(&mut self, bytes: &[u8]) {
+        if let Some(claim) = &mut self.claim {
+            claim.extend(bytes);
+        }
+    }
 }
 
 impl RequestTable {
--- /dev/null
+++ b/crates/router/tests/fleet.rs
@@ -0,0 +1,225 @@
+//! Guards the promises that need several routers: configuration, keys, claims, restarts and stops.
+
+mod support;
+
+use godwitroad_router::{CallerReply, ErrorKind, RequestArrival, RouterEvent, RunOutcome};
+use support::{
+    chat, document,
+    fleet::{FakeFleet, FaultRates},
+    registration,
+};
+use yare::parameterized;
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+fn started(seed: u64) -> FakeFleet {
+    let mut fleet = FakeFleet::new(seed, &ZONES, 3);
+    fleet.apply(document());
+    fleet.run(6_000);
+    let waiting: Vec<_> = fleet.vms.keys().filter(|vm| !fleet.is_ready(vm.as_str())).collect();
+    assert!(waiting.is_empty(), "seed {seed}: {waiting:?} are not ready");
+    fleet
+}
+
+fn keyed(secret: &str, key: &str) -> RequestArrival {
+    RequestArrival { idempotency_key: Some(key.into()), ..registration(secret) }
+}
+
+fn error_of(fleet: &FakeFleet, id: godwitroad_base::RequestId) -> (ErrorKind, RunOutcome) {
+    match fleet.last_reply(id) {
+        Some(CallerReply::Failed(error)) => (error.kind, error.outcome),
+        other => panic!("the request did not fail: {other:?}"),
+    }
+}
+
+#[parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
+fn withdrawn_key_ends_running_streams_everywhere_within_two_seconds(seed: u64) {
+    let mut fleet = started(seed);
+    let names: Vec<String> = fleet.vms.keys().map(|vm| vm.to_string()).collect();
+    let ids: Vec<_> = names.iter().map(|vm| fleet.request(vm, chat("secret-1"))).collect();
+    fleet.run(500);
+    assert!(ids.iter().all(|id| matches!(fleet.last_reply(*id), Some(CallerReply::Event { .. }))));
+    let mut next = document();
+    next.accounts[0].keys.clear();
+    fleet.apply(next);
+    fleet.run(2_000);
+    for id in ids {
+        assert_eq!(error_of(&fleet, id).0, ErrorKind::KeyWithdrawn, "seed {seed}");
+    }
+}
+
+#[test]
+fn retry_through_any_router_gets_the_recorded_answer() {
+    let mut fleet = started(4);
+    let first = fleet.request("zone-a-0", keyed("secret-1", "serial-17"));
+    fleet.run(1_000);
+    assert_eq!(fleet.last_reply(first), Some(&CallerReply::End));
+    fleet.kill("zone-a-0");
+    let again = fleet.request("zone-c-1", keyed("secret-1", "serial-17"));
+    fleet.run(2_000);
+    assert_eq!(fleet.replies[&again], fleet.replies[&first]);
+    assert_eq!(fleet.runs["serial 17"], 1);
+}
+
+#[test]
+fn same_key_at_two_routers_at_once_runs_once() {
+    for seed in 10..20 {
+        let mut fleet = started(seed);
+        let first = fleet.request("zone-a-0", keyed("secret-1", "k"));
+        let second = fleet.request("zone-c-0", keyed("secret-1", "k"));
+        fleet.run(5_000);
+        assert_eq!(fleet.runs["serial 17"], 1, "seed {seed}");
+        let ends = [first, second].map(|id| fleet.last_reply(id).cloned());
+        assert!(ends.contains(&Some(CallerReply::End)), "seed {seed}: {ends:?}");
+    }
+}
+
+#[test]
+fn keyed_request_is_refused_truly_while_the_store_is_down() {
+    let mut fleet = started(5);
+    fleet.store_up = false;
+    fleet.run(3_000);
+    let id = fleet.request("zone-b-0", keyed("secret-1", "k"));
+    fleet.run(5_000);
+    assert_eq!(error_of(&fleet, id), (ErrorKind::ClaimUnavailable, RunOutcome::NotRun));
+    fleet.store_up = true;
+    fleet.run(10_000);
+    assert!(fleet.runs.is_empty(), "a refused request ran later");
+    let other = fleet.request("zone-b-0", chat("secret-1"));
+    fleet.run(6_000);
+    assert_eq!(fleet.last_reply(other), Some(&CallerReply::End));
+}
+
+#[test]
+fn router_that_restarts_while_the_store_is_down_takes_the_newest_generation_of_its_peers() {
+    let mut fleet = started(6);
+    let mut next = document();
+    next.accounts[0].keys.clear();
+    fleet.apply(next);
+    fleet.run(3_000);
+    fleet.store_up = false;
+    fleet.kill("zone-a-1");
+    fleet.run(500);
+    fleet.start("zone-a-1", "zone-a");
+    fleet.run(15_000);
+    assert!(fleet.is_ready("zone-a-1"), "{:?}", fleet.vms["zone-a-1"].state.readiness());
+    assert_eq!(fleet.vms["zone-a-1"].state.config().0, 2);
+    let id = fleet.request("zone-a-1", chat("secret-1"));
+    assert_eq!(error_of(&fleet, id).0, ErrorKind::KeyInvalid);
+}
+
+#[test]
+fn cut_off_zone_serves_and_applies_a_withdrawal_on_contact() {
+    let mut fleet = started(7);
+    fleet.cut.insert("zone-c");
+    fleet.run(1_000);
+    let mut next = document();
+    next.accounts[0].keys.clear();
+    fleet.apply(next);
+    fleet.run(10_000);
+    let served = fleet.request("zone-c-0", chat("secret-1"));
+    fleet.run(6_000);
+    assert_eq!(fleet.last_reply(served), Some(&CallerReply::End));
+    fleet.cut.clear();
+    fleet.run(12_000);
+    let refused = fleet.request("zone-c-0", chat("secret-1"));
+    assert_eq!(error_of(&fleet, refused).0, ErrorKind::KeyInvalid);
+}
+
+#[test]
+fn account_that_asks_for_it_is_refused_in_a_cut_off_zone() {
+    let mut fleet = FakeFleet::new(8, &ZONES, 2);
+    let mut strict = document();
+    strict.accounts[0].cut_off = godwitroad_config::CutOffPolicy::Refuse;
+    strict.fleet.cut_off_after_ms = godwitroad_base::ClockSpan::from_secs(10);
+    fleet.apply(strict);
+    fleet.run(6_000);
+    fleet.cut.insert("zone-c");
+    fleet.run(12_000);
+    let refused = fleet.request("zone-c-0", chat("secret-1"));
+    let served = fleet.request("zone-c-0", chat("secret-2"));
+    fleet.run(6_000);
+    assert_eq!(error_of(&fleet, refused), (ErrorKind::ZoneCutOff, RunOutcome::NotRun));
+    assert_eq!(fleet.last_reply(served), Some(&CallerReply::End));
+}
+
+#[test]
+fn leaving_target_gets_nothing_new_within_two_seconds() {
+    let mut fleet = started(9);
+    let mut next = document();
+    next.services[0].targets[0].leaving = true;
+    fleet.apply(next);
+    fleet.run(2_000);
+    let from = fleet.now;
+    let names: Vec<String> = fleet.vms.keys().map(|vm| vm.to_string()).collect();
+    for vm in names {
+        fleet.request(&vm, chat("secret-1"));
+        fleet.run(50);
+    }
+    let late = |entry: &&(u64, _, godwitroad_base::TargetName)| {
+        entry.0 > from && entry.2.as_str() == "engine-0"
+    };
+    assert_eq!(fleet.dispatched.iter().filter(late).count(), 0);
+}
+
+#[test]
+fn planned_stop_cuts_no_stream_and_leaves_the_roster() {
+    let mut fleet = started(11);
+    let id = fleet.request("zone-a-0", chat("secret-1"));
+    fleet.run(500);
+    fleet.tell(&"zone-a-0".into(), RouterEvent::Stop);
+    fleet.run(10_000);
+    assert_eq!(fleet.last_reply(id), Some(&CallerReply::End));
+    assert!(fleet.vms["zone-a-0"].exited);
+    let refused = fleet.request("zone-a-1", chat("secret-1"));
+    fleet.run(6_000);
+    assert_eq!(fleet.last_reply(refused), Some(&CallerReply::End));
+}
+
+#[test]
+fn run_once_requests_run_at_most_once_under_faults() {
+    for seed in 100..130 {
+        let mut fleet = started(seed);
+        fleet.faults = FaultRates {
+            message_loss: 0.05,
+            lost_answers: 0.1,
+            target_dies_before: 0.1,
+            target_dies_after: 0.1,
+        };
+        let mut ids = Vec::new();
+        for round in 0..12u64 {
+            let zone = ZONES[fleet.random.below(3) as usize];
+            let vm = format!("{zone}-{}", fleet.random.below(3));
+            let key = format!("key-{}", fleet.random.below(4));
+            let body = format!("body of {key}");
+            let arrival = RequestArrival {
+                prompt: body.clone().into_bytes().into(),
+                ..keyed("secret-1", &key)
+            };
+            if fleet.takes_requests(&vm) {
+                ids.push((fleet.request(&vm, arrival), body));
+            }
+            if round == 6 {
+                fleet.pause("zone-b-1", 4_000);
+            }
+            fleet.run(300);
+        }
+        fleet.run(10_000);
+        assert!(fleet.runs.values().all(|runs| *runs <= 1), "seed {seed}: {:?}", fleet.runs);
+        for (id, body) in ids {
+            assert_truthful(&fleet, seed, id, &body);
+        }
+    }
+}
+
+// An answer must be that of the caller's own body.
+fn assert_truthful(fleet: &FakeFleet, seed: u64, id: godwitroad_base::RequestId, body: &str) {
+    let replies = fleet.replies.get(&id).cloned().unwrap_or_default();
+    for reply in replies {
+        if let CallerReply::Data(data) = reply {
+            let expected = format!("registered {body}");
+            assert_eq!(&*data, expected.as_bytes(), "seed {seed}");
+            assert_eq!(fleet.runs.get(body), Some(&1), "seed {seed}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/support/fleet.rs
@@ -0,0 +1,363 @@
+//! Several routers with a store, a network and targets, all under virtual time and from one seed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use godwitroad_base::{ClockTime, NodeId, RequestId, SeededRandom, TargetName, VmName};
+use godwitroad_config::{ConfigDocument, ServiceKind};
+use godwitroad_router::{
+    AttemptReport, CallerReply, DispatchOrder, FleetSettings, PeerMessage, RequestArrival,
+    RouterAction, RouterEvent, RouterSettings, RouterState, VmListing, VmState,
+};
+use godwitroad_store::{
+    CallId, KeyVersion, StoreFailure, StoreKey, StoreOutcome, StoreReply, StoreRequest,
+    model::StoreModel,
+};
+use godwitroad_sync::{ChangeId, SyncHead, chunk_key, head_key};
+
+const STEP_MS: u64 = 10;
+
+/// How long a fake watch waits for a change.
+const POLL_MS: u64 = 5_000;
+
+/// One router process.
+pub(crate) struct FakeVm {
+    pub(crate) state: RouterState,
+    incarnation: u64,
+    zone: &'static str,
+    paused_until: u64,
+    pub(crate) exited: bool,
+}
+
+/// The faults of a history.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FaultRates {
+    pub(crate) message_loss: f64,
+    pub(crate) lost_answers: f64,
+    pub(crate) target_dies_before: f64,
+    pub(crate) target_dies_after: f64,
+}
+
+enum Mail {
+    Peer { to: VmName, from: NodeId, message: PeerMessage },
+    Store { vm: VmName, call: CallId, request: StoreRequest, until: u64 },
+    Answer { vm: VmName, incarnation: u64, call: CallId, outcome: StoreOutcome },
+    Attempt { vm: VmName, incarnation: u64, id: RequestId, attempt: u32, report: AttemptReport },
+    Run { vm: VmName, incarnation: u64, order: DispatchOrder },
+}
+
+/// A fleet of routers.
+pub(crate) struct FakeFleet {
+    pub(crate) now: u64,
+    pub(crate) vms: BTreeMap<VmName, FakeVm>,
+    pub(crate) store: StoreModel,
+    pub(crate) store_up: bool,
+    pub(crate) faults: FaultRates,
+    /// Zones that reach neither the store nor other zones.
+    pub(crate) cut: BTreeSet<&'static str>,
+    pub(crate) random: SeededRandom,
+    /// How often each body ran at a plain service.
+    pub(crate) runs: BTreeMap<String, u32>,
+    pub(crate) replies: BTreeMap<RequestId, Vec<CallerReply>>,
+    pub(crate) dispatched: Vec<(u64, VmName, TargetName)>,
+    /// The time between two tokens of an engine; zero answers at once.
+    pub(crate) token_ms: u64,
+    document: Arc<ConfigDocument>,
+    cancelled: BTreeSet<(RequestId, u32)>,
+    mail: Vec<(u64, Mail)>,
+    bodies: BTreeMap<RequestId, String>,
+}
+
+impl FakeFleet {
+    /// Returns a fleet with `count` routers in each of `zones`, which start now.
+    pub(crate) fn new(seed: u64, zones: &[&'static str], count: usize) -> FakeFleet {
+        let mut fleet = FakeFleet {
+            now: 1_000,
+            vms: BTreeMap::new(),
+            store: StoreModel::new(),
+            store_up: true,
+            faults: FaultRates::default(),
+            cut: BTreeSet::new(),
+            random: SeededRandom::new(seed),
+            runs: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            dispatched: Vec::new(),
+            token_ms: 20,
+            document: Arc::default(),
+            cancelled: BTreeSet::new(),
+            mail: Vec::new(),
+            bodies: BTreeMap::new(),
+        };
+        for zone in zones {
+            (0..count).for_each(|index| fleet.start(&format!("{zone}-{index}"), zone));
+        }
+        fleet
+    }
+
+    /// Starts a router, or restarts it as a new incarnation.
+    pub(crate) fn start(&mut self, vm: &str, zone: &'static str) {
+        let name = VmName::from(vm);
+        let incarnation = self.vms.get(&name).map_or(1, |vm| vm.incarnation + 1);
+        let settings = RouterSettings {
+            node: NodeId::new(vm, incarnation),
+            zone: zone.into(),
+            seed: self.random.next_u64(),
+            fleet: Some(FleetSettings { address: vm.into(), ..FleetSettings::default() }),
+            ..RouterSettings::default()
+        };
+        let state = RouterState::new(ClockTime::from_ms(self.now), settings);
+        let fake = FakeVm { state, incarnation, zone, paused_until: 0, exited: false };
+        self.vms.insert(name, fake);
+    }
+
+    pub(crate) fn pause(&mut self, vm: &str, ms: u64) {
+        let until = self.now + ms;
+        self.vms.get_mut(vm).expect("the VM exists").paused_until = until;
+    }
+
+    pub(crate) fn kill(&mut self, vm: &str) {
+        self.vms.get_mut(vm).expect("the VM exists").exited = true;
+    }
+
+    /// Writes a configuration as an operator's client does, without its faults.
+    pub(crate) fn apply(&mut self, document: ConfigDocument) {
+        self.document = Arc::new(document);
+        let bytes = serde_json::to_vec(&*self.document).expect("a document is JSON");
+        let chunks: Vec<Arc<[u8]>> = bytes.chunks(2_000).map(Arc::from).collect();
+        let base = self.store.entry(&head_key());
+        let base = base.map(|entry| SyncHead::decode(&entry.value).expect("the head is valid"));
+        let change = ChangeId(u128::from(self.random.next_u64()));
+        let head = SyncHead::next(base.as_ref(), change, &chunks);
+        for (digest, chunk) in head.chunks.iter().zip(&chunks) {
+            self.put(chunk_key(*digest), chunk.clone());
+        }
+        self.put(head_key(), head.encode());
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.deliver();
+            if self.now.is_multiple_of(1_000) {
+                self.send_lists();
+            }
+            let names: Vec<VmName> = self.vms.keys().cloned().collect();
+            for name in names {
+                self.tell(&name, RouterEvent::Tick);
+            }
+        }
+    }
+
+    /// Sends a request to a router and returns its id.
+    pub(crate) fn request(&mut self, vm: &str, arrival: RequestArrival) -> RequestId {
+        let body = String::from_utf8_lossy(&arrival.prompt).into_owned();
+        let actions = self.tell(&VmName::from(vm), RouterEvent::Request(arrival));
+        let id = actions.iter().find_map(|action| match action {
+            RouterAction::Accepted { id, .. } => Some(*id),
+            _ => None,
+        });
+        let id = id.expect("a running router takes a number for each request");
+        self.bodies.insert(id, body);
+        id
+    }
+
+    pub(crate) fn last_reply(&self, id: RequestId) -> Option<&CallerReply> {
+        self.replies.get(&id).and_then(|replies| replies.last())
+    }
+
+    pub(crate) fn is_ready(&self, vm: &str) -> bool {
+        self.vms[vm].state.is_ready()
+    }
+
+    /// Returns whether a request can reach the router now.
+    pub(crate) fn takes_requests(&self, vm: &str) -> bool {
+        let fake = &self.vms[vm];
+        !fake.exited && fake.paused_until <= self.now && fake.state.is_ready()
+    }
+
+    pub(crate) fn tell(&mut self, vm: &VmName, event: RouterEvent) -> Vec<RouterAction> {
+        let now = self.now;
+        let Some(fake) = self.vms.get_mut(vm) else { return Vec::new() };
+        if fake.exited || fake.paused_until > now {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        fake.state.handle(ClockTime::from_ms(now), event, &mut actions);
+        let incarnation = fake.incarnation;
+        for action in actions.clone() {
+            self.carry_out(vm, incarnation, action);
+        }
+        actions
+    }
+
+    fn put(&mut self, key: StoreKey, value: Arc<[u8]>) {
+        let request = StoreRequest::Put { key, value, expected: None, lease: None };
+        self.store.apply(ClockTime::from_ms(self.now), &request);
+    }
+
+    fn send_lists(&mut self) {
+        let listing = |(vm, fake): (&VmName, &FakeVm)| {
+            let line = VmListing {
+                vm: vm.clone(),
+                state: VmState::Live,
+                address: Some(vm.as_str().to_owned()),
+            };
+            (!fake.exited).then_some(line)
+        };
+        let list: Vec<VmListing> = self.vms.iter().filter_map(listing).collect();
+        let names: Vec<VmName> = self.vms.keys().cloned().collect();
+        for name in names {
+            if !self.cut.contains(self.vms[&name].zone) {
+                self.tell(&name, RouterEvent::VmList(list.clone()));
+            }
+        }
+    }
+
+    fn post(&mut self, delay: u64, mail: Mail) {
+        let at = self.now + 1 + self.random.below(delay.max(1));
+        self.mail.push((at, mail));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due = |mail: &(u64, Mail)| mail.0 <= now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.mail).into_iter().partition(due);
+        self.mail = later;
+        for (_, mail) in due {
+            self.open(mail);
+        }
+    }
+
+    fn open(&mut self, mail: Mail) {
+        match mail {
+            Mail::Peer { to, from, message } => {
+                drop(self.tell(&to, RouterEvent::Peer { from, message }));
+            }
+            Mail::Store { vm, call, request, until } => self.serve(vm, call, request, until),
+            Mail::Answer { vm, incarnation, call, outcome } => {
+                if self.vms[&vm].incarnation == incarnation {
+                    drop(self.tell(&vm, RouterEvent::Store { call, outcome }));
+                }
+            }
+            Mail::Attempt { vm, incarnation, id, attempt, report } => {
+                let current = self.vms[&vm].incarnation == incarnation;
+                if current && !self.cancelled.contains(&(id, attempt)) {
+                    drop(self.tell(&vm, RouterEvent::Attempt { id, attempt, report }));
+                }
+            }
+            Mail::Run { vm, incarnation, order } => self.run_plain(vm, incarnation, order),
+        }
+    }
+
+    fn serve(&mut self, vm: VmName, call: CallId, request: StoreRequest, until: u64) {
+        let incarnation = self.vms[&vm].incarnation;
+        let reachable = self.store_up && !self.cut.contains(self.vms[&vm].zone);
+        if !reachable {
+            let outcome = Err(StoreFailure::NotSent);
+            return self.post(20, Mail::Answer { vm, incarnation, call, outcome });
+        }
+        let reply = self.store.apply(ClockTime::from_ms(self.now), &request);
+        let reply = match reply {
+            Some(reply) => reply,
+            None if self.now < until => {
+                self.mail.push((self.now + STEP_MS, Mail::Store { vm, call, request, until }));
+                return;
+            }
+            None => StoreReply::Entries {
+                entries: Vec::new(),
+                removed: Vec::new(),
+                newest: KeyVersion(self.store.newest().0),
+            },
+        };
+        let lost = self.random.chance(self.faults.lost_answers);
+        let outcome = if lost { Err(StoreFailure::Unknown) } else { Ok(reply) };
+        self.post(6, Mail::Answer { vm, incarnation, call, outcome });
+    }
+
+    fn carry_out(&mut self, vm: &VmName, incarnation: u64, action: RouterAction) {
+        match action {
+            RouterAction::Reply { id, reply } => self.replies.entry(id).or_default().push(reply),
+            RouterAction::Store { call, request } => {
+                let until = self.now + POLL_MS;
+                self.post(6, Mail::Store { vm: vm.clone(), call, request, until });
+            }
+            RouterAction::Peer { to, message } => self.send(vm, incarnation, to, message),
+            RouterAction::Dispatch(order) => self.dispatch(vm, incarnation, order),
+            RouterAction::Cancel { id, attempt } => drop(self.cancelled.insert((id, attempt))),
+            RouterAction::Exit => self.vms.get_mut(vm).expect("the VM acts").exited = true,
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, vm: &VmName, incarnation: u64, to: VmName, message: PeerMessage) {
+        let zone_of = |name: &VmName| self.vms.get(name).map(|fake| fake.zone);
+        let (Some(here), Some(there)) = (zone_of(vm), zone_of(&to)) else { return };
+        let is_cut = here != there && (self.cut.contains(here) || self.cut.contains(there));
+        if is_cut || self.random.chance(self.faults.message_loss) {
+            return;
+        }
+        let from = NodeId::new(vm.as_str(), incarnation);
+        self.post(4, Mail::Peer { to, from, message });
+    }
+
+    fn dispatch(&mut self, vm: &VmName, incarnation: u64, order: DispatchOrder) {
+        self.dispatched.push((self.now, vm.clone(), order.target.clone()));
+        let mut services = self.document.services.iter();
+        let service = services
+            .find(|service| service.targets.iter().any(|target| target.name == order.target));
+        let kind = service.map_or(ServiceKind::Engine, |service| service.kind);
+        match kind {
+            ServiceKind::Plain => {
+                self.post(10, Mail::Run { vm: vm.clone(), incarnation, order });
+            }
+            ServiceKind::Engine => self.run_engine(vm, incarnation, &order),
+        }
+    }
+
+    fn run_engine(&mut self, vm: &VmName, incarnation: u64, order: &DispatchOrder) {
+        let (id, attempt) = (order.id, order.attempt);
+        let first = order.resume.as_ref().map_or(0, |resume| resume.tokens);
+        let mut reports = vec![super::started()];
+        reports.extend((first..200).map(super::token));
+        reports.push(AttemptReport::Ended);
+        for (index, report) in reports.into_iter().enumerate() {
+            let at = self.now + STEP_MS + index as u64 * self.token_ms;
+            let vm = vm.clone();
+            self.mail.push((at, Mail::Attempt { vm, incarnation, id, attempt, report }));
+        }
+    }
+
+    fn run_plain(&mut self, vm: VmName, incarnation: u64, order: DispatchOrder) {
+        let (id, attempt) = (order.id, order.attempt);
+        let body = self.bodies.get(&id).cloned().unwrap_or_default();
+        let report = |report: AttemptReport| Mail::Attempt {
+            vm: vm.clone(),
+            incarnation,
+            id,
+            attempt,
+            report,
+        };
+        if self.random.chance(self.faults.target_dies_before) {
+            let failed = AttemptReport::Failed { sent: true, refused: false };
+            return self.post(10, report(failed));
+        }
+        *self.runs.entry(body.clone()).or_default() += 1;
+        if self.random.chance(self.faults.target_dies_after) {
+            let failed = AttemptReport::Failed { sent: true, refused: false };
+            return self.post(10, report(failed));
+        }
+        let answer = Arc::from(format!("registered {body}").into_bytes());
+        let content_type = "text/plain".to_owned();
+        let started = AttemptReport::Started { status: 200, content_type };
+        for (delay, part) in
+            [started, AttemptReport::Data(answer), AttemptReport::Ended].into_iter().enumerate()
+        {
+            self.mail.push((self.now + STEP_MS + delay as u64, report(part)));
+        }
+    }
+}
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the driver")]
 
+pub(crate) mod fleet;
+
 use std::sync::Arc;
 
 use godwitroad_base::{ClockSpan, ClockTime, RequestId};
@@ -28,8 +30,12 @@
     }
 
     pub(crate) fn unconfigured() -> TestDriver {
-        let state = RouterState::new(RouterSettings::default());
-        TestDriver { state, now: ClockTime::from_ms(1), actions: Vec::new() }
+        let now = ClockTime::from_ms(1);
+        TestDriver {
+            state: RouterState::new(now, RouterSettings::default()),
+            now,
+            actions: Vec::new(),
+        }
     }
 
     pub(crate) fn configure(&mut self, generation: u64, document: ConfigDocument) {
