Add the state machines of the rate limits

Cause: the tokens of an account must stay within its burst and rate over all VMs, under any fault. Change: buckets that count granted tokens as outstanding, holders that claim share shards in the store, reserves promised to a backup, and routers that admit from prepaid tokens and ask other zones when their own is short.

--- /dev/null
+++ b/crates/limits/src/holder.rs
@@ -0,0 +1,520 @@
+//! The holder of a zone's buckets.
+//!
+//! A holder issues prepaid tokens only for shards that it has claimed in the store and only within its term. Its
+//! state is small: accounts whose bucket is full and idle have none.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, VmName};
+use godwitroad_member::shortest_span;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    bucket::RateBucket,
+    demand::DemandMeter,
+    message::{AccountGrant, AccountPledge, AskEntry, HandedBucket, RateMessage},
+    pledge::{PledgeBook, PromisedShard},
+    settings::RateSettings,
+    shard::{RateRow, ShardClaim, shard_of},
+};
+
+/// The part of a bucket's level that is promised to the backup.
+const RESERVE_PART: u64 = 2;
+
+/// The time without an ask after which an account's state is dropped once its bucket is full.
+const QUIET_MS: u64 = 60_000;
+
+/// The part of a bucket's level that one ask can get beyond its need.
+const EXTRA_PART: u64 = 8;
+
+/// The shortest time after which an asker tries again: a reserve is free by then if the backup answers.
+const RELEASE_MS: u64 = 5;
+
+/// An event that [`RateHolder::handle`] takes.
+#[derive(Clone, Debug)]
+pub enum HolderEvent {
+    /// The term until which this process may hold shards.
+    Term(Option<ClockTime>),
+    /// The backup of each shard, by its number.
+    Backups(Vec<Option<NodeId>>),
+    /// The process claimed a shard.
+    Start {
+        /// The shard.
+        shard: u16,
+        /// The claim.
+        claim: ShardClaim,
+        /// The claim that it replaced.
+        previous: Option<ShardClaim>,
+        /// The zone's rows.
+        rows: BTreeMap<AccountName, RateRow>,
+    },
+    /// Rows of a held shard changed.
+    Rows {
+        /// The shard.
+        shard: u16,
+        /// The new rows.
+        rows: BTreeMap<AccountName, RateRow>,
+    },
+    /// The shard is held under a new claim without a break.
+    Renewed {
+        /// The shard.
+        shard: u16,
+        /// The new claim.
+        claim: ShardClaim,
+    },
+    /// The process gives a shard up, to the VM `to` if there is one.
+    Stop {
+        /// The shard.
+        shard: u16,
+        /// The next holder, which can be this VM itself.
+        to: Option<VmName>,
+    },
+    /// A peer sent a message.
+    Peer {
+        /// The sender.
+        from: NodeId,
+        /// The message.
+        message: RateMessage,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// An action of a [`RateHolder`].
+#[derive(Clone, Debug)]
+pub enum HolderAction {
+    /// Sends a message to a peer.
+    Send {
+        /// The receiver.
+        to: VmName,
+        /// The message.
+        message: RateMessage,
+    },
+    /// A shard was received from its last holder.
+    Received {
+        /// The shard.
+        shard: u16,
+    },
+    /// Promises to an earlier backup can't be confirmed; a new claim would void them.
+    Renew {
+        /// The shard.
+        shard: u16,
+    },
+}
+
+/// Counters of a [`RateHolder`].
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HolderCounters {
+    /// The tokens granted.
+    pub granted: u64,
+    /// The asks that got no token because the bucket was short.
+    pub short: u64,
+    /// The asks that reached a process that may not hold the account.
+    pub not_holder: u64,
+    /// The shards taken over with the level that the last holder handed over.
+    pub started_handed: u64,
+    /// The shards taken over with the reserve promised to the backup.
+    pub started_reserve: u64,
+    /// The shards taken over empty.
+    pub started_empty: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveAccount {
+    pub(crate) bucket: RateBucket,
+    pub(crate) demand: DemandMeter,
+    pub(crate) pledges: PledgeBook,
+    pub(crate) used: ClockTime,
+    /// Whether a write of the account's row is under way, so that the level must be known until it ends.
+    pinned: bool,
+    served: BTreeMap<NodeId, u64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct HeldShard {
+    pub(crate) claim: ShardClaim,
+    /// Buckets without state are as full as the refill since then makes them.
+    pub(crate) since: ClockTime,
+    pub(crate) rows: BTreeMap<AccountName, RateRow>,
+    pub(crate) accounts: BTreeMap<AccountName, ActiveAccount>,
+    /// The backup that hasn't confirmed its pledges and gets no more.
+    pub(crate) silent: Option<NodeId>,
+}
+
+/// What the last holder handed over.
+#[derive(Clone, Debug)]
+pub(crate) struct ReceivedShard {
+    pub(crate) claim: ShardClaim,
+    pub(crate) since: ClockTime,
+    pub(crate) accounts: Vec<HandedBucket>,
+}
+
+/// A shard that was handed over and isn't confirmed yet.
+#[derive(Clone, Debug)]
+pub(crate) struct LeavingShard {
+    pub(crate) to: VmName,
+    pub(crate) sent: ClockTime,
+    pub(crate) since: ClockTime,
+    pub(crate) claim: ShardClaim,
+    pub(crate) accounts: Vec<HandedBucket>,
+}
+
+/// The holder of a zone's buckets.
+#[derive(Debug)]
+pub struct RateHolder {
+    pub(crate) settings: RateSettings,
+    pub(crate) term: Option<ClockTime>,
+    pub(crate) backups: Vec<Option<NodeId>>,
+    pub(crate) shards: BTreeMap<u16, HeldShard>,
+    pub(crate) promised: BTreeMap<u16, PromisedShard>,
+    pub(crate) received: BTreeMap<u16, ReceivedShard>,
+    pub(crate) leaving: BTreeMap<u16, LeavingShard>,
+    pub(crate) serial: u64,
+    pub(crate) swept: ClockTime,
+    pub(crate) counters: HolderCounters,
+}
+
+impl HeldShard {
+    /// Returns the account's state, made from the refill since the shard was taken when there is none.
+    pub(crate) fn account(
+        &mut self,
+        now: ClockTime,
+        account: &AccountName,
+    ) -> Option<&mut ActiveAccount> {
+        let row = self.rows.get(account).copied().filter(|row| row.burst > 0)?;
+        let since = self.since;
+        Some(self.accounts.entry(account.clone()).or_insert_with(|| {
+            // Before `since`, an earlier holder's grants may still be spent.
+            let blocked = if now < since { RateBucket::capacity(row) } else { 0 };
+            let level = RateBucket::refill_of(row, now.since(since));
+            ActiveAccount::new(RateBucket::new(row, level, blocked, now), now)
+        }))
+    }
+}
+
+impl ActiveAccount {
+    pub(crate) fn new(bucket: RateBucket, now: ClockTime) -> ActiveAccount {
+        ActiveAccount {
+            bucket,
+            demand: DemandMeter::new(now),
+            pledges: PledgeBook::default(),
+            used: now,
+            pinned: false,
+            served: BTreeMap::new(),
+        }
+    }
+}
+
+impl RateHolder {
+    /// Returns a holder that holds nothing yet.
+    pub fn new(settings: RateSettings, now: ClockTime) -> RateHolder {
+        RateHolder {
+            settings,
+            term: None,
+            backups: Vec::new(),
+            shards: BTreeMap::new(),
+            promised: BTreeMap::new(),
+            received: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            serial: 0,
+            swept: now,
+            counters: HolderCounters::default(),
+        }
+    }
+
+    /// Takes one event and pushes the actions that follow from it.
+    pub fn handle(&mut self, now: ClockTime, event: HolderEvent, actions: &mut Vec<HolderAction>) {
+        match event {
+            HolderEvent::Term(term) => self.term = term,
+            HolderEvent::Backups(backups) => self.backups = backups,
+            HolderEvent::Start { shard, claim, previous, rows } => {
+                self.start(now, shard, claim, previous.as_ref(), rows);
+            }
+            HolderEvent::Rows { shard, rows } => self.set_rows(now, shard, rows),
+            HolderEvent::Renewed { shard, claim } => {
+                if let Some(held) = self.shards.get_mut(&shard) {
+                    held.claim = claim;
+                    held.accounts.values_mut().for_each(|account| account.pledges.clear());
+                }
+            }
+            HolderEvent::Stop { shard, to } => self.stop(now, shard, to, actions),
+            HolderEvent::Peer { from, message } => self.take_message(now, &from, message, actions),
+            HolderEvent::Tick => self.tick(now, actions),
+        }
+    }
+
+    /// Returns whether this process may issue tokens of `shard` at `now`.
+    pub fn holds(&self, now: ClockTime, shard: u16) -> bool {
+        self.shards.contains_key(&shard) && self.term.is_some_and(|end| now < end)
+    }
+
+    /// Returns the number of accounts that have state.
+    pub fn active_accounts(&self) -> usize {
+        self.shards.values().map(|held| held.accounts.len()).sum()
+    }
+
+    /// Returns the shards that were handed over and are not confirmed.
+    pub fn unconfirmed(&self) -> usize {
+        self.leaving.len()
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> HolderCounters {
+        self.counters
+    }
+
+    /// Returns the demand of the active accounts of a held shard, in tokens per second.
+    pub fn demands(&mut self, now: ClockTime, shard: u16) -> BTreeMap<AccountName, u64> {
+        let accounts = self.shards.get_mut(&shard).into_iter().flat_map(|held| &mut held.accounts);
+        accounts.map(|(name, account)| (name.clone(), account.demand.rate(now))).collect()
+    }
+
+    /// Lowers rows at once as far as the granted tokens allow, and returns the rows that are now in use.
+    pub fn lower(
+        &mut self,
+        now: ClockTime,
+        shard: u16,
+        rows: &BTreeMap<AccountName, RateRow>,
+    ) -> BTreeMap<AccountName, RateRow> {
+        let Some(held) = self.shards.get_mut(&shard) else { return BTreeMap::new() };
+        let mut lowered = BTreeMap::new();
+        for (name, wanted) in rows {
+            let Some(current) = held.rows.get(name).copied() else { continue };
+            let mut row = current.least(*wanted);
+            // While it isn't known whether a larger row was written, the level can't follow from the row.
+            if let Some(account) = held.account(now, name) {
+                account.pinned = true;
+                account.bucket.advance(now);
+                let least = account.bucket.least_burst(current.rate);
+                row.burst = row.burst.max(least).min(current.burst);
+                account.bucket.set_row(now, row);
+            }
+            held.rows.insert(name.clone(), row);
+            lowered.insert(name.clone(), row);
+        }
+        lowered
+    }
+
+    fn set_rows(&mut self, now: ClockTime, shard: u16, rows: BTreeMap<AccountName, RateRow>) {
+        let Some(held) = self.shards.get_mut(&shard) else { return };
+        for (name, row) in rows {
+            let old = held.rows.get(&name).copied().unwrap_or_default();
+            // A row that grows starts with the tokens of the smaller one, so the bucket must exist from now on.
+            if old.burst > 0 && (row.rate > old.rate || row.burst > old.burst) {
+                held.account(now, &name);
+            }
+            if let Some(account) = held.accounts.get_mut(&name) {
+                account.pinned = false;
+                account.bucket.set_row(now, row);
+            } else if old.burst == 0 && row.burst > 0 {
+                let blocked = if now < held.since { RateBucket::capacity(row) } else { 0 };
+                let bucket = RateBucket::new(row, 0, blocked, now);
+                held.accounts.insert(name.clone(), ActiveAccount::new(bucket, now));
+            }
+            held.rows.insert(name, row);
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        now: ClockTime,
+        from: &NodeId,
+        message: RateMessage,
+        actions: &mut Vec<HolderAction>,
+    ) {
+        match message {
+            RateMessage::Ask(entries) => {
+                let mut grants = Vec::new();
+                for entry in &entries {
+                    grants.extend(self.answer(now, from, entry, actions));
+                }
+                if !grants.is_empty() {
+                    let message = RateMessage::Grant(grants);
+                    actions.push(HolderAction::Send { to: from.vm.clone(), message });
+                }
+            }
+            RateMessage::Report(reports) => {
+                for report in &reports {
+                    let held = self.shards.get_mut(&shard_of(&report.account));
+                    let account = held.and_then(|held| held.accounts.get_mut(&report.account));
+                    if let Some(account) = account {
+                        let bucket = &mut account.bucket;
+                        bucket.report(now, from, report.serial, report.spent, report.returned);
+                    }
+                }
+            }
+            RateMessage::Pledge { shard, claim, backup, accounts } => {
+                if backup == self.settings.node {
+                    self.take_pledges(from, shard, claim, &accounts, actions);
+                }
+            }
+            RateMessage::PledgeAck { shard, claim, accounts } => {
+                let held = self.shards.get_mut(&shard).filter(|held| held.claim == claim);
+                let Some(held) = held else { return };
+                for (name, serial) in &accounts {
+                    if let Some(account) = held.accounts.get_mut(name) {
+                        account.pledges.confirm(from, *serial);
+                    }
+                }
+            }
+            RateMessage::HandOver { shard, claim, held, accounts } => {
+                self.receive(now, from, shard, claim, held, accounts, actions);
+            }
+            RateMessage::HandOverAck { shard, claim } => {
+                if self.leaving.get(&shard).is_some_and(|leaving| leaving.claim == claim) {
+                    self.leaving.remove(&shard);
+                }
+            }
+            RateMessage::Grant(_) => {}
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: ClockTime,
+        from: &NodeId,
+        entry: &AskEntry,
+        actions: &mut Vec<HolderAction>,
+    ) -> Option<AccountGrant> {
+        let shard = shard_of(&entry.account);
+        let mut grant = AccountGrant {
+            account: entry.account.clone(),
+            asker: from.clone(),
+            serial: entry.serial,
+            tokens: 0,
+            holds: self.holds(now, shard),
+            retry_after: ClockSpan::ZERO,
+        };
+        if !grant.holds {
+            self.counters.not_holder += 1;
+            return Some(grant);
+        }
+        let held = self.shards.get_mut(&shard)?;
+        let Some(account) = held.account(now, &entry.account) else { return Some(grant) };
+        // A repeated ask must not be granted twice, since the asker would use only one of the grants.
+        let served = account.served.entry(from.clone()).or_insert(0);
+        if entry.serial <= *served {
+            return None;
+        }
+        *served = entry.serial;
+        account.used = now;
+        account.bucket.advance(now);
+        account.demand.add(now, if entry.partial { 0 } else { entry.need });
+        let level = account.bucket.level();
+        let available = level.saturating_sub(account.pledges.floor());
+        grant.tokens = match available.checked_sub(entry.need) {
+            Some(spare) => entry.need + entry.extra.min(spare / EXTRA_PART),
+            None if entry.partial => available,
+            None => 0,
+        };
+        if available < entry.need {
+            self.counters.short += 1;
+            let rate = account.bucket.row().rate.max(1);
+            let missing = entry.need.saturating_sub(level);
+            let refill = (missing * 1_000).div_ceil(rate);
+            grant.retry_after = ClockSpan::from_ms(refill.max(RELEASE_MS));
+            if account.pledges.floor() > 0 {
+                self.serial += 1;
+                let serial = self.serial;
+                send_lowered(now, shard, held, &entry.account, &self.backups, serial, actions);
+            }
+        }
+        if grant.tokens > 0 {
+            let account = held.accounts.get_mut(&entry.account)?;
+            if !account.bucket.take(now, from, entry.serial, grant.tokens) {
+                grant.tokens = 0;
+            }
+            self.counters.granted += grant.tokens;
+        }
+        Some(grant)
+    }
+
+    // Keeps the reserves and drops the state of accounts that need none any more.
+    fn tick(&mut self, now: ClockTime, actions: &mut Vec<HolderAction>) {
+        self.resend(now, actions);
+        if now.since(self.swept) < self.settings.pledge {
+            return;
+        }
+        self.swept = now;
+        let holding = self.term.is_some_and(|end| now < end);
+        let shards: Vec<u16> = self.shards.keys().copied().collect();
+        for shard in shards {
+            if holding {
+                self.pledge(now, shard, actions);
+            }
+            let Some(held) = self.shards.get_mut(&shard) else { continue };
+            let since = held.since;
+            held.accounts.retain(|_, account| {
+                account.bucket.advance(now);
+                let quiet = now.since(account.used).as_ms() >= QUIET_MS;
+                let full = account.bucket.is_full() && account.pledges.floor() == 0;
+                !quiet || !full || account.pinned || now < since
+            });
+        }
+    }
+
+    fn pledge(&mut self, now: ClockTime, shard: u16, actions: &mut Vec<HolderAction>) {
+        let backup = self.backups.get(usize::from(shard)).cloned().flatten();
+        let Some(held) = self.shards.get_mut(&shard) else { return };
+        let crowded = held.accounts.values().any(|account| account.pledges.crowded());
+        let mut books = held.accounts.values().map(|account| &account.pledges);
+        if crowded || books.any(|book| !book.others(backup.as_ref()).is_empty()) {
+            // A backup that confirms nothing would keep its reserve from use for ever.
+            held.silent = backup.clone().filter(|_| crowded);
+            actions.push(HolderAction::Renew { shard });
+        }
+        let Some(backup) = backup.filter(|backup| held.silent.as_ref() != Some(backup)) else {
+            return;
+        };
+        let mut accounts = Vec::new();
+        for (name, account) in &mut held.accounts {
+            account.bucket.advance(now);
+            let quiet = now.since(account.used).as_ms() >= QUIET_MS;
+            let reserve = if quiet { 0 } else { account.bucket.level() / RESERVE_PART };
+            let newest = account.pledges.newest(&backup);
+            let moved = newest.abs_diff(reserve) > RateBucket::capacity(account.bucket.row()) / 16;
+            // A lower promise is repeated until it is confirmed, since the message or its answer may be lost.
+            let open = account.pledges.floor() > newest;
+            if moved || open || reserve == 0 && newest > 0 {
+                self.serial += 1;
+                let serial = self.serial;
+                account.pledges.promise(now, &backup, serial, reserve);
+                accounts.push(AccountPledge { account: name.clone(), serial, reserve });
+            }
+        }
+        if !accounts.is_empty() {
+            let claim = held.claim.clone();
+            let message = RateMessage::Pledge { shard, claim, backup: backup.clone(), accounts };
+            actions.push(HolderAction::Send { to: backup.vm, message });
+        }
+    }
+}
+
+// Frees the reserve of an account that needs it: the backup must confirm first.
+fn send_lowered(
+    now: ClockTime,
+    shard: u16,
+    held: &mut HeldShard,
+    name: &AccountName,
+    backups: &[Option<NodeId>],
+    serial: u64,
+    actions: &mut Vec<HolderAction>,
+) {
+    let Some(Some(backup)) = backups.get(usize::from(shard)) else { return };
+    let claim = held.claim.clone();
+    let Some(account) = held.accounts.get_mut(name) else { return };
+    let recent = account.pledges.sent.is_some_and(|sent| now.since(sent).as_ms() < 20);
+    if account.pledges.crowded() || recent && account.pledges.newest(backup) == 0 {
+        return;
+    }
+    account.pledges.promise(now, backup, serial, 0);
+    let pledge = AccountPledge { account: name.clone(), serial, reserve: 0 };
+    let accounts = vec![pledge];
+    let message = RateMessage::Pledge { shard, claim, backup: backup.clone(), accounts };
+    actions.push(HolderAction::Send { to: backup.vm.clone(), message });
+}
+
+/// Returns the time from which a bucket held for `held` by its last holder has surely filled.
+pub(crate) fn filled_since(now: ClockTime, held: ClockSpan) -> ClockTime {
+    now - shortest_span(held)
+}
--- /dev/null
+++ b/crates/limits/src/plan.rs
@@ -0,0 +1,135 @@
+//! Which rows of a share shard a zone wants to change.
+//!
+//! The plan is a pure function of the stored value, the configuration and the zone's demand, so that it can be
+//! tested without a store.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwitroad_base::{AccountName, ZoneName};
+use godwitroad_config::RateConfig;
+
+use crate::{
+    message::RateTable,
+    shard::{RateRow, ShardValue, ShareRecord, shard_of},
+};
+
+/// The parts of an account's rate in which demand is written.
+const DEMAND_PARTS: u64 = 16;
+
+/// The highest demand that is written, in parts: four times the rate.
+const DEMAND_MOST: u64 = 64;
+
+/// Returns the own rows that differ from those in `value` after `zone` has followed demand and configuration.
+pub(crate) fn wanted_rows(
+    value: &ShardValue,
+    shard: u16,
+    zone: &ZoneName,
+    table: &RateTable,
+    demands: &BTreeMap<AccountName, u64>,
+) -> BTreeMap<AccountName, RateRow> {
+    let mut wanted = BTreeMap::new();
+    for (name, config) in accounts_of(table, shard) {
+        let Some(record) = value.accounts.get(name) else { continue };
+        let limit = target_limit(record, table, *config);
+        let old = record.rows.get(zone).copied().unwrap_or_default();
+        let demand = demands.get(name).copied().unwrap_or(0);
+        let missing = !record.rows.contains_key(zone);
+        let mut record = record.clone();
+        let demand = step(old.demand, demand, limit.tokens_per_second);
+        record.rows.insert(zone.clone(), RateRow { demand, ..old });
+        let fair = record.fair(zone, limit);
+        let rest = record.rest();
+        let shrinks = limit.tokens_per_second < record.limit.tokens_per_second
+            || limit.burst_tokens < record.limit.burst_tokens;
+        let row = RateRow {
+            rate: moved(old.rate, fair.rate, rest.rate, limit.tokens_per_second, shrinks),
+            burst: moved(old.burst, fair.burst, rest.burst, limit.burst_tokens, shrinks),
+            demand,
+        };
+        if row != old || missing {
+            wanted.insert(name.clone(), row);
+        }
+    }
+    wanted
+}
+
+/// Returns `value` after the rows of `zone` became `rows`, with the limits and accounts of `table` taken over and the
+/// rows of zones that are gone returned.
+pub(crate) fn changed_value(
+    value: &ShardValue,
+    shard: u16,
+    zone: &ZoneName,
+    table: &RateTable,
+    rows: &BTreeMap<AccountName, RateRow>,
+    gone: &BTreeSet<ZoneName>,
+) -> ShardValue {
+    let mut next = value.clone();
+    for (name, config) in accounts_of(table, shard) {
+        let fresh = || ShareRecord::even(table.generation, *config, &table.zones);
+        let record = next.accounts.entry(name.clone()).or_insert_with(fresh);
+        for zone in gone {
+            record.rows.remove(zone);
+        }
+        if let Some(row) = rows.get(name) {
+            record.rows.insert(zone.clone(), *row);
+        }
+        let limit = target_limit(record, table, *config);
+        let used = record
+            .rows
+            .values()
+            .fold((0, 0), |sum: (u64, u64), row| (sum.0 + row.rate, sum.1 + row.burst));
+        // The limit in force goes down only as far as every zone has lowered its row.
+        let limit = RateConfig {
+            tokens_per_second: limit.tokens_per_second.max(used.0),
+            burst_tokens: limit.burst_tokens.max(used.1),
+        };
+        if limit != record.limit {
+            record.limit = limit;
+            record.generation = record.generation.max(table.generation);
+        }
+    }
+    next
+}
+
+/// Returns the row that may be used under the configuration: a lower limit holds at once in the own zone.
+pub(crate) fn usable_row(record: &ShareRecord, row: RateRow, config: RateConfig) -> RateRow {
+    let scale = |part: u64, new: u64, old: u64| {
+        let scaled = u128::from(part) * u128::from(new) / u128::from(old.max(1));
+        part.min(scaled as u64)
+    };
+    RateRow {
+        rate: scale(row.rate, config.tokens_per_second, record.limit.tokens_per_second),
+        burst: scale(row.burst, config.burst_tokens, record.limit.burst_tokens),
+        demand: row.demand,
+    }
+}
+
+pub(crate) fn accounts_of(
+    table: &RateTable,
+    shard: u16,
+) -> impl Iterator<Item = (&AccountName, &RateConfig)> {
+    table.accounts.iter().filter(move |(name, _)| shard_of(name) == shard)
+}
+
+// A zone with an older generation leaves the limits that a newer one has set.
+fn target_limit(record: &ShareRecord, table: &RateTable, config: RateConfig) -> RateConfig {
+    if table.generation >= record.generation { config } else { record.limit }
+}
+
+// Small moves aren't worth a write, and a demand that swings by a part doesn't cause one.
+fn moved(old: u64, fair: u64, rest: u64, limit: u64, shrinks: bool) -> u64 {
+    let least = limit / DEMAND_PARTS;
+    if old > fair && (shrinks || old - fair > least) {
+        fair
+    } else if fair > old && fair - old > least {
+        old + (fair - old).min(rest)
+    } else {
+        old
+    }
+}
+
+fn step(old: u32, demand: u64, rate: u64) -> u32 {
+    let parts = (demand * DEMAND_PARTS).div_ceil(rate.max(1)).min(DEMAND_MOST) as u32;
+    let near = parts.abs_diff(old) <= 1 + old / 4 && (parts == 0) == (old == 0);
+    if near { old } else { parts }
+}
--- /dev/null
+++ b/crates/limits/src/pledge.rs
@@ -0,0 +1,85 @@
+//! The reserves that a holder has promised to its backup, and those that a backup has been promised.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{AccountName, ClockTime, NodeId};
+
+use crate::{message::AccountPledge, shard::ShardClaim};
+
+/// The promises for one account: the newest confirmed one and those that may have arrived.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PledgeBook {
+    open: Vec<(NodeId, u64, u64)>,
+    /// The time at which the newest pledge was sent.
+    pub(crate) sent: Option<ClockTime>,
+}
+
+impl PledgeBook {
+    /// Returns the tokens that may not be issued.
+    pub(crate) fn floor(&self) -> u64 {
+        self.open.iter().map(|(_, _, reserve)| *reserve).max().unwrap_or(0)
+    }
+
+    /// Returns the newest promise to `node`.
+    pub(crate) fn newest(&self, node: &NodeId) -> u64 {
+        let own = self.open.iter().filter(|(name, _, _)| name == node);
+        own.max_by_key(|(_, serial, _)| *serial).map_or(0, |(_, _, reserve)| *reserve)
+    }
+
+    /// Returns the backups that hold a promise, other than `node`.
+    pub(crate) fn others(&self, node: Option<&NodeId>) -> Vec<NodeId> {
+        let mut names: Vec<NodeId> = self
+            .open
+            .iter()
+            .filter(|(name, _, reserve)| Some(name) != node && *reserve > 0)
+            .map(|(name, _, _)| name.clone())
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    pub(crate) fn promise(&mut self, now: ClockTime, node: &NodeId, serial: u64, reserve: u64) {
+        self.sent = Some(now);
+        self.open.push((node.clone(), serial, reserve));
+    }
+
+    /// Returns whether so many promises are unconfirmed that no further one helps.
+    pub(crate) fn crowded(&self) -> bool {
+        self.open.len() >= 8
+    }
+
+    /// Drops the promises that a confirmed later one replaces.
+    pub(crate) fn confirm(&mut self, node: &NodeId, serial: u64) {
+        self.open.retain(|(name, number, _)| name != node || *number >= serial);
+        self.open
+            .retain(|(name, number, reserve)| name != node || *reserve > 0 || *number != serial);
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.open.clear();
+    }
+}
+
+/// The reserves that this process has been promised for one shard.
+#[derive(Clone, Debug)]
+pub(crate) struct PromisedShard {
+    pub(crate) claim: ShardClaim,
+    pub(crate) accounts: BTreeMap<AccountName, (u64, u64)>,
+}
+
+impl PromisedShard {
+    pub(crate) fn new(claim: ShardClaim) -> PromisedShard {
+        PromisedShard { claim, accounts: BTreeMap::new() }
+    }
+
+    /// Takes pledges over; a late one with a lower number changes nothing.
+    pub(crate) fn take(&mut self, pledges: &[AccountPledge]) {
+        for pledge in pledges {
+            let newest = self.accounts.entry(pledge.account.clone()).or_insert((0, 0));
+            if pledge.serial > newest.0 {
+                *newest = (pledge.serial, pledge.reserve);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/limits/src/shard.rs
@@ -0,0 +1,156 @@
+//! Share shards: the division of accounts' limits over zones, as stored.
+//!
+//! A shard groups about 200 accounts at full size, so that one CAS changes many rows and one value stays far below
+//! the store's limit. In each zone one VM holds a shard, and it claims the shard in the store before it issues a
+//! token. The claim changes the version of the value, so that a late write by an earlier holder fails.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use godwitroad_base::{AccountName, NodeId, ZoneName};
+use godwitroad_config::RateConfig;
+use godwitroad_store::StoreKey;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::settings::SHARE_SHARDS;
+
+/// The result of reading a share shard.
+pub type Result<T> = std::result::Result<T, ShardError>;
+
+/// Why a stored share shard can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ShardError {
+    /// The value isn't a share shard.
+    #[error("the stored share shard is malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// Identifies the time for which one process holds a shard in its zone.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ShardClaim {
+    /// The holder.
+    pub node: NodeId,
+    /// The number of the claim among all claims of its zone and shard; each claim has the next one.
+    pub serial: u64,
+}
+
+/// A zone's part of an account's limits.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RateRow {
+    /// The tokens per second.
+    pub rate: u64,
+    /// The burst in tokens.
+    pub burst: u64,
+    /// The demand of the zone in sixteenths of the account's rate.
+    pub demand: u32,
+}
+
+/// The limits of one account and their division.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShareRecord {
+    /// The newest generation of the configuration that set the limits; an older one doesn't change them back.
+    pub generation: u64,
+    /// The limits in force; the rows never add up to more.
+    pub limit: RateConfig,
+    /// The rows of the zones.
+    pub rows: BTreeMap<ZoneName, RateRow>,
+}
+
+/// The value of one share shard.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShardValue {
+    /// The newest claim in each zone.
+    pub claims: BTreeMap<ZoneName, ShardClaim>,
+    /// The accounts of the shard.
+    pub accounts: BTreeMap<AccountName, ShareRecord>,
+}
+
+/// Returns the shard of `account`.
+pub fn shard_of(account: &AccountName) -> u16 {
+    (xxh3_64(account.as_str().as_bytes()) % u64::from(SHARE_SHARDS)) as u16
+}
+
+impl RateRow {
+    /// Returns the smaller of both rows in each part.
+    pub fn least(self, other: RateRow) -> RateRow {
+        RateRow {
+            rate: self.rate.min(other.rate),
+            burst: self.burst.min(other.burst),
+            demand: other.demand,
+        }
+    }
+}
+
+impl ShareRecord {
+    /// Returns a record that divides `limit` evenly.
+    pub fn even(generation: u64, limit: RateConfig, zones: &[ZoneName]) -> ShareRecord {
+        let count = zones.len().max(1) as u64;
+        let row = RateRow {
+            rate: limit.tokens_per_second / count,
+            burst: limit.burst_tokens / count,
+            demand: 0,
+        };
+        let rows = zones.iter().map(|zone| (zone.clone(), row)).collect();
+        ShareRecord { generation, limit, rows }
+    }
+
+    /// Returns what no row has taken.
+    pub fn rest(&self) -> RateRow {
+        let rate: u64 = self.rows.values().map(|row| row.rate).sum();
+        let burst: u64 = self.rows.values().map(|row| row.burst).sum();
+        RateRow {
+            rate: self.limit.tokens_per_second.saturating_sub(rate),
+            burst: self.limit.burst_tokens.saturating_sub(burst),
+            demand: 0,
+        }
+    }
+
+    /// Returns the row that `zone` should have by the demand of all zones.
+    pub fn fair(&self, zone: &ZoneName, limit: RateConfig) -> RateRow {
+        // Every zone counts with one sixteenth more than its demand, so that a quiet zone keeps a small row.
+        let weight = |row: &RateRow| u64::from(row.demand) + 1;
+        let own = self.rows.get(zone).copied().unwrap_or_default();
+        let others = self.rows.iter().filter(|(name, _)| *name != zone).map(|(_, row)| weight(row));
+        let total = others.sum::<u64>() + weight(&own);
+        RateRow {
+            rate: part(limit.tokens_per_second, weight(&own), total),
+            burst: part(limit.burst_tokens, weight(&own), total),
+            demand: own.demand,
+        }
+    }
+}
+
+fn part(whole: u64, weight: u64, total: u64) -> u64 {
+    (u128::from(whole) * u128::from(weight) / u128::from(total.max(1))) as u64
+}
+
+impl ShardValue {
+    /// Returns the key of shard number `shard`.
+    pub fn store_key(shard: u16) -> StoreKey {
+        StoreKey::new(format!("share/{shard:03}"))
+    }
+
+    /// Returns the shard written in `value`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when `value` isn't a share shard.
+    pub fn decode(value: &[u8]) -> Result<ShardValue> {
+        Ok(serde_json::from_slice(value)?)
+    }
+
+    /// Returns the form of the shard in the store.
+    ///
+    /// # Panics
+    ///
+    /// Never in practice: all maps have strings as keys.
+    pub fn encode(&self) -> Arc<[u8]> {
+        serde_json::to_vec(self).expect("a shard holds only strings and numbers").into()
+    }
+
+    /// Returns the row of `zone` for `account`.
+    pub fn row(&self, account: &AccountName, zone: &ZoneName) -> RateRow {
+        let record = self.accounts.get(account);
+        record.and_then(|record| record.rows.get(zone)).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/member/src/hear.rs
@@ -0,0 +1,118 @@
+//! How a [`MemberTable`] takes the messages of its peers.
+
+use godwitroad_base::{ClockTime, NodeId, VmName, ZoneName};
+
+use super::{
+    BeatEcho, Heartbeat, MemberAction, MemberMessage, MemberReport, MemberTable, PeerState, Roster,
+};
+use crate::settings::longest_span;
+
+impl MemberTable {
+    pub(super) fn take_message(
+        &mut self,
+        now: ClockTime,
+        from: NodeId,
+        message: MemberMessage,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        match message {
+            MemberMessage::Heartbeat(heartbeat) => {
+                self.take_heartbeat(now, &from, &heartbeat, actions);
+            }
+            MemberMessage::RosterAsk(zone) if zone == self.settings.zone => {
+                if let Some(roster) = self.roster.clone() {
+                    let message = MemberMessage::RosterCopy { zone, roster };
+                    let address = self.address_of(&from.vm);
+                    actions.push(MemberAction::Send { to: from.vm, address, message });
+                }
+            }
+            MemberMessage::RosterCopy { zone, roster } if zone == self.settings.zone => {
+                self.adopt(now, roster, actions);
+            }
+            MemberMessage::NeighbourAsk => {
+                let message = MemberMessage::Neighbours(self.neighbours.clone());
+                let address = self.address_of(&from.vm);
+                actions.push(MemberAction::Send { to: from.vm, address, message });
+            }
+            MemberMessage::Neighbours(rosters) => self.meet(rosters, actions),
+            MemberMessage::RosterAsk(_) | MemberMessage::RosterCopy { .. } => {}
+        }
+    }
+
+    fn take_heartbeat(
+        &mut self,
+        now: ClockTime,
+        from: &NodeId,
+        heartbeat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let epoch = self.epoch();
+        let fresh = || PeerState::new(from.incarnation, now);
+        let peer = self.peers.entry(from.vm.clone()).or_insert_with(fresh);
+        if from.incarnation < peer.incarnation {
+            return;
+        }
+        if from.incarnation > peer.incarnation {
+            *peer = fresh();
+        }
+        if !peer.hear(heartbeat) {
+            return;
+        }
+        if heartbeat.neighbours > self.neighbour_epochs() {
+            let message = MemberMessage::NeighbourAsk;
+            let address = self.address_of(&from.vm);
+            actions.push(MemberAction::Send { to: from.vm.clone(), address, message });
+        }
+        if heartbeat.epoch > epoch {
+            let message = MemberMessage::RosterAsk(self.settings.zone.clone());
+            let address = self.address_of(&from.vm);
+            actions.push(MemberAction::Send { to: from.vm.clone(), address, message });
+        }
+        let Some(sent) = self.sent_at(heartbeat.echo) else { return };
+        if let Some(peer) = self.peers.get_mut(&from.vm)
+            && now.since(sent) < self.settings.suspect
+        {
+            peer.two_way = now;
+        }
+        let member = self.roster.as_ref().is_some_and(|roster| roster.contains(from));
+        if heartbeat.epoch != epoch || !member {
+            return;
+        }
+        if heartbeat.vouch {
+            self.term.vouch(&from.vm, sent);
+        }
+        if let Some(age) = heartbeat.confirmed_age {
+            // The peer sent this after it saw the echoed heartbeat, so the read is no older than that.
+            self.term.relay(sent - longest_span(age));
+        }
+    }
+
+    // The rosters of other zones only show where to ask for tokens, so an old one does no harm.
+    pub(super) fn meet(
+        &mut self,
+        rosters: impl IntoIterator<Item = (ZoneName, Roster)>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let before = self.neighbour_epochs();
+        for (zone, roster) in rosters {
+            let known = self.neighbours.get(&zone).map_or(0, |known| known.epoch);
+            if zone != self.settings.zone && roster.epoch > known {
+                self.neighbours.insert(zone, Roster { unsettled: Vec::new(), ..roster });
+            }
+        }
+        if self.neighbour_epochs() > before {
+            actions.push(MemberAction::Report(MemberReport::NeighboursChanged));
+        }
+    }
+
+    fn sent_at(&self, echo: Option<BeatEcho>) -> Option<ClockTime> {
+        let echo = echo.filter(|echo| echo.incarnation == self.settings.node.incarnation)?;
+        let index = self.beats.binary_search_by_key(&echo.beat, |&(beat, _)| beat).ok()?;
+        Some(self.beats[index].1)
+    }
+
+    pub(super) fn address_of(&self, vm: &VmName) -> Option<String> {
+        let member = self.roster.as_ref()?.member(vm)?;
+        Some(member.address.clone())
+    }
+}
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -160,6 +160,8 @@
         /// The epoch.
         epoch: u64,
     },
+    /// The rosters of other zones changed.
+    NeighboursChanged,
     /// The process must hand over what it holds and then send [`MemberEvent::HandedOver`].
     HandOver,
     /// The process left the roster and may exit.
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -11,11 +11,13 @@
     },
     peer::{PeerHealth, PeerState},
     roster::{PastRoster, Roster, RosterMember},
-    settings::{MemberSettings, longest_span},
+    settings::{HOLD_TERM_MS, MemberSettings, TERM_MARGIN_MS, longest_span},
     term::TermClock,
     work::{StoreWork, WorkNews, with_joined},
 };
 
+#[path = "hear.rs"]
+mod hear;
 #[path = "tick.rs"]
 mod tick;
 
@@ -74,6 +76,8 @@
     peers: BTreeMap<VmName, PeerState>,
     neighbours: BTreeMap<ZoneName, Roster>,
     listed: BTreeMap<VmName, ListedVm>,
+    /// The zones that the list shows as gone, with the epoch of their roster and the time since when.
+    gone_since: BTreeMap<ZoneName, (u64, ClockTime)>,
     promised: BTreeSet<VmName>,
     settled: BTreeSet<u64>,
     quorum_at: BTreeMap<u64, ClockTime>,
@@ -115,6 +119,7 @@
             peers: BTreeMap::new(),
             neighbours: BTreeMap::new(),
             listed: BTreeMap::new(),
+            gone_since: BTreeMap::new(),
             promised: BTreeSet::new(),
             settled: BTreeSet::new(),
             quorum_at: BTreeMap::new(),
@@ -135,7 +140,7 @@
         let before = actions.len();
         self.notice_pause(now);
         match event {
-            MemberEvent::VmList(list) => self.take_list(&list),
+            MemberEvent::VmList(list) => self.take_list(now, &list),
             MemberEvent::Peer { from, message } => self.take_message(now, from, message, actions),
             MemberEvent::Store { call, outcome } => {
                 let news = self.work.end(now, call, outcome, &mut self.random);
@@ -212,8 +217,16 @@
     ///
     /// A key that moved here with an unsettled change waits until no earlier holder can act any more.
     pub fn holds(&self, now: ClockTime, key: u64) -> bool {
+        self.may_hold(now) && self.keeps(key)
+    }
+
+    /// Returns whether this process owns `key` and no holder of an earlier epoch can act on it any more.
+    ///
+    /// The process may act on the key only while its term runs as well.
+    pub fn keeps(&self, key: u64) -> bool {
         let owns = self.owner_of(key).is_some_and(|owner| owner.node() == self.settings.node);
-        owns && self.may_hold(now)
+        let stays = !matches!(self.stage, LeaveStage::HandedOver | LeaveStage::Left);
+        owns && stays
             && self.unsettled().all(|past| past.owner_of(key) == Some(&self.settings.node))
     }
 
@@ -278,7 +291,7 @@
         }
     }
 
-    fn take_list(&mut self, list: &[VmListing]) {
+    fn take_list(&mut self, now: ClockTime, list: &[VmListing]) {
         let unlisted = ListedVm { leaving: false, missed: 0, seen: false };
         for vm in self.peers.keys() {
             self.listed.entry(vm.clone()).or_insert(unlisted);
@@ -290,108 +303,29 @@
             let leaving = line.state == VmState::Leaving;
             self.listed.insert(line.vm.clone(), ListedVm { leaving, missed: 0, seen: true });
         }
-        let peers = &self.peers;
-        self.listed.retain(|vm, listed| !listed.is_gone() || peers.contains_key(vm));
-    }
-
-    fn take_message(
-        &mut self,
-        now: ClockTime,
-        from: NodeId,
-        message: MemberMessage,
-        actions: &mut Vec<MemberAction>,
-    ) {
-        match message {
-            MemberMessage::Heartbeat(heartbeat) => {
-                self.take_heartbeat(now, &from, &heartbeat, actions);
-            }
-            MemberMessage::RosterAsk(zone) if zone == self.settings.zone => {
-                if let Some(roster) = self.roster.clone() {
-                    let message = MemberMessage::RosterCopy { zone, roster };
-                    let address = self.address_of(&from.vm);
-                    actions.push(MemberAction::Send { to: from.vm, address, message });
-                }
-            }
-            MemberMessage::RosterCopy { zone, roster } if zone == self.settings.zone => {
-                self.adopt(now, roster, actions);
-            }
-            MemberMessage::NeighbourAsk => {
-                let message = MemberMessage::Neighbours(self.neighbours.clone());
-                let address = self.address_of(&from.vm);
-                actions.push(MemberAction::Send { to: from.vm, address, message });
-            }
-            MemberMessage::Neighbours(rosters) => self.meet(rosters),
-            MemberMessage::RosterAsk(_) | MemberMessage::RosterCopy { .. } => {}
-        }
-    }
-
-    fn take_heartbeat(
-        &mut self,
-        now: ClockTime,
-        from: &NodeId,
-        heartbeat: &Heartbeat,
-        actions: &mut Vec<MemberAction>,
-    ) {
-        let epoch = self.epoch();
-        let fresh = || PeerState::new(from.incarnation, now);
-        let peer = self.peers.entry(from.vm.clone()).or_insert_with(fresh);
-        if from.incarnation < peer.incarnation {
-            return;
-        }
-        if from.incarnation > peer.incarnation {
-            *peer = fresh();
-        }
-        if !peer.hear(heartbeat) {
-            return;
-        }
-        if heartbeat.neighbours > self.neighbour_epochs() {
-            let message = MemberMessage::NeighbourAsk;
-            let address = self.address_of(&from.vm);
-            actions.push(MemberAction::Send { to: from.vm.clone(), address, message });
-        }
-        if heartbeat.epoch > epoch {
-            let message = MemberMessage::RosterAsk(self.settings.zone.clone());
-            let address = self.address_of(&from.vm);
-            actions.push(MemberAction::Send { to: from.vm.clone(), address, message });
-        }
-        let Some(sent) = self.sent_at(heartbeat.echo) else { return };
-        if let Some(peer) = self.peers.get_mut(&from.vm)
-            && now.since(sent) < self.settings.suspect
-        {
-            peer.two_way = now;
-        }
-        let member = self.roster.as_ref().is_some_and(|roster| roster.contains(from));
-        if heartbeat.epoch != epoch || !member {
-            return;
-        }
-        if heartbeat.vouch {
-            self.term.vouch(&from.vm, sent);
-        }
-        if let Some(age) = heartbeat.confirmed_age {
-            // The peer sent this after it saw the echoed heartbeat, so the read is no older than that.
-            self.term.relay(sent - longest_span(age));
-        }
-    }
-
-    // The rosters of other zones only show where to ask for tokens, so an old one does no harm.
-    fn meet(&mut self, rosters: impl IntoIterator<Item = (ZoneName, Roster)>) {
-        for (zone, roster) in rosters {
-            let known = self.neighbours.get(&zone).map_or(0, |known| known.epoch);
-            if zone != self.settings.zone && roster.epoch > known {
-                self.neighbours.insert(zone, Roster { unsettled: Vec::new(), ..roster });
-            }
-        }
-    }
-
-    fn sent_at(&self, echo: Option<BeatEcho>) -> Option<ClockTime> {
-        let echo = echo.filter(|echo| echo.incarnation == self.settings.node.incarnation)?;
-        let index = self.beats.binary_search_by_key(&echo.beat, |&(beat, _)| beat).ok()?;
-        Some(self.beats[index].1)
+        let (peers, rosters) = (&self.peers, &self.neighbours);
+        let known = |vm: &VmName| {
+            peers.contains_key(vm) || rosters.values().any(|roster| roster.member(vm).is_some())
+        };
+        self.listed.retain(|vm, listed| !listed.is_gone() || known(vm));
+        let gone = |vm: &VmName| self.listed.get(vm).is_some_and(ListedVm::is_gone);
+        let zones = rosters
+            .iter()
+            .filter(|(_, roster)| roster.members.iter().all(|member| gone(&member.vm)));
+        let since = zones.map(|(zone, roster)| {
+            let earlier = self.gone_since.get(zone).filter(|(epoch, _)| *epoch == roster.epoch);
+            (zone.clone(), earlier.copied().unwrap_or((roster.epoch, now)))
+        });
+        self.gone_since = since.collect();
     }
 
-    fn address_of(&self, vm: &VmName) -> Option<String> {
-        let member = self.roster.as_ref()?.member(vm)?;
-        Some(member.address.clone())
+    /// Returns the zones whose last members the VM list has shown as gone for longer than their terms.
+    ///
+    /// A zone whose roster is empty counts too: its members left after handing over.
+    pub fn gone_zones(&self, now: ClockTime) -> BTreeSet<ZoneName> {
+        let wait = longest_span(ClockSpan::from_ms(HOLD_TERM_MS + TERM_MARGIN_MS));
+        let over = self.gone_since.iter().filter(|(_, (_, since))| now >= *since + wait);
+        over.map(|(zone, _)| zone.clone()).collect()
     }
 
     fn take_news(&mut self, now: ClockTime, news: WorkNews, actions: &mut Vec<MemberAction>) {
@@ -399,7 +333,7 @@
         match news {
             WorkNews::Written { sent, roster } => self.take_confirmed(now, sent, roster, actions),
             WorkNews::Read { sent, roster, version, others } => {
-                self.meet(others);
+                self.meet(others, actions);
                 let roster = roster.unwrap_or_default();
                 if roster.epoch > 0 {
                     self.take_confirmed(now, sent, roster.clone(), actions);
