Check the store client against a register

Cause: a lost answer must never be taken for a success or a failure. Change: a simulated service under virtual time, a linearizability check of concurrent clients, and tests of leases, watches, budget, breaker and time-outs.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod model;
 mod operation;
 mod port;
+pub mod sim;
 mod task;
 
 pub use breaker::BreakerSettings;
--- a/crates/store/src/operation.rs
+++ b/crates/store/src/operation.rs
@@ -57,7 +57,8 @@
         expected: KeyVersion,
         /// The lease with which the key disappears.
         lease: Option<LeaseId>,
-        /// How a lost answer is settled; without a marker a value at another version counts as a conflict.
+        /// How a lost answer is settled. Without a marker, a write whose answer was lost and whose value was replaced
+        /// meanwhile counts as a conflict; the owner must then be able to tell from the value what took effect.
         marker: Option<ChangeMarker>,
     },
     /// Removes a key if it is at `expected`.
--- a/crates/store/src/task.rs
+++ b/crates/store/src/task.rs
@@ -152,8 +152,9 @@
         }
     }
 
-    // A version never returns to an earlier value, so that a value at another version than the expected one without
-    // the marker proves that the write neither took effect nor will.
+    // A version never returns to an earlier value, so that a write whose key is at another version won't take effect
+    // any more. Whether it did is for the marker to show: values carry a log of changes, so that a later value that
+    // was derived from this one shows it too.
     fn settle_write(
         &mut self,
         reply: StoreReply,
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod contact;
+mod duty;
 mod fetch;
 mod head;
 mod machine;
