--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -112,3 +112,26 @@
     /// Slices that couldn't be read.
     pub corrupt: u64,
 }
+
+impl OnceCounters {
+    /// Adds the counters of another table.
+    pub fn add(&mut self, other: &OnceCounters) {
+        let sums = [
+            (&mut self.claims, other.claims),
+            (&mut self.granted, other.granted),
+            (&mut self.not_run, other.not_run),
+            (&mut self.replayed, other.replayed),
+            (&mut self.pending, other.pending),
+            (&mut self.unknown, other.unknown),
+            (&mut self.mismatched, other.mismatched),
+            (&mut self.fallbacks, other.fallbacks),
+            (&mut self.releases, other.releases),
+            (&mut self.writes, other.writes),
+            (&mut self.conflicts, other.conflicts),
+            (&mut self.batched, other.batched),
+            (&mut self.slices, other.slices),
+            (&mut self.corrupt, other.corrupt),
+        ];
+        sums.into_iter().for_each(|(sum, value)| *sum += value);
+    }
+}
--- /dev/null
+++ b/crates/once/src/sim.rs
@@ -0,0 +1,606 @@
+//! A fleet of claim tables under virtual time, for tests and benches.
+//!
+//! One seed gives one history: which callers send which keys where and when, which messages, answers and processes
+//! are lost, and how targets answer. The history is judged while it runs, so that the same judge serves a few hundred
+//! histories in the tests and ten thousand in the bench.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, RequestId, SeededRandom, VmName};
+use godwitroad_store::{
+    CallId, ClientSettings, OpId, StoreAction, StoreClient, StoreEvent, StoreOutcome,
+    sim::{SimFaults, SimStore},
+};
+
+use crate::{
+    key::RequestDigest,
+    message::OnceMessage,
+    settings::{OnceCounters, OnceSettings},
+    sim_judge::{HistoryJudge, HistoryReport},
+    table::{ClaimTable, ClaimVerdict, OnceAction, OnceEvent, RunEnd},
+};
+
+/// The period of the daemon's tick.
+const TICK_MS: u64 = 10;
+
+/// A rule that a history breaks on purpose, to show that the judge notices.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum WrongVariant {
+    /// The product.
+    #[default]
+    None,
+    /// The store ignores the expected version of a write.
+    BlindWrites,
+    /// A request that was refused as "not run" runs when its grant comes late.
+    LateRuns,
+    /// A replayed answer is cut short.
+    CutAnswers,
+}
+
+/// The settings of a history.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// The number of zones.
+    pub zones: usize,
+    /// The number of VMs in a zone.
+    pub zone_vms: usize,
+    /// The zones that are one link away from the store, as opposed to next to it.
+    pub far_zones: usize,
+    /// The milliseconds that a message takes inside a zone.
+    pub near_ms: u64,
+    /// The milliseconds that a call takes in each direction to the store from a zone next to it.
+    pub store_ms: u64,
+    /// The milliseconds that a call takes in each direction to the store from a far zone.
+    pub far_ms: u64,
+    /// The milliseconds that the history lasts before its faults end.
+    pub length_ms: u64,
+    /// The requests that callers send, without repetitions.
+    pub requests: usize,
+    /// The number of idempotency keys, or zero when each request has its own.
+    pub keys: usize,
+    /// The number of times that a caller sends a request again after a refusal as "not run".
+    pub resends: u32,
+    /// The share of messages that are lost, and of those that are duplicated.
+    pub message_faults: f64,
+    /// The share of messages that arrive up to 500 ms late.
+    pub late_messages: f64,
+    /// The number of restarts of single VMs.
+    pub restarts: usize,
+    /// The number of restarts of all VMs at once.
+    pub mass_restarts: usize,
+    /// The number of pauses of single VMs of up to five seconds.
+    pub pauses: usize,
+    /// The number of times for which a zone is cut off from the store and from other zones.
+    pub cuts: usize,
+    /// The share of requests that targets refuse unheard.
+    pub refused_runs: f64,
+    /// The faults of the store.
+    pub store: SimFaults,
+    /// The settings of each claim table; the node is filled in.
+    pub once: OnceSettings,
+    /// The rule that is broken on purpose.
+    pub wrong: WrongVariant,
+}
+
+impl Default for FleetSettings {
+    fn default() -> FleetSettings {
+        FleetSettings {
+            zones: 2,
+            zone_vms: 2,
+            far_zones: 1,
+            near_ms: 1,
+            store_ms: 2,
+            far_ms: 6,
+            length_ms: 20_000,
+            requests: 14,
+            keys: 4,
+            resends: 4,
+            message_faults: 0.0,
+            late_messages: 0.0,
+            restarts: 0,
+            mass_restarts: 0,
+            pauses: 0,
+            cuts: 0,
+            refused_runs: 0.1,
+            store: SimFaults::default(),
+            once: OnceSettings::default(),
+            wrong: WrongVariant::None,
+        }
+    }
+}
+
+impl FleetSettings {
+    /// Returns a history whose faults follow from `seed`: none, one kind, or several together.
+    pub fn faulty(seed: u64) -> FleetSettings {
+        let mut random = SeededRandom::new(seed ^ 0x5eed);
+        let mut pick = |chance: f64| random.chance(chance);
+        let mut settings = FleetSettings::default();
+        if pick(0.6) {
+            settings.message_faults = 0.1;
+            settings.late_messages = 0.1;
+        }
+        settings.restarts = usize::from(pick(0.5)) + usize::from(pick(0.3));
+        settings.mass_restarts = usize::from(pick(0.2)) + usize::from(pick(0.1));
+        settings.pauses = usize::from(pick(0.3));
+        settings.cuts = usize::from(pick(0.3));
+        if pick(0.6) {
+            settings.store.lost_answers = 0.15;
+            settings.store.lost_requests = 0.05;
+        }
+        if pick(0.4) {
+            settings.store.late_requests = 0.05;
+            settings.store.slow_requests = 0.2;
+        }
+        if pick(0.5) {
+            let from = random.below(15_000);
+            let to = from + 500 + random.below(8_000);
+            settings.store.outages = vec![(ClockTime::from_ms(from), ClockTime::from_ms(to))];
+        }
+        // Small slices and a short retention make slices fill and age within a history.
+        settings.once.slice_records = 1 + random.below(4) as usize;
+        settings
+    }
+}
+
+#[derive(Clone, Debug)]
+enum FleetEvent {
+    Send { caller: usize },
+    Message { to: usize, from: usize, message: OnceMessage },
+    Outcome { node: usize, incarnation: u64, call: CallId, outcome: StoreOutcome },
+    Wake { node: usize, incarnation: u64 },
+    Ended { node: usize, incarnation: u64, id: RequestId, end: RunEnd },
+    Crash { node: usize, down_ms: u64 },
+    Start { node: usize },
+    Pause { node: usize, ms: u64 },
+    Rosters,
+}
+
+#[derive(Debug)]
+struct SimCaller {
+    key: Arc<str>,
+    digest: RequestDigest,
+    resends: u32,
+}
+
+#[derive(Debug)]
+struct SimNode {
+    zone: usize,
+    incarnation: u64,
+    is_up: bool,
+    start: ClockTime,
+    paused_until: ClockTime,
+    wake_at: Option<ClockTime>,
+    table: ClaimTable,
+    client: StoreClient<OpId>,
+    serial: u64,
+    owners: BTreeMap<RequestId, usize>,
+}
+
+struct Fleet {
+    settings: FleetSettings,
+    random: SeededRandom,
+    queue: BTreeMap<(ClockTime, u64), FleetEvent>,
+    last: u64,
+    store: SimStore<(usize, u64)>,
+    nodes: Vec<SimNode>,
+    callers: Vec<SimCaller>,
+    judge: HistoryJudge,
+    cuts: Vec<(usize, ClockTime, ClockTime)>,
+    counters: OnceCounters,
+    calls: u64,
+}
+
+/// Runs the history of `seed` and returns what the judge and the counters say.
+pub fn run_history(seed: u64, settings: FleetSettings) -> HistoryReport {
+    let mut fleet = Fleet::new(seed, settings);
+    fleet.schedule();
+    // After the faults end, everything has twenty seconds to settle.
+    let end = fleet.settings.length_ms + 20_000;
+    fleet.run_until(ClockTime::from_ms(end));
+    fleet.report()
+}
+
+impl Fleet {
+    fn new(seed: u64, settings: FleetSettings) -> Fleet {
+        let mut random = SeededRandom::new(seed);
+        let mut faults = settings.store.clone();
+        faults.is_blind |= settings.wrong == WrongVariant::BlindWrites;
+        let store = SimStore::new(faults, random.fork());
+        let nodes = (0..settings.zones * settings.zone_vms)
+            .map(|index| SimNode::new(&settings, index, 1, ClockTime::ZERO, random.fork()))
+            .collect();
+        Fleet {
+            judge: HistoryJudge::default(),
+            random,
+            queue: BTreeMap::new(),
+            last: 0,
+            store,
+            nodes,
+            callers: Vec::new(),
+            cuts: Vec::new(),
+            counters: OnceCounters::default(),
+            calls: 0,
+            settings,
+        }
+    }
+
+    fn schedule(&mut self) {
+        let length = self.settings.length_ms;
+        self.put(0, FleetEvent::Rosters);
+        for caller in 0..self.settings.requests {
+            let number = match self.settings.keys {
+                0 => caller as u64,
+                keys => self.random.below(keys as u64),
+            };
+            let other = u64::from(self.settings.keys > 0 && self.random.chance(0.05));
+            let digest = RequestDigest::of(format!("request {number} {other}").as_bytes());
+            let key = format!("key-{number}").into();
+            self.callers.push(SimCaller { key, digest, resends: self.settings.resends });
+            let at = 100 + self.random.below(length);
+            self.put(at, FleetEvent::Send { caller });
+            if self.settings.keys > 0 && self.random.chance(0.3) {
+                let again = at + self.random.below(50);
+                self.put(again, FleetEvent::Send { caller });
+            }
+        }
+        let nodes = self.nodes.len() as u64;
+        for _ in 0..self.settings.restarts {
+            let node = self.random.below(nodes) as usize;
+            let (at, down_ms) = (self.random.below(length), self.random.below(5_000));
+            self.put(at, FleetEvent::Crash { node, down_ms });
+        }
+        for _ in 0..self.settings.mass_restarts {
+            let at = self.random.below(length);
+            for node in 0..nodes as usize {
+                let down_ms = 100 + self.random.below(2_000);
+                self.put(at, FleetEvent::Crash { node, down_ms });
+            }
+        }
+        for _ in 0..self.settings.pauses {
+            let node = self.random.below(nodes) as usize;
+            let (at, ms) = (self.random.below(length), self.random.below(5_000));
+            self.put(at, FleetEvent::Pause { node, ms });
+        }
+        for _ in 0..self.settings.cuts {
+            let zone = self.random.below(self.settings.zones as u64) as usize;
+            let from = ClockTime::from_ms(self.random.below(length));
+            let to = from + ClockSpan::from_ms(1_000 + self.random.below(6_000));
+            self.cuts.push((zone, from, to));
+        }
+    }
+
+    fn put(&mut self, at_ms: u64, event: FleetEvent) {
+        self.last += 1;
+        self.queue.insert((ClockTime::from_ms(at_ms), self.last), event);
+    }
+
+    fn run_until(&mut self, end: ClockTime) {
+        loop {
+            let queued = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let next = [queued, self.store.next_at()].into_iter().flatten().min();
+            let Some(now) = next.filter(|now| *now <= end) else { return };
+            for ((node, incarnation), call, outcome) in self.store.step(now) {
+                let event = FleetEvent::Outcome { node, incarnation, call, outcome };
+                self.handle(now, event);
+            }
+            while let Some(first) = self.queue.first_entry()
+                && first.key().0 <= now
+            {
+                let event = first.remove();
+                self.handle(now, event);
+            }
+        }
+    }
+
+    fn handle(&mut self, now: ClockTime, event: FleetEvent) {
+        let target = match &event {
+            FleetEvent::Message { to, .. } => Some(*to),
+            FleetEvent::Outcome { node, .. }
+            | FleetEvent::Wake { node, .. }
+            | FleetEvent::Ended { node, .. } => Some(*node),
+            _ => None,
+        };
+        if let Some(node) = target
+            && self.nodes[node].paused_until > now
+        {
+            return self.put(self.nodes[node].paused_until.as_ms(), event);
+        }
+        match event {
+            FleetEvent::Send { caller } => self.send(now, caller),
+            FleetEvent::Message { to, from, message } => {
+                let from = vm_name(from);
+                self.drive(now, to, OnceEvent::Peer { from, message });
+            }
+            FleetEvent::Outcome { node, incarnation, call, outcome } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.drive_client(now, node, StoreEvent::Outcome { call, outcome });
+                }
+            }
+            FleetEvent::Wake { node, incarnation } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.nodes[node].wake_at = None;
+                    self.drive_client(now, node, StoreEvent::Tick);
+                    self.drive(now, node, OnceEvent::Tick);
+                }
+            }
+            FleetEvent::Ended { node, incarnation, id, end } => {
+                if self.nodes[node].incarnation == incarnation && self.nodes[node].is_up {
+                    self.drive(now, node, OnceEvent::Finish { id, end });
+                }
+            }
+            FleetEvent::Crash { node, down_ms } => self.crash(now, node, down_ms),
+            FleetEvent::Start { node } => self.start(now, node),
+            FleetEvent::Pause { node, ms } => {
+                let until = now + ClockSpan::from_ms(ms);
+                self.nodes[node].paused_until = until;
+            }
+            FleetEvent::Rosters => self.tell_rosters(now),
+        }
+    }
+
+    fn send(&mut self, now: ClockTime, caller: usize) {
+        let index = self.random.below(self.nodes.len() as u64) as usize;
+        let node = &mut self.nodes[index];
+        if !node.is_up || node.paused_until > now {
+            // The caller's connection fails before a byte is sent; it tries another router.
+            return self.put(now.as_ms() + 200, FleetEvent::Send { caller });
+        }
+        node.serial += 1;
+        let tag = NodeId::new(vm_name(index), node.incarnation).tag();
+        let id = RequestId { node: tag, serial: node.serial };
+        node.owners.insert(id, caller);
+        let SimCaller { key, digest, .. } = &self.callers[caller];
+        self.judge.begin(now, id, key);
+        let account = AccountName::from("account");
+        let event = OnceEvent::Claim { id, account, key: key.clone(), digest: *digest };
+        self.drive(now, index, event);
+    }
+
+    fn crash(&mut self, now: ClockTime, node: usize, down_ms: u64) {
+        if !self.nodes[node].is_up {
+            return;
+        }
+        self.add_counters(node);
+        self.judge.crashes += 1;
+        self.nodes[node].is_up = false;
+        self.put(now.as_ms() + down_ms, FleetEvent::Start { node });
+        let lag = 500 + self.random.below(1_500);
+        self.put(now.as_ms() + lag, FleetEvent::Rosters);
+    }
+
+    fn start(&mut self, now: ClockTime, node: usize) {
+        let incarnation = self.nodes[node].incarnation + 1;
+        let random = self.random.fork();
+        self.nodes[node] = SimNode::new(&self.settings, node, incarnation, now, random);
+        let lag = self.random.below(1_500);
+        self.put(now.as_ms() + lag, FleetEvent::Rosters);
+    }
+
+    fn add_counters(&mut self, node: usize) {
+        let node = &self.nodes[node];
+        self.counters.add(node.table.counters());
+        self.calls += node.client.counters().sent();
+    }
+
+    fn tell_rosters(&mut self, now: ClockTime) {
+        let live: Vec<NodeId> = (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].is_up)
+            .map(|index| NodeId::new(vm_name(index), self.nodes[index].incarnation))
+            .collect();
+        for index in 0..self.nodes.len() {
+            let zone = self.nodes[index].zone;
+            let members =
+                (0..self.nodes.len()).filter(|other| self.nodes[*other].zone == zone).map(vm_name);
+            let event = OnceEvent::Rosters { members: members.collect(), live: live.clone() };
+            self.drive(now, index, event);
+        }
+    }
+
+    fn drive(&mut self, now: ClockTime, index: usize, event: OnceEvent) {
+        let node = &mut self.nodes[index];
+        if !node.is_up {
+            return;
+        }
+        let mut actions = Vec::new();
+        node.table.handle(node.clock(now), event, &mut actions);
+        self.act(now, index, actions);
+    }
+
+    fn drive_client(&mut self, now: ClockTime, index: usize, event: StoreEvent<OpId>) {
+        let node = &mut self.nodes[index];
+        if !node.is_up {
+            return;
+        }
+        let mut actions = Vec::new();
+        node.client.handle(node.clock(now), event, &mut actions);
+        for action in actions {
+            match action {
+                StoreAction::Call { call, request } => self.call(now, index, call, request),
+                StoreAction::Done { tag, result } => {
+                    self.drive(now, index, OnceEvent::Store { op: tag, result });
+                }
+                StoreAction::Watched { .. } | StoreAction::Reachable(_) => {}
+            }
+        }
+        self.set_wake(now, index);
+    }
+
+    fn call(
+        &mut self,
+        now: ClockTime,
+        index: usize,
+        call: CallId,
+        request: godwitroad_store::StoreRequest,
+    ) {
+        let node = &self.nodes[index];
+        if self.is_cut(now, node.zone) {
+            return;
+        }
+        let is_far = node.zone >= self.settings.zones - self.settings.far_zones;
+        let latency = if is_far { self.settings.far_ms } else { self.settings.store_ms };
+        self.store.send(now, (index, node.incarnation), call, request, latency);
+    }
+
+    fn is_cut(&self, now: ClockTime, zone: usize) -> bool {
+        self.cuts.iter().any(|(cut, from, to)| *cut == zone && *from <= now && now < *to)
+    }
+
+    fn act(&mut self, now: ClockTime, index: usize, actions: Vec<OnceAction>) {
+        for action in actions {
+            match action {
+                OnceAction::Verdict { id, verdict } => self.judge_verdict(now, index, id, verdict),
+                OnceAction::State { .. } => {}
+                OnceAction::Submit { op, order } => {
+                    self.drive_client(now, index, StoreEvent::Submit { tag: op, order });
+                }
+                OnceAction::Send { to, message } => self.deliver(now, index, &to, message),
+            }
+        }
+        self.set_wake(now, index);
+    }
+
+    fn deliver(&mut self, now: ClockTime, from: usize, to: &VmName, message: OnceMessage) {
+        let Some(to) = (0..self.nodes.len()).find(|index| vm_name(*index) == *to) else { return };
+        let zones = [self.nodes[from].zone, self.nodes[to].zone];
+        let is_cut = zones[0] != zones[1] && zones.iter().any(|zone| self.is_cut(now, *zone));
+        if is_cut || self.random.chance(self.settings.message_faults) {
+            return;
+        }
+        if self.settings.wrong == WrongVariant::LateRuns
+            && let OnceMessage::Reply { id, reply: crate::merge::ClaimReply::Granted, .. } =
+                &message
+            && self.judge.is_refused(*id)
+        {
+            self.judge.run(now, *id);
+        }
+        let copies = 1 + usize::from(self.random.chance(self.settings.message_faults));
+        for _ in 0..copies {
+            let mut delay = self.settings.near_ms;
+            if zones[0] != zones[1] {
+                delay += self.settings.far_ms;
+            }
+            if self.random.chance(self.settings.late_messages) {
+                delay += self.random.below(500);
+            }
+            let message = message.clone();
+            self.put(now.as_ms() + delay, FleetEvent::Message { to, from, message });
+        }
+    }
+
+    fn judge_verdict(
+        &mut self,
+        now: ClockTime,
+        index: usize,
+        id: RequestId,
+        verdict: ClaimVerdict,
+    ) {
+        let verdict = match verdict {
+            ClaimVerdict::Replay { digest, body: Some(body) }
+                if self.settings.wrong == WrongVariant::CutAnswers =>
+            {
+                ClaimVerdict::Replay { digest, body: Some(body[..body.len() / 2].into()) }
+            }
+            verdict => verdict,
+        };
+        self.judge.decide(now, id, &verdict);
+        let caller = self.nodes[index].owners.remove(&id);
+        let resends = matches!(verdict, ClaimVerdict::NotRun { .. } | ClaimVerdict::Pending);
+        if verdict == ClaimVerdict::Run {
+            self.start_run(now, index, id);
+        } else if let Some(caller) = caller.filter(|_| resends)
+            && self.callers[caller].resends > 0
+        {
+            self.callers[caller].resends -= 1;
+            let at = now.as_ms() + 500 + self.random.below(3_000);
+            self.put(at, FleetEvent::Send { caller });
+        }
+    }
+
+    fn start_run(&mut self, now: ClockTime, node: usize, id: RequestId) {
+        let incarnation = self.nodes[node].incarnation;
+        let end = if self.random.chance(self.settings.refused_runs) {
+            RunEnd::NotRun
+        } else {
+            self.judge.run(now, id);
+            let length = if self.random.chance(0.2) { 4_000 } else { 40 };
+            let body: Arc<[u8]> = format!("{id} {:length$}", "").into_bytes().into();
+            self.judge.answer(id, body.clone());
+            if self.random.chance(0.1) { RunEnd::Unknown } else { RunEnd::Answered(body) }
+        };
+        let at = now.as_ms() + 5 + self.random.below(1_500);
+        self.put(at, FleetEvent::Ended { node, incarnation, id, end });
+    }
+
+    // The daemon ticks every ten milliseconds; ticks that change nothing are left out.
+    fn set_wake(&mut self, now: ClockTime, index: usize) {
+        let node = &mut self.nodes[index];
+        let deadlines = [node.table.next_deadline(), node.client.next_deadline()];
+        let Some(deadline) = deadlines.into_iter().flatten().min() else { return };
+        let due = node.start.as_ms() + deadline.as_ms();
+        let phase = index as u64 % TICK_MS;
+        let tick =
+            due.max(now.as_ms() + 1).saturating_sub(phase).div_ceil(TICK_MS) * TICK_MS + phase;
+        let wake = ClockTime::from_ms(tick);
+        if node.wake_at.is_none_or(|at| wake < at || at < now) {
+            node.wake_at = Some(wake);
+            let incarnation = node.incarnation;
+            self.put(tick, FleetEvent::Wake { node: index, incarnation });
+        }
+    }
+
+    fn report(mut self) -> HistoryReport {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].is_up {
+                self.add_counters(index);
+            }
+        }
+        let open: BTreeSet<RequestId> = self
+            .nodes
+            .iter()
+            .filter(|node| node.is_up)
+            .flat_map(|node| node.owners.keys().copied())
+            .collect();
+        let values = self.store.model.entries(&"claims/".into());
+        let largest = values.iter().map(|entry| entry.value.len()).max().unwrap_or(0);
+        let traffic = self.store.traffic().values();
+        let bytes = traffic.map(|traffic| traffic.bytes_in + traffic.bytes_out).sum();
+        self.judge.report(open.len(), self.counters, self.calls, bytes, largest)
+    }
+}
+
+impl SimNode {
+    fn new(
+        settings: &FleetSettings,
+        index: usize,
+        incarnation: u64,
+        start: ClockTime,
+        random: SeededRandom,
+    ) -> SimNode {
+        let node = NodeId::new(vm_name(index), incarnation);
+        let once = OnceSettings { node, ..settings.once.clone() };
+        SimNode {
+            zone: index / settings.zone_vms,
+            incarnation,
+            is_up: true,
+            start,
+            paused_until: ClockTime::ZERO,
+            wake_at: None,
+            table: ClaimTable::new(once),
+            client: StoreClient::new(ClientSettings::default(), random),
+            serial: 0,
+            owners: BTreeMap::new(),
+        }
+    }
+
+    // Each process has its own clock, which begins with it.
+    fn clock(&self, now: ClockTime) -> ClockTime {
+        ClockTime::from_ms(now.since(self.start).as_ms())
+    }
+}
+
+fn vm_name(index: usize) -> VmName {
+    VmName::new(format!("vm-{index}"))
+}
