--- /dev/null
+++ b/crates/config/src/chunks.rs
@@ -0,0 +1,208 @@
+//! Splitting a document into content-addressed chunks.
+//!
+//! The store takes values of at most 1 MB and has no transactions across keys. A document is therefore written as
+//! immutable chunks named by their SHA-256 hash, and becomes current with one write of the [`ConfigHead`] that
+//! lists them. Where the text is cut depends on the items' names and not on their positions, so that a change
+//! replaces few chunks.
+
+mod head;
+mod item;
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use godwitroad_base::rendezvous;
+use schemars::JsonSchema;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+pub use head::{ChangeRecord, ConfigHead, HEAD_KEY, LOG_LIMIT};
+use item::ConfigItem;
+
+use crate::ConfigDocument;
+
+/// The largest chunk.
+pub const CHUNK_LIMIT_BYTES: usize = 256 << 10;
+
+/// The store key prefix of the chunks.
+pub const CHUNK_KEY_PREFIX: &str = "config/chunks/";
+
+/// The average number of accounts, with their keys, in a chunk. A change sends one chunk and the head to each VM: at 25,000 accounts
+/// of about 350 bytes, the sum of both is least when a chunk has about 64 accounts.
+const CHUNK_ITEMS: u64 = 64;
+
+/// The SHA-256 hash of a chunk's bytes.
+#[derive(Clone, Copy, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd)]
+#[schemars(with = "String")]
+pub struct ChunkName([u8; 32]);
+
+/// An immutable part of a document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigChunk {
+    /// The name.
+    pub name: ChunkName,
+    /// The bytes, which are JSON text.
+    pub bytes: Arc<[u8]>,
+}
+
+/// Why a document can't be split.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum SplitError {
+    /// One item is larger than a chunk.
+    #[error("{item} has {bytes} bytes; the limit is {CHUNK_LIMIT_BYTES}")]
+    ItemTooLarge {
+        /// The item.
+        item: String,
+        /// Its size as JSON.
+        bytes: usize,
+    },
+}
+
+/// Why chunks can't be joined.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum JoinError {
+    /// A chunk isn't at hand.
+    #[error("the chunk {0} is missing")]
+    Missing(ChunkName),
+    /// A chunk's bytes don't have the hash that is its name.
+    #[error("the chunk {0} is corrupt")]
+    Corrupt(ChunkName),
+    /// The list of chunks doesn't have the digest of the head.
+    #[error("the list of chunks does not have the digest {0}")]
+    Digest(ChunkName),
+    /// A chunk isn't a part of a document.
+    #[error("the chunk {name} is malformed: {reason}")]
+    Malformed {
+        /// The chunk.
+        name: ChunkName,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl ChunkName {
+    /// Returns the name of a chunk that holds `bytes`.
+    pub fn of(bytes: &[u8]) -> ChunkName {
+        ChunkName(Sha256::digest(bytes).into())
+    }
+
+    /// Returns the store key of the chunk.
+    pub fn store_key(&self) -> String {
+        format!("{CHUNK_KEY_PREFIX}{self}")
+    }
+}
+
+impl fmt::Display for ChunkName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for ChunkName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "ChunkName({self})")
+    }
+}
+
+impl FromStr for ChunkName {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> std::result::Result<ChunkName, &'static str> {
+        let hash = crate::key::parse_hash(text);
+        hash.map(ChunkName).ok_or("a chunk name is 64 hexadecimal digits")
+    }
+}
+
+impl Serialize for ChunkName {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ChunkName {
+    fn deserialize<D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> std::result::Result<ChunkName, D::Error> {
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+    }
+}
+
+/// Returns the chunks of `document` in their order.
+///
+/// # Errors
+///
+/// Returns an error when one item, such as an account without its keys, is larger than a chunk.
+pub fn split(document: &ConfigDocument) -> std::result::Result<Vec<ConfigChunk>, SplitError> {
+    let mut builder = ChunkBuilder::default();
+    for item in item::list(document) {
+        builder.add(&item)?;
+    }
+    builder.finish();
+    Ok(builder.chunks)
+}
+
+/// Returns the document whose chunks `head` lists, with each chunk's hash and the digest verified.
+///
+/// # Errors
+///
+/// Returns an error when `chunk_of` lacks a chunk, or a chunk or the list isn't what `head` says.
+pub fn join(
+    head: &ConfigHead,
+    chunk_of: impl Fn(&ChunkName) -> Option<Arc<[u8]>>,
+) -> std::result::Result<ConfigDocument, JoinError> {
+    if head::digest(&head.chunks) != head.digest {
+        return Err(JoinError::Digest(head.digest));
+    }
+    let mut document = ConfigDocument::default();
+    for &name in &head.chunks {
+        let bytes = chunk_of(&name).ok_or(JoinError::Missing(name))?;
+        if ChunkName::of(&bytes) != name {
+            return Err(JoinError::Corrupt(name));
+        }
+        let malformed = |reason: String| JoinError::Malformed { name, reason };
+        let items: Vec<ConfigItem> =
+            serde_json::from_slice(&bytes).map_err(|error| malformed(error.to_string()))?;
+        for item in items {
+            item.append_to(&mut document).map_err(|reason| malformed(reason.into()))?;
+        }
+    }
+    Ok(document)
+}
+
+#[derive(Default)]
+struct ChunkBuilder {
+    chunks: Vec<ConfigChunk>,
+    text: String,
+    section: u8,
+}
+
+impl ChunkBuilder {
+    fn add(&mut self, item: &ConfigItem) -> std::result::Result<(), SplitError> {
+        let text = item.text();
+        // The brackets of the list take two bytes.
+        if text.len() + 2 > CHUNK_LIMIT_BYTES {
+            return Err(SplitError::ItemTooLarge { item: item.label(), bytes: text.len() });
+        }
+        let section = item.section();
+        let is_cut = item.cut_name().is_some_and(|name| {
+            rendezvous::score(u64::from(section), name).is_multiple_of(CHUNK_ITEMS)
+        });
+        let is_full = self.text.len() + 1 + text.len() + 1 > CHUNK_LIMIT_BYTES;
+        if section != self.section || is_cut || is_full {
+            self.finish();
+        }
+        self.section = section;
+        self.text.push(if self.text.is_empty() { '[' } else { ',' });
+        self.text.push_str(&text);
+        Ok(())
+    }
+
+    fn finish(&mut self) {
+        if self.text.is_empty() {
+            return;
+        }
+        let text = std::mem::take(&mut self.text) + "]";
+        let bytes: Arc<[u8]> = text.into_bytes().into();
+        self.chunks.push(ConfigChunk { name: ChunkName::of(&bytes), bytes });
+    }
+}
--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -25,18 +25,29 @@
         self.0.ct_eq(&other.0).into()
     }
 
+    /// Returns the first 64 bits, by which tables are ordered.
+    pub(crate) fn prefix(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+    }
+
     /// Returns the hash written as 64 hexadecimal digits, or `None` when `text` is anything else.
     pub fn parse(text: &str) -> Option<KeyHash> {
-        if text.len() != 64 || !text.is_ascii() {
-            return None;
-        }
-        let mut bytes = [0; 32];
-        for (index, byte) in bytes.iter_mut().enumerate() {
-            let digits = &text[2 * index..2 * index + 2];
-            *byte = u8::from_str_radix(digits, 16).ok()?;
-        }
-        Some(KeyHash(bytes))
+        parse_hash(text).map(KeyHash)
+    }
+}
+
+/// Returns the 32 bytes written as 64 hexadecimal digits, or `None` when `text` is anything else.
+pub(crate) fn parse_hash(text: &str) -> Option<[u8; 32]> {
+    // The parser of integers would take a sign.
+    if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; 32];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
     }
+    Some(bytes)
 }
 
 impl fmt::Display for KeyHash {
