Let chunks be read as one text and hash pieces as routers do

Cause: the distribution hands a router the chunks as one text and reads the head in its own shape, and the engine must name pieces as the routers' index does.

Change: a chunk is lines of JSON, one item each, and chunks::read takes them one after the other. The head's JSON has the field names and the digest of the sync crate's head. The stand-in engine uses the chain of the prefix crate, and lines of the VM list can carry an address and a region, as the daemon reads them.

Conclusion: one definition of each value on both sides.

--- a/crates/config/src/chunks.rs
+++ b/crates/config/src/chunks.rs
@@ -4,6 +4,9 @@
 //! immutable chunks named by their SHA-256 hash, and becomes current with one write of the [`ConfigHead`] that
 //! lists them. Where the text is cut depends on the items' names and not on their positions, so that a change
 //! replaces few chunks.
+//!
+//! A chunk is lines of JSON, one item each, so that the chunks one after the other are the whole document as
+//! [`read`] takes it, wherever they were cut.
 
 mod head;
 mod item;
@@ -31,7 +34,7 @@
 /// of about 350 bytes, the sum of both is least when a chunk has about 64 accounts.
 const CHUNK_ITEMS: u64 = 64;
 
-/// The SHA-256 hash of a chunk's bytes.
+/// The SHA-256 hash of a chunk's bytes, or of all chunks' bytes.
 #[derive(Clone, Copy, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd)]
 #[schemars(with = "String")]
 pub struct ChunkName([u8; 32]);
@@ -67,14 +70,14 @@
     /// A chunk's bytes don't have the hash that is its name.
     #[error("the chunk {0} is corrupt")]
     Corrupt(ChunkName),
-    /// The list of chunks doesn't have the digest of the head.
-    #[error("the list of chunks does not have the digest {0}")]
+    /// The chunks together don't have the digest of the head.
+    #[error("the chunks together do not have the digest {0}")]
     Digest(ChunkName),
-    /// A chunk isn't a part of a document.
-    #[error("the chunk {name} is malformed: {reason}")]
+    /// A line isn't an item of a document.
+    #[error("line {line} of the chunks is malformed: {reason}")]
     Malformed {
-        /// The chunk.
-        name: ChunkName,
+        /// The line, counted from one over all chunks.
+        line: usize,
         /// What is wrong.
         reason: String,
     },
@@ -150,21 +153,33 @@
     head: &ConfigHead,
     chunk_of: impl Fn(&ChunkName) -> Option<Arc<[u8]>>,
 ) -> std::result::Result<ConfigDocument, JoinError> {
-    if head::digest(&head.chunks) != head.digest {
-        return Err(JoinError::Digest(head.digest));
-    }
-    let mut document = ConfigDocument::default();
+    let mut text = Vec::new();
     for &name in &head.chunks {
         let bytes = chunk_of(&name).ok_or(JoinError::Missing(name))?;
         if ChunkName::of(&bytes) != name {
             return Err(JoinError::Corrupt(name));
         }
-        let malformed = |reason: String| JoinError::Malformed { name, reason };
-        let items: Vec<ConfigItem> =
-            serde_json::from_slice(&bytes).map_err(|error| malformed(error.to_string()))?;
-        for item in items {
-            item.append_to(&mut document).map_err(|reason| malformed(reason.into()))?;
-        }
+        text.extend_from_slice(&bytes);
+    }
+    if ChunkName::of(&text) != head.digest {
+        return Err(JoinError::Digest(head.digest));
+    }
+    read(&text)
+}
+
+/// Returns the document whose chunks, one after the other, are `text`.
+///
+/// # Errors
+///
+/// Returns an error when a line isn't an item or stands before the item that it belongs to.
+pub fn read(text: &[u8]) -> std::result::Result<ConfigDocument, JoinError> {
+    let mut document = ConfigDocument::default();
+    let lines = text.split(|&byte| byte == b'\n').enumerate();
+    for (index, line) in lines.filter(|(_, line)| !line.is_empty()) {
+        let malformed = |reason: String| JoinError::Malformed { line: index + 1, reason };
+        let item: ConfigItem =
+            serde_json::from_slice(line).map_err(|error| malformed(error.to_string()))?;
+        item.append_to(&mut document).map_err(|reason| malformed(reason.into()))?;
     }
     Ok(document)
 }
@@ -179,21 +194,21 @@
 impl ChunkBuilder {
     fn add(&mut self, item: &ConfigItem) -> std::result::Result<(), SplitError> {
         let text = item.text();
-        // The brackets of the list take two bytes.
-        if text.len() + 2 > CHUNK_LIMIT_BYTES {
+        // Each line ends with a line feed.
+        if text.len() + 1 > CHUNK_LIMIT_BYTES {
             return Err(SplitError::ItemTooLarge { item: item.label(), bytes: text.len() });
         }
         let section = item.section();
         let is_cut = item.cut_name().is_some_and(|name| {
             rendezvous::score(u64::from(section), name).is_multiple_of(CHUNK_ITEMS)
         });
-        let is_full = self.text.len() + 1 + text.len() + 1 > CHUNK_LIMIT_BYTES;
+        let is_full = self.text.len() + text.len() + 1 > CHUNK_LIMIT_BYTES;
         if section != self.section || is_cut || is_full {
             self.finish();
         }
         self.section = section;
-        self.text.push(if self.text.is_empty() { '[' } else { ',' });
         self.text.push_str(&text);
+        self.text.push('\n');
         Ok(())
     }
 
@@ -201,8 +216,7 @@
         if self.text.is_empty() {
             return;
         }
-        let text = std::mem::take(&mut self.text) + "]";
-        let bytes: Arc<[u8]> = text.into_bytes().into();
+        let bytes: Arc<[u8]> = std::mem::take(&mut self.text).into_bytes().into();
         self.chunks.push(ConfigChunk { name: ChunkName::of(&bytes), bytes });
     }
 }
--- a/crates/config/src/chunks/head.rs
+++ b/crates/config/src/chunks/head.rs
@@ -17,13 +17,15 @@
 pub struct ConfigHead {
     /// The number of the document; it grows by one with each change.
     pub generation: u64,
-    /// The SHA-256 hash over the names of the chunks in their order.
+    /// The SHA-256 hash of the chunks' bytes, one after the other.
     pub digest: ChunkName,
-    /// The id of the change that made the document current.
+    /// The id of the change that made the document current: 32 hexadecimal digits.
+    #[serde(rename = "change")]
     pub change_id: String,
     /// The chunks in their order.
     pub chunks: Vec<ChunkName>,
     /// The newest changes, oldest first, with this one as the last.
+    #[serde(default)]
     pub log: Vec<ChangeRecord>,
 }
 
@@ -31,6 +33,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 pub struct ChangeRecord {
     /// The id of the change.
+    #[serde(rename = "change")]
     pub change_id: String,
     /// The generation that the change made.
     pub generation: u64,
@@ -45,12 +48,13 @@
     ) -> ConfigHead {
         let change_id = change_id.into();
         let generation = previous.map_or(1, |head| head.generation + 1);
+        let bytes: Vec<u8> = chunks.iter().flat_map(|chunk| chunk.bytes.iter().copied()).collect();
         let chunks: Vec<ChunkName> = chunks.iter().map(|chunk| chunk.name).collect();
         let mut log = previous.map_or_else(Vec::new, |head| head.log.clone());
         log.push(ChangeRecord { change_id: change_id.clone(), generation });
         let excess = log.len().saturating_sub(LOG_LIMIT);
         log.drain(..excess);
-        ConfigHead { generation, digest: digest(&chunks), change_id, chunks, log }
+        ConfigHead { generation, digest: ChunkName::of(&bytes), change_id, chunks, log }
     }
 
     /// Returns the generation that the change `change_id` made, or `None` when the log doesn't have it.
@@ -59,9 +63,3 @@
         record.map(|record| record.generation)
     }
 }
-
-/// Returns the hash over a list of chunk names.
-pub(super) fn digest(chunks: &[ChunkName]) -> ChunkName {
-    let text: String = chunks.iter().map(|name| format!("{name}\n")).collect();
-    ChunkName::of(text.as_bytes())
-}
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -120,6 +120,7 @@
     #[test]
     fn bytes_never_panic(bytes in vec(any::<u8>(), 0..200), document in document(), cut in any::<usize>()) {
         let _ = parse(&bytes);
+        let _ = chunks::read(&bytes);
         let text = serde_json::to_vec(&document).unwrap();
         let _ = parse(&text[..cut % text.len()]);
     }
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -15,7 +15,7 @@
 use super::{
     AnswerFault, request::EngineRequest, slots::QueuePlace, state::EngineState, text::token_text,
 };
-use crate::piece::{PIECE_BYTES, chain_pieces};
+use crate::{PIECE_BYTES, piece::chain_pieces};
 
 /// The prompt bytes that count as one token, as in the estimate of about 2,000 tokens a piece.
 const TOKEN_BYTES: usize = 4;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,8 +17,10 @@
     AnswerFault, EngineFaults, EngineServer, EngineSettings, EngineWork, LoadedModel, PrefixCache,
     answer_text, token_text,
 };
-pub use piece::{PIECE_BYTES, chain_pieces, hash_piece};
+pub use godwitroad_prefix::PIECE_BYTES;
+pub use piece::chain_pieces;
 pub use plain::{PlainFault, PlainServer};
 pub use platform::{
     CallCounters, KeyValue, KvStore, PlatformFaults, PlatformServer, StoreChange, StoreError,
+    VmLine,
 };
--- a/crates/standin/src/platform/core.rs
+++ b/crates/standin/src/platform/core.rs
@@ -2,12 +2,11 @@
 
 use actix_web::HttpResponse;
 use godwitroad_base::{ClockSpan, ClockTime};
-use godwitroad_router::VmListing;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
 use super::{
-    CallCounters, KeyValue, KvStore, PlatformFaults, StoreError,
+    CallCounters, KeyValue, KvStore, PlatformFaults, StoreError, VmLine,
     shape::{
         self, CompareCall, CompareResult, CompareTarget, DeleteCall, LeaseCall, OperationCall,
         PutCall, RangeCall, TxnCall,
@@ -20,7 +19,7 @@
     pub(crate) store: KvStore,
     pub(crate) faults: PlatformFaults,
     pub(crate) counters: CallCounters,
-    pub(crate) vms: Vec<VmListing>,
+    pub(crate) vms: Vec<VmLine>,
 }
 
 /// A refusal in the gateway's shape.
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use super::{
-    CallCounters, KvStore, PlatformFaults, StoreChange,
+    CallCounters, KvStore, PlatformFaults, StoreChange, VmLine,
     core::{self, PlatformCore},
     shape::WatchCall,
     store::{self, KeyRange},
@@ -96,10 +96,16 @@
         self.state.lock().counters
     }
 
-    /// Replaces the VM list.
+    /// Replaces the VM list by one without addresses.
     pub fn set_vms<T: Into<VmName>>(&self, vms: impl IntoIterator<Item = (T, VmState)>) {
-        let listings = vms.into_iter().map(|(vm, state)| VmListing { vm: vm.into(), state });
-        self.state.lock().vms = listings.collect();
+        let lines =
+            vms.into_iter().map(|(vm, state)| VmLine::new(VmListing { vm: vm.into(), state }));
+        self.state.lock().vms = lines.collect();
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vm_lines(&self, lines: Vec<VmLine>) {
+        self.state.lock().vms = lines;
     }
 
     /// Returns the value of `key`.
@@ -253,7 +259,7 @@
     HttpResponse::Ok().json(&core.vms)
 }
 
-async fn replace_vms(state: Data<PlatformState>, vms: web::Json<Vec<VmListing>>) -> HttpResponse {
+async fn replace_vms(state: Data<PlatformState>, vms: web::Json<Vec<VmLine>>) -> HttpResponse {
     state.lock().vms = vms.into_inner();
     HttpResponse::NoContent().finish()
 }
