--- a/crates/life/src/table.rs
+++ b/crates/life/src/table.rs
@@ -4,7 +4,7 @@
 use godwitroad_config::RepeatRule;
 
 use crate::stage::{
-    Admitted, NotRunProof, Offered, Queued, Repeatable, RequestLife, RunOnce, Streaming,
+    Admitted, NotRunProof, Offered, Queued, Received, Repeatable, RequestLife, RunOnce, Streaming,
 };
 
 /// An offered request, whose repeat mode is only known at run time.
@@ -19,6 +19,8 @@
 /// A request that is under way, in whatever stage.
 #[derive(Debug)]
 pub enum LifeStage {
+    /// The request waits for tokens of its account.
+    Received(RequestLife<Received>),
     /// Tokens are reserved, and the request waits for its idempotency claim.
     Admitted(RequestLife<Admitted>),
     /// The request waits for a target.
@@ -75,6 +77,7 @@
     /// Returns the id of the request.
     pub fn id(&self) -> RequestId {
         match self {
+            LifeStage::Received(life) => life.id(),
             LifeStage::Admitted(life) => life.id(),
             LifeStage::Queued(life) => life.id(),
             LifeStage::Offered(OfferedLife::Repeatable(life)) => life.id(),
@@ -87,6 +90,7 @@
     /// Returns the number of attempts so far.
     pub fn attempts(&self) -> u32 {
         match self {
+            LifeStage::Received(life) => life.attempts(),
             LifeStage::Admitted(life) => life.attempts(),
             LifeStage::Queued(life) => life.attempts(),
             LifeStage::Offered(OfferedLife::Repeatable(life)) => life.attempts(),
@@ -99,7 +103,7 @@
     /// Returns whether the request certainly has not run so far.
     pub fn is_unrun(&self) -> bool {
         match self {
-            LifeStage::Admitted(_) => true,
+            LifeStage::Received(_) | LifeStage::Admitted(_) => true,
             LifeStage::Queued(life) => !life.may_have_run(),
             _ => false,
         }
@@ -112,7 +116,7 @@
     /// Returns the stage unchanged when no attempt is under way that could fail.
     pub fn fail(self, proof: Option<NotRunProof>) -> Result<FailureStep, LifeStage> {
         match self {
-            LifeStage::Admitted(_) | LifeStage::Queued(_) => Err(self),
+            LifeStage::Received(_) | LifeStage::Admitted(_) | LifeStage::Queued(_) => Err(self),
             LifeStage::Offered(offered) => Ok(offered.fail(proof)),
             LifeStage::StreamingRepeatable(life) => Ok(FailureStep::Again(life.resume())),
             LifeStage::StreamingOnce(life) => {
--- a/crates/router/src/action.rs
+++ b/crates/router/src/action.rs
@@ -44,6 +44,11 @@
         /// What the caller gets.
         reply: CallerReply,
     },
+    /// Read the whole cache of a target, because events were lost.
+    AskSnapshot {
+        /// The target.
+        target: TargetName,
+    },
     /// Send a message to a peer.
     Peer {
         /// The receiver.
--- a/crates/router/src/admission.rs
+++ b/crates/router/src/admission.rs
@@ -1,25 +1,16 @@
-//! Rates of client accounts.
+//! The rates of a router that runs alone.
+//!
+//! A router without a store has no peers, so that one bucket for each account is exact. All other routers use the
+//! fleet's limits.
 
 use std::collections::BTreeMap;
 
 use godwitroad_base::{AccountName, ClockSpan, ClockTime};
 use godwitroad_config::RateConfig;
 
-/// Whether an account's rate covers a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum AdmissionOutcome {
-    /// The tokens are reserved.
-    Granted,
-    /// The tokens are used up.
-    Refused {
-        /// The time after which they will be there.
-        retry_after: ClockSpan,
-    },
-}
-
-/// The token buckets of this router's accounts.
+/// The token buckets of a router that runs alone.
 #[derive(Debug, Default)]
-pub(crate) struct RateTable {
+pub(crate) struct LocalRates {
     buckets: BTreeMap<AccountName, TokenBucket>,
 }
 
@@ -32,28 +23,27 @@
 
 const MILLI: u64 = 1_000;
 
-impl RateTable {
-    /// Takes `cost` tokens from the account's bucket if it holds them.
+impl LocalRates {
+    /// Takes `tokens` from the account's bucket, or returns the time after which they will be there.
     pub(crate) fn reserve(
         &mut self,
         now: ClockTime,
         account: &AccountName,
         rate: RateConfig,
-        cost: u64,
-    ) -> AdmissionOutcome {
-        let full = rate.burst_tokens * MILLI;
+        tokens: u64,
+    ) -> Option<ClockSpan> {
+        let full = rate.burst_tokens.saturating_mul(MILLI);
         let bucket =
             self.buckets.entry(account.clone()).or_insert(TokenBucket { level: full, filled: now });
         let refill = now.since(bucket.filled).as_ms().saturating_mul(rate.tokens_per_second);
         bucket.level = bucket.level.saturating_add(refill).min(full);
         bucket.filled = now;
-        let wanted = cost.saturating_mul(MILLI);
+        let wanted = tokens.saturating_mul(MILLI);
         if wanted <= bucket.level {
             bucket.level -= wanted;
-            return AdmissionOutcome::Granted;
+            return None;
         }
         let missing = wanted - bucket.level;
-        let wait = missing.div_ceil(rate.tokens_per_second.max(1));
-        AdmissionOutcome::Refused { retry_after: ClockSpan::from_ms(wait) }
+        Some(ClockSpan::from_ms(missing.div_ceil(rate.tokens_per_second.max(1))))
     }
 }
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -2,17 +2,20 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{ClockTime, RequestId};
+use godwitroad_base::{ClockSpan, ClockTime, RequestId};
 use godwitroad_config::{
     CutOffPolicy, ModelConfig, RepeatRule, RouteConfig, ServiceConfig, ServiceKind,
 };
 use godwitroad_life::{LifeStage, RequestLife};
+use godwitroad_limits::RateEvent;
+use godwitroad_prefix::{ChainSalt, PieceChain};
 use godwitroad_stream::StreamLog;
 
 use crate::{
-    CallerError, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterState,
-    admission::AdmissionOutcome,
+    CallerError, ErrorKind, RequestArrival, RouterAction, RouterState,
     claim::ClaimedAnswer,
+    ending::RequestEnd,
+    fleet::FleetEvent,
     request::{CallerState, RequestEntry, RequestFacts},
     state::EventContext,
 };
@@ -23,6 +26,9 @@
 /// The output tokens that are reserved when a caller names no bound.
 const DEFAULT_OUTPUT_TOKENS: u64 = 256;
 
+/// The longest time that a request waits for tokens of its account.
+const RATE_WAIT: ClockSpan = ClockSpan::from_ms(1_000);
+
 impl RouterState {
     pub(crate) fn arrive(&mut self, context: &mut EventContext<'_>, arrival: RequestArrival) {
         if let Some(event) = arrival.last_event_id.clone() {
@@ -31,63 +37,73 @@
         let id = self.requests.next_id();
         let connection = arrival.connection;
         context.actions.push(RouterAction::Accepted { connection, id });
-        if let Err(error) = self.admit(context, id, arrival) {
-            context.fail(id, error);
+        match self.check(context, arrival) {
+            Ok(facts) => self.receive(context, id, facts),
+            Err(error) => context.fail(id, error),
         }
     }
 
-    fn admit(
-        &mut self,
-        context: &mut EventContext<'_>,
-        id: RequestId,
-        arrival: RequestArrival,
-    ) -> Result<(), CallerError> {
-        if !self.is_ready() {
-            return Err(CallerError::not_run(ErrorKind::NotReady));
-        }
-        let cost = cost_of(&arrival);
-        let claim = arrival.idempotency_key.as_deref().map(Arc::<str>::from);
-        let facts = self.check(context, arrival)?;
-        self.check_contact(context.now, &facts)?;
-        if let Some(account) = &facts.account
-            && let Some(config) = self.view.account(account)
-            && let AdmissionOutcome::Refused { retry_after } =
-                self.rates.reserve(context.now, account, config.rate, cost)
-        {
-            let error = CallerError::not_run(ErrorKind::RateExceeded);
-            return Err(error.retry_after(retry_after));
-        }
-        let claim = claim.filter(|_| facts.repeat() == RepeatRule::RunOnce);
-        let life = RequestLife::new(id).admit(cost);
-        let stage = match claim {
-            Some(_) => LifeStage::Admitted(life),
-            None => LifeStage::Queued(life.enqueue(context.now)),
-        };
+    fn receive(&mut self, context: &mut EventContext<'_>, id: RequestId, facts: RequestFacts) {
+        let has_claim = facts.idempotency_key.is_some();
         let entry = RequestEntry {
             facts,
-            stage: Some(stage),
+            stage: Some(LifeStage::Received(RequestLife::new(id))),
             log: StreamLog::new(self.settings.log),
-            target: None,
             caller: CallerState::Connected,
-            claim: claim.as_ref().map(|_| ClaimedAnswer::default()),
+            claim: has_claim.then(ClaimedAnswer::default),
+            taken: None,
+            placed: None,
+            tried: Vec::new(),
         };
         self.requests.insert(id, entry);
-        match claim {
-            Some(key) => self.claim(context, id, key),
-            None => Ok(()),
+        self.placement.retry.note_request();
+        self.reserve(context, id);
+    }
+
+    fn reserve(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get(id) else { return };
+        let tokens = entry.facts.cost;
+        let Some(account) = entry.facts.account.clone() else {
+            return self.admit(context, id);
+        };
+        if self.fleet.is_some() {
+            let wait = RATE_WAIT.min(entry.facts.deadline.since(context.now));
+            let event = RateEvent::Reserve { ticket: id.serial, account, tokens, wait };
+            return self.run_fleet(context, FleetEvent::Rates(event));
+        }
+        let Some(config) = self.view.account(&account) else { return };
+        match self.rates.reserve(context.now, &account, config.rate, tokens) {
+            None => self.admit(context, id),
+            Some(retry_after) => self.refuse_rate(context, id, retry_after),
         }
     }
 
-    // An account can be set to be refused while its zone can't learn of a withdrawn key.
-    fn check_contact(&self, now: ClockTime, facts: &RequestFacts) -> Result<(), CallerError> {
-        let Some(fleet) = &self.fleet else { return Ok(()) };
-        let account = facts.account.as_ref().and_then(|name| self.view.account(name));
-        let refuses = account.is_some_and(|account| account.cut_off == CutOffPolicy::Refuse);
-        let limit = self.view.document.fleet.cut_off_after_ms;
-        if refuses && fleet.sync.contact_age(now) > limit {
-            return Err(CallerError::not_run(ErrorKind::ZoneCutOff));
+    pub(crate) fn refuse_rate(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        retry_after: ClockSpan,
+    ) {
+        let error = CallerError::not_run(ErrorKind::RateExceeded).retry_after(retry_after);
+        self.end(context, id, RequestEnd::Failed(error));
+    }
+
+    /// Goes on with a request whose tokens are reserved.
+    pub(crate) fn admit(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        match entry.stage.take() {
+            Some(LifeStage::Received(life)) => {
+                entry.stage = Some(LifeStage::Admitted(life.admit(entry.facts.cost)));
+            }
+            stage => {
+                entry.stage = stage;
+                return;
+            }
+        }
+        match entry.facts.idempotency_key.clone() {
+            Some(key) => self.claim(context, id, key),
+            None => self.enqueue(context, id),
         }
-        Ok(())
     }
 
     fn check(
@@ -95,25 +111,38 @@
         context: &EventContext<'_>,
         arrival: RequestArrival,
     ) -> Result<RequestFacts, CallerError> {
+        if !self.is_ready() {
+            return Err(CallerError::not_run(ErrorKind::NotReady));
+        }
         let view = &self.view;
-        let route =
-            view.route(&arrival.path).ok_or(CallerError::not_run(ErrorKind::RouteUnknown))?;
+        let route = view.route(&arrival.path);
+        let route = route.ok_or_else(|| CallerError::not_run(ErrorKind::RouteUnknown))?;
         let account = view.authorize(route, arrival.key.as_ref()).map_err(CallerError::not_run)?;
-        let service =
-            view.service(route).ok_or(CallerError::not_run(ErrorKind::TargetUnavailable))?;
+        let service = view.service(&route.service);
+        let service = service.ok_or_else(|| CallerError::not_run(ErrorKind::TargetUnavailable))?;
         let model = self.check_model(service, &arrival)?;
-        Ok(RequestFacts {
-            kind: service.kind,
+        let (chain, cache_salt) = chain_of(&arrival, account.as_ref(), model.as_ref());
+        let prompt_tokens = arrival.prompt.len() as u64 / BYTES_PER_TOKEN;
+        let output = arrival.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+        let output = if service.kind == ServiceKind::Engine { output } else { 0 };
+        let key = arrival.idempotency_key.as_deref().map(Arc::from);
+        let facts = RequestFacts {
             account,
             key: arrival.key,
-            model,
-            path: arrival.path,
-            prompt: arrival.prompt,
+            chain,
+            cache_salt,
+            prompt_tokens,
+            cost: (prompt_tokens + output).max(1),
             priority: arrival.priority.unwrap_or(route.priority),
             deadline: context.now + arrival.deadline.unwrap_or(route.deadline_ms),
             streams: arrival.stream,
+            idempotency_key: key.filter(|_| route.repeat == RepeatRule::RunOnce),
             route: RouteConfig::clone(route),
-        })
+            path: arrival.path,
+            prompt: arrival.prompt,
+        };
+        self.check_contact(context.now, &facts)?;
+        Ok(facts)
     }
 
     fn check_model(
@@ -127,26 +156,34 @@
         let model = arrival.model.as_ref();
         let served = model.filter(|name| service.models.contains(name));
         let config = served.and_then(|name| self.view.model(name));
-        config.cloned().map(Some).ok_or(CallerError::not_run(ErrorKind::ModelUnknown))
-    }
-}
-
-impl EventContext<'_> {
-    pub(crate) fn reply(&mut self, id: RequestId, reply: CallerReply) {
-        self.actions.push(RouterAction::Reply { id, reply });
+        let unknown = || CallerError::not_run(ErrorKind::ModelUnknown);
+        config.cloned().map(Some).ok_or_else(unknown)
     }
 
-    pub(crate) fn fail(&mut self, id: RequestId, error: CallerError) {
-        self.reply(id, CallerReply::Failed(error));
+    // An account can be set to be refused while its zone can't learn of a withdrawn key.
+    fn check_contact(&self, now: ClockTime, facts: &RequestFacts) -> Result<(), CallerError> {
+        let Some(fleet) = &self.fleet else { return Ok(()) };
+        let account = facts.account.as_ref().and_then(|name| self.view.account(name));
+        let refuses = account.is_some_and(|account| account.cut_off == CutOffPolicy::Refuse);
+        let limit = self.view.document.fleet.cut_off_after_ms;
+        if refuses && fleet.sync.contact_age(now) > limit {
+            return Err(CallerError::not_run(ErrorKind::ZoneCutOff));
+        }
+        Ok(())
     }
 }
 
-fn cost_of(arrival: &RequestArrival) -> u64 {
-    let prompt = arrival.prompt.len() as u64 / BYTES_PER_TOKEN;
-    let output = if arrival.model.is_some() {
-        arrival.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS)
-    } else {
-        0
+fn chain_of(
+    arrival: &RequestArrival,
+    account: Option<&godwitroad_base::AccountName>,
+    model: Option<&ModelConfig>,
+) -> (PieceChain, String) {
+    let Some(model) = model else { return (PieceChain::default(), String::new()) };
+    let salt = ChainSalt {
+        account: account.cloned().unwrap_or_else(|| "".into()),
+        model: model.name.clone(),
+        adapter: model.adapter.clone(),
+        version: model.version.clone(),
     };
-    (prompt + output).max(1)
+    (PieceChain::new(&salt, &arrival.prompt), salt.cache_salt())
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -1,16 +1,17 @@
 //! What an attempt's reports lead to.
 
+use std::sync::Arc;
+
 use godwitroad_base::RequestId;
 use godwitroad_life::{FailureStep, LifeStage, NotRunProof};
-use godwitroad_once::RunEnd;
 use godwitroad_stream::{TokenBatch, TokenOutcome};
 
 use crate::{
-    AttemptReport, CallerError, CallerReply, ErrorKind, RouterAction, RouterState,
-    request::CallerState, state::EventContext,
+    AttemptReport, CallerError, CallerReply, ErrorKind, RouterAction, RouterState, StateNotice,
+    ending::RequestEnd, placement::AttemptEnd, request::CallerState, state::EventContext,
 };
 
-/// The attempts after which an idempotent request is given up.
+/// The attempts after which a request is given up.
 const MAX_ATTEMPTS: u32 = 4;
 
 impl RouterState {
@@ -21,10 +22,8 @@
         attempt: u32,
         report: AttemptReport,
     ) {
-        let current = self
-            .requests
-            .get(id)
-            .is_some_and(|entry| entry.attempts() == attempt && entry.is_running());
+        let entry = self.requests.get(id);
+        let current = entry.is_some_and(|entry| entry.attempts() == attempt && entry.is_running());
         // A report of an earlier attempt comes late: what it says must reach no caller.
         if !current {
             return;
@@ -69,6 +68,9 @@
         let attempt = batch.attempt;
         match entry.log.accept(batch) {
             TokenOutcome::Accepted(event) => {
+                if let Some(placed) = &mut entry.placed {
+                    self.placement.first_token(context.now, placed);
+                }
                 if entry.caller == CallerState::Connected {
                     entry.log.wait(event.data.len() as u64);
                     let paused = entry.log.pause_change();
@@ -85,7 +87,7 @@
         }
     }
 
-    fn data(&mut self, context: &mut EventContext<'_>, id: RequestId, bytes: std::sync::Arc<[u8]>) {
+    fn data(&mut self, context: &mut EventContext<'_>, id: RequestId, bytes: Arc<[u8]>) {
         let Some(entry) = self.requests.get_mut(id) else { return };
         entry.keep_answer(&bytes);
         if entry.caller == CallerState::Connected {
@@ -99,17 +101,16 @@
 
     fn ended(&mut self, context: &mut EventContext<'_>, id: RequestId, attempt: u32) {
         let Some(entry) = self.requests.get_mut(id) else { return };
-        if !entry.log.end(attempt) {
-            return;
+        let answers = matches!(
+            entry.stage,
+            Some(LifeStage::StreamingRepeatable(_) | LifeStage::StreamingOnce(_))
+        );
+        // An end without a beginning is no answer.
+        if !answers {
+            return self.failed(context, id, None);
         }
-        if let Some(target) = &entry.target {
-            self.targets.ended(target, false);
-        }
-        if entry.caller == CallerState::Connected {
-            context.reply(id, CallerReply::End);
-        }
-        if let Some(entry) = self.requests.remove(id) {
-            self.record_answer(context, id, entry);
+        if entry.log.end(attempt) {
+            self.end(context, id, RequestEnd::Answered);
         }
     }
 
@@ -119,10 +120,8 @@
         id: RequestId,
         proof: Option<NotRunProof>,
     ) {
+        self.note_failure(context, id);
         let Some(entry) = self.requests.get_mut(id) else { return };
-        if let Some(target) = &entry.target {
-            self.targets.ended(target, true);
-        }
         let Some(stage) = entry.stage.take() else { return };
         let step = match stage.fail(proof) {
             Ok(step) => step,
@@ -131,27 +130,37 @@
                 return;
             }
         };
-        match step {
-            FailureStep::Again(life) if life.attempts() < MAX_ATTEMPTS => {
-                entry.stage = Some(LifeStage::Queued(life));
-            }
-            FailureStep::Again(life) => {
-                let unrun = !life.may_have_run();
-                life.refuse();
-                self.give_up(context, id, unrun);
-            }
-            FailureStep::Unknown => self.give_up(context, id, false),
+        let FailureStep::Again(life) = step else {
+            return self.give_up(context, id, false);
+        };
+        let unrun = !life.may_have_run();
+        let may_retry = life.attempts() < MAX_ATTEMPTS && self.placement.retry.take();
+        entry.stage = Some(LifeStage::Queued(life));
+        if !may_retry {
+            return self.give_up(context, id, unrun);
+        }
+        // A broken stream has met its deadline with the first token.
+        if entry.log.tokens() > 0 {
+            entry.facts.deadline = context.now + entry.facts.route.deadline_ms;
+        }
+        self.finish_queued(id, 0);
+        self.enqueue(context, id);
+    }
+
+    fn note_failure(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        let Some(placed) = entry.placed.take() else { return };
+        entry.tried.push(placed.target.clone());
+        if self.placement.end(context.now, id, &placed, AttemptEnd::Failed) {
+            let target = placed.target;
+            context.notice(StateNotice::TargetHealth { target, state: "probation" });
         }
     }
 
     fn give_up(&mut self, context: &mut EventContext<'_>, id: RequestId, unrun: bool) {
-        let Some(entry) = self.requests.remove(id) else { return };
-        self.record_end(context, id, &entry, if unrun { RunEnd::NotRun } else { RunEnd::Unknown });
         let kind = ErrorKind::TargetFailed;
         let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
-        if entry.caller == CallerState::Connected {
-            context.fail(id, error);
-        }
+        self.end(context, id, RequestEnd::Failed(error));
     }
 }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,98 +1,187 @@
-//! The queue: which request is offered to which target, and which is refused in time.
+//! The queue and the way from it to a target.
+//!
+//! A request leaves the queue when a slot is free. Its cached prefix is looked up then and not earlier, because a
+//! cache changes within seconds and a request can wait longer than that.
 
-use godwitroad_base::RequestId;
-use godwitroad_config::ServiceKind;
+use godwitroad_base::{ClockSpan, RequestId};
 use godwitroad_life::{LifeStage, OfferedLife};
-use godwitroad_once::RunEnd;
+use godwitroad_prefix::{PartAction, PartEvent, PrefixMatches};
+use godwitroad_queue::{Error as QueueError, FairQueue};
 
 use crate::{
-    CallerError, DispatchOrder, ErrorKind, ResumePoint, RouterAction, RouterState,
-    request::{CallerState, RequestFacts},
-    state::EventContext,
+    CallerError, DispatchOrder, ErrorKind, PeerMessage, ResumePoint, RouterAction, RouterState,
+    ending::RequestEnd, placement::PlaceRequest, state::EventContext,
 };
 
+/// The bytes of a request around its prompt.
+const HEADER_BYTES: u64 = 512;
+
 impl RouterState {
-    /// Offers queued requests to targets as long as there is room.
+    /// Puts an admitted request, or one whose attempt failed, into its service's queue.
+    pub(crate) fn enqueue(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        if let Some(LifeStage::Admitted(_)) = &entry.stage
+            && let Some(LifeStage::Admitted(life)) = entry.stage.take()
+        {
+            entry.stage = Some(LifeStage::Queued(life.enqueue(context.now)));
+        }
+        let service = entry.facts.route.service.clone();
+        let queued = entry.facts.queued(id);
+        let weight = self.view.account(&queued.account).map_or(1, |account| account.weight);
+        let settings = self.settings.queue;
+        let queue = self.queues.entry(service).or_insert_with(|| FairQueue::new(settings));
+        queue.set_weight(&queued.account, weight);
+        if let Err(error) = queue.push(context.now, queued) {
+            self.refuse_late(context, id, error);
+        }
+    }
+
+    /// Takes requests out of the queues as long as there are free slots.
     pub(crate) fn pump(&mut self, context: &mut EventContext<'_>) {
-        let queued: Vec<RequestId> =
-            self.requests.iter().filter(|(_, entry)| entry.is_queued()).map(|(id, _)| id).collect();
-        for id in queued {
-            self.offer(context, id);
+        let names: Vec<_> = self.queues.keys().cloned().collect();
+        for name in names {
+            self.stalled = false;
+            // A request that found no target goes back into the queue; taking it again at once would not end.
+            while !self.stalled
+                && let Some(id) = self.next_queued(context, &name)
+            {
+                self.look_up(context, id);
+            }
+        }
+    }
+
+    fn next_queued(
+        &mut self,
+        context: &EventContext<'_>,
+        name: &godwitroad_base::ServiceName,
+    ) -> Option<RequestId> {
+        let queue = self.queues.get_mut(name)?;
+        if queue.is_empty() {
+            return None;
+        }
+        let service = self.view.service(name)?;
+        let mut slots = self.placement.free_slots(context.now, service);
+        // Requests whose prefix is being looked up will take a slot each.
+        slots.free = slots.free.saturating_sub(self.looking.len() as u32);
+        let queued = queue.pop(context.now, slots)?;
+        let id = queued.id;
+        if let Some(entry) = self.requests.get_mut(id) {
+            entry.taken = Some(queued);
+        }
+        Some(id)
+    }
+
+    fn look_up(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get(id) else { return };
+        if entry.facts.chain.is_empty() {
+            return self.place(context, id, &PrefixMatches::default());
+        }
+        let chain = entry.facts.chain.clone();
+        self.looking.insert(id.serial);
+        let event = PartEvent::Lookup { token: id.serial, chain };
+        let actions = self.placement.part(context.now, event);
+        self.take_part(context, actions);
+    }
+
+    /// Carries out what this router's part of the index asks for.
+    pub(crate) fn take_part(&mut self, context: &mut EventContext<'_>, actions: Vec<PartAction>) {
+        for action in actions {
+            match action {
+                PartAction::Send { to, message } => {
+                    let message = PeerMessage::Index(message);
+                    context.actions.push(RouterAction::Peer { to, message });
+                }
+                PartAction::Found { token, matches, .. } => {
+                    self.looking.remove(&token);
+                    let id = self.requests.id_of(token);
+                    self.place(context, id, &matches);
+                }
+                PartAction::AskSnapshot(target) => {
+                    context.actions.push(RouterAction::AskSnapshot { target });
+                }
+                PartAction::Ready => {}
+                PartAction::HandedOver => self.part_handed_over(context),
+            }
         }
     }
 
-    fn offer(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+    fn place(&mut self, context: &mut EventContext<'_>, id: RequestId, matches: &PrefixMatches) {
         let Some(entry) = self.requests.get_mut(id) else { return };
-        let Some(service) = self.view.service(&entry.facts.route) else { return };
-        let prefix = prefix_key(&entry.facts);
-        let Some(target) = self.targets.choose(service, prefix, entry.target.as_ref()) else {
-            return;
+        let facts = &entry.facts;
+        let Some(service) = self.view.service(&facts.route.service) else { return };
+        let request = PlaceRequest {
+            id,
+            chain: &facts.chain,
+            tokens: facts.prompt_tokens,
+            bytes: facts.prompt.len() as u64 + HEADER_BYTES,
+            tried: &entry.tried,
+        };
+        let placed = self.placement.place(context.now, &self.view, service, &request, matches);
+        let Some(placed) = placed else {
+            return self.put_back(context, id);
         };
         let Some(LifeStage::Queued(life)) = entry.stage.take() else { return };
-        let address = self.view.target(&target).map(|config| config.address.clone());
-        let offered = OfferedLife::new(life, entry.facts.repeat());
-        entry.stage = Some(LifeStage::Offered(offered));
+        let repeat = facts.repeat();
+        entry.stage = Some(LifeStage::Offered(OfferedLife::new(life, repeat)));
         let attempt = entry.attempts();
         let resume = entry.log.begin(attempt);
-        entry.target = Some(target.clone());
-        self.targets.started(&target);
+        let address = self.view.target(&placed.target).map(|config| config.address.clone());
+        self.explained.record(id, attempt, context.now, &placed);
         context.actions.push(RouterAction::Dispatch(DispatchOrder {
             id,
             attempt,
-            target,
+            target: placed.target.clone(),
             address: address.unwrap_or_default(),
-            cache_salt: cache_salt(&entry.facts),
+            cache_salt: entry.facts.cache_salt.clone(),
             priority: entry.facts.priority,
             deadline: entry.facts.deadline.since(context.now),
             resume: resume.map(|text| ResumePoint { tokens: text.tokens, text: text.text }),
         }));
+        entry.placed = Some(placed);
     }
 
-    /// Refuses queued requests whose deadline has passed.
+    // The slot that was free has gone to another request, or the last target has failed meanwhile.
+    fn put_back(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        self.stalled = true;
+        self.finish_queued(id, 0);
+        self.enqueue(context, id);
+    }
+
+    /// Tells the queue that a request which it gave out has ended or comes back.
+    pub(crate) fn finish_queued(&mut self, id: RequestId, used: u64) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        let Some(taken) = entry.taken.take() else { return };
+        if let Some(queue) = self.queues.get_mut(&entry.facts.route.service) {
+            queue.finish(&taken, used);
+        }
+    }
+
+    /// Refuses queued requests that can't be served before their deadline.
     pub(crate) fn expire_queued(&mut self, context: &mut EventContext<'_>) {
-        let late: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, entry)| entry.is_waiting() && entry.facts.deadline <= context.now)
-            .map(|(id, _)| id)
-            .collect();
-        for id in late {
-            self.end_queued(context, id, ErrorKind::Overloaded);
+        let mut refusals = Vec::new();
+        self.queues.values_mut().for_each(|queue| queue.tick(context.now, &mut refusals));
+        for refusal in refusals {
+            self.refuse_late(context, refusal.id, refusal.reason);
         }
     }
 
-    /// Ends a queued request, with "not run" only when no attempt of it can have run.
-    pub(crate) fn end_queued(
+    fn refuse_late(&mut self, context: &mut EventContext<'_>, id: RequestId, error: QueueError) {
+        let (QueueError::TooLate { retry_after } | QueueError::Full { retry_after }) = error;
+        self.refuse_waiting(context, id, ErrorKind::Overloaded, Some(retry_after));
+    }
+
+    /// Ends a waiting request, with "not run" only when no attempt of it can have run.
+    pub(crate) fn refuse_waiting(
         &mut self,
         context: &mut EventContext<'_>,
         id: RequestId,
         kind: ErrorKind,
+        retry_after: Option<ClockSpan>,
     ) {
-        let Some(entry) = self.requests.remove(id) else { return };
-        self.record_end(context, id, &entry, RunEnd::NotRun);
+        let Some(entry) = self.requests.get(id) else { return };
         let unrun = entry.stage.as_ref().is_some_and(LifeStage::is_unrun);
         let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
-        if entry.caller == CallerState::Connected {
-            context.fail(id, error);
-        }
-    }
-}
-
-fn prefix_key(facts: &RequestFacts) -> u64 {
-    // The first kilobyte stands for the prefix until the index of cached prefixes is asked.
-    let head = &facts.prompt[..facts.prompt.len().min(1_024)];
-    match facts.kind {
-        ServiceKind::Engine if !head.is_empty() => {
-            let text = String::from_utf8_lossy(head);
-            godwitroad_base::rendezvous::score(1, &text) | 1
-        }
-        ServiceKind::Engine | ServiceKind::Plain => 0,
+        let error = retry_after.map_or(error.clone(), |span| error.retry_after(span));
+        self.end(context, id, RequestEnd::Failed(error));
     }
 }
-
-fn cache_salt(facts: &RequestFacts) -> String {
-    let Some(model) = &facts.model else { return String::new() };
-    let account = facts.account.as_ref().map_or("", |name| name.as_str());
-    let adapter = model.adapter.as_deref().unwrap_or("");
-    format!("{account}\u{1f}{}\u{1f}{adapter}\u{1f}{}", model.name, model.version)
-}
--- /dev/null
+++ b/crates/router/src/ending.rs
@@ -0,0 +1,125 @@
+//! The one way in which a request ends, so that no part keeps anything of it.
+
+use godwitroad_base::RequestId;
+use godwitroad_life::LifeStage;
+use godwitroad_limits::RateEvent;
+use godwitroad_once::{OnceEvent, RunEnd};
+
+use crate::{
+    CallerError, CallerReply, RouterAction, RouterState, RunOutcome,
+    claim::ClaimedAnswer,
+    fleet::FleetEvent,
+    placement::AttemptEnd,
+    request::{CallerState, RequestEntry},
+    state::EventContext,
+};
+
+/// How a request ends.
+#[derive(Clone, Debug)]
+pub(crate) enum RequestEnd {
+    /// The answer is complete.
+    Answered,
+    /// The caller gets an error.
+    Failed(CallerError),
+    /// Nobody waits for the answer any more.
+    Abandoned,
+}
+
+impl RouterState {
+    /// Ends a request: tells the queue, the target, the rates, the claims and the caller.
+    pub(crate) fn end(&mut self, context: &mut EventContext<'_>, id: RequestId, end: RequestEnd) {
+        let Some(entry) = self.requests.get(id) else { return };
+        let used = entry.used_tokens();
+        self.leave_queue(id, used);
+        let Some(mut entry) = self.requests.remove(id) else { return };
+        self.leave_target(context, id, &mut entry, &end);
+        self.settle_rate(context, id, &entry, used);
+        self.finish_claim(context, id, &entry, &end);
+        if entry.caller == CallerState::Connected {
+            match end {
+                RequestEnd::Answered => context.reply(id, CallerReply::End),
+                RequestEnd::Failed(error) => context.fail(id, error),
+                RequestEnd::Abandoned => {}
+            }
+        }
+    }
+
+    fn leave_queue(&mut self, id: RequestId, used: u64) {
+        let Some(entry) = self.requests.get(id) else { return };
+        self.looking.remove(&id.serial);
+        if entry.taken.is_some() {
+            self.finish_queued(id, used);
+        } else if let Some(queue) = self.queues.get_mut(&entry.facts.route.service) {
+            queue.cancel(id);
+        }
+    }
+
+    fn leave_target(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        entry: &mut RequestEntry,
+        end: &RequestEnd,
+    ) {
+        let Some(placed) = entry.placed.take() else { return };
+        let attempt_end = match end {
+            RequestEnd::Answered => AttemptEnd::Answered,
+            RequestEnd::Failed(_) | RequestEnd::Abandoned => {
+                context.actions.push(RouterAction::Cancel { id, attempt: entry.attempts() });
+                AttemptEnd::Dropped
+            }
+        };
+        self.placement.end(context.now, id, &placed, attempt_end);
+    }
+
+    fn settle_rate(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        entry: &RequestEntry,
+        used: u64,
+    ) {
+        if entry.facts.account.is_none() {
+            return;
+        }
+        let ticket = id.serial;
+        let event = match entry.stage {
+            Some(LifeStage::Received(_)) => RateEvent::Cancel { ticket },
+            _ => RateEvent::Settle { ticket, used },
+        };
+        self.run_fleet(context, FleetEvent::Rates(event));
+    }
+
+    fn finish_claim(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        entry: &RequestEntry,
+        end: &RequestEnd,
+    ) {
+        // A request that still waits for its claim is told of the end when the claim is certain.
+        let waits = matches!(entry.stage, Some(LifeStage::Received(_) | LifeStage::Admitted(_)));
+        let Some(claim) = entry.claim.as_ref().filter(|_| !waits) else { return };
+        let end = match end {
+            RequestEnd::Answered => {
+                ClaimedAnswer::encode(claim).map_or(RunEnd::Unknown, RunEnd::Answered)
+            }
+            RequestEnd::Failed(error) if error.outcome == RunOutcome::NotRun => RunEnd::NotRun,
+            RequestEnd::Abandoned if entry.stage.as_ref().is_some_and(LifeStage::is_unrun) => {
+                RunEnd::NotRun
+            }
+            RequestEnd::Failed(_) | RequestEnd::Abandoned => RunEnd::Unknown,
+        };
+        self.run_fleet(context, FleetEvent::Claims(OnceEvent::Finish { id, end }));
+    }
+}
+
+impl EventContext<'_> {
+    pub(crate) fn reply(&mut self, id: RequestId, reply: CallerReply) {
+        self.actions.push(RouterAction::Reply { id, reply });
+    }
+
+    pub(crate) fn fail(&mut self, id: RequestId, error: CallerError) {
+        self.reply(id, CallerReply::Failed(error));
+    }
+}
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -75,6 +75,8 @@
         /// The document, already checked.
         document: Arc<ConfigDocument>,
     },
+    /// An operator asks in which zones the configuration is in force; the answers show up in the status.
+    AskProgress,
     /// The process was asked to stop without cutting a request.
     Stop,
     /// Time passed.
@@ -162,7 +164,7 @@
 pub struct CacheBatch {
     /// The incarnation of the engine.
     pub incarnation: u64,
-    /// The sequence number of the first event.
+    /// The sequence number of the first event; of a snapshot, that of the first event that it doesn't cover.
     pub first: u64,
     /// Whether the events list the whole cache rather than changes to it.
     pub snapshot: bool,
--- /dev/null
+++ b/crates/router/src/explain.rs
@@ -0,0 +1,49 @@
+//! Why requests went where they went, for operators.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use godwitroad_base::{ClockTime, RequestId};
+use serde_json::{Value, json};
+
+use crate::placement::PlacedAttempt;
+
+/// The requests whose choices are remembered.
+const REMEMBERED_REQUESTS: usize = 1_024;
+
+/// The choices for the newest requests.
+#[derive(Debug, Default)]
+pub(crate) struct ExplainLog {
+    choices: BTreeMap<RequestId, Vec<Value>>,
+    order: VecDeque<RequestId>,
+}
+
+impl ExplainLog {
+    pub(crate) fn record(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        now: ClockTime,
+        placed: &PlacedAttempt,
+    ) {
+        if !self.choices.contains_key(&id) {
+            self.order.push_back(id);
+            if self.order.len() > REMEMBERED_REQUESTS
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.choices.remove(&oldest);
+            }
+        }
+        self.choices.entry(id).or_default().push(json!({
+            "attempt": attempt,
+            "at_ms": now.as_ms(),
+            "target": placed.target.as_str(),
+            "choice": placed.explain,
+        }));
+    }
+
+    /// Returns the choices for a request, or `None` when they are not remembered.
+    pub(crate) fn get(&self, id: RequestId) -> Option<Value> {
+        let choices = self.choices.get(&id)?;
+        Some(json!({ "request_id": id.to_string(), "attempts": choices }))
+    }
+}
--- a/crates/router/src/fleet/desk.rs
+++ b/crates/router/src/fleet/desk.rs
@@ -20,6 +20,7 @@
 pub(crate) enum RawOwner {
     Client,
     Member,
+    Rates,
 }
 
 /// The calls of all parts.
@@ -39,6 +40,10 @@
         StoreDesk { client, calls: BTreeMap::new(), last: RAW_CALLS_FROM }
     }
 
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.client.is_reachable()
+    }
+
     pub(crate) fn handle(
         &mut self,
         now: ClockTime,
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -11,7 +11,8 @@
     sync::Arc,
 };
 
-use godwitroad_base::{ClockTime, NodeId, RequestId, SeededRandom, VmName, ZoneName};
+use godwitroad_base::{ClockSpan, ClockTime, NodeId, RequestId, SeededRandom, VmName, ZoneName};
+use godwitroad_limits::{HoldView, RateAction, RateEvent, RateNode};
 use godwitroad_member::{MemberAction, MemberEvent, MemberMessage, MemberReport, MemberTable};
 use godwitroad_once::{ClaimTable, ClaimVerdict, OnceAction, OnceEvent};
 use godwitroad_store::{CallId, StoreAction, StoreEvent, StoreOutcome};
@@ -29,6 +30,7 @@
     pub(crate) member: MemberTable,
     pub(crate) sync: ConfigSync,
     pub(crate) claims: ClaimTable,
+    pub(crate) rates: RateNode,
     // The addresses that the platform's VM list gives, for peers that are in no known roster.
     listed: BTreeMap<VmName, String>,
     places: Vec<PeerPlace>,
@@ -42,6 +44,7 @@
     Member(MemberEvent),
     Sync(SyncEvent),
     Claims(OnceEvent),
+    Rates(RateEvent),
 }
 
 /// What the parts ask of the rest of the router.
@@ -51,6 +54,10 @@
     Install { head: Arc<SyncHead>, document: Arc<[u8]> },
     Ready,
     Verdict { id: RequestId, verdict: ClaimVerdict },
+    Admitted { ticket: u64 },
+    Refused { ticket: u64, retry_after: ClockSpan },
+    RatesHandedOver,
+    Members(Vec<VmName>),
     Report(MemberReport),
 }
 
@@ -66,6 +73,7 @@
             member: MemberTable::new(fleet.member_settings(router), now, random.fork()),
             sync: ConfigSync::new(now, fleet.sync_settings(router), random.fork()),
             claims: ClaimTable::new(fleet.claim_settings(router)),
+            rates: RateNode::new(fleet.rate_settings(router), now, random.fork()),
             listed: BTreeMap::new(),
             places: Vec::new(),
         }
@@ -89,6 +97,7 @@
             FleetEvent::Desk(StoreEvent::Tick),
             FleetEvent::Sync(SyncEvent::Tick),
             FleetEvent::Claims(OnceEvent::Tick),
+            FleetEvent::Rates(RateEvent::Tick),
         ];
         for event in events {
             outcomes.extend(self.run(now, event));
@@ -122,6 +131,11 @@
             PeerMessage::Claim(message) => {
                 self.run(now, FleetEvent::Claims(OnceEvent::Peer { from: from.vm, message }))
             }
+            PeerMessage::Rates(message) => {
+                self.run(now, FleetEvent::Rates(RateEvent::Peer { from, message }))
+            }
+            // These go to the placement and not to the fleet's parts.
+            PeerMessage::Index(_) | PeerMessage::Load(_) => Vec::new(),
         }
     }
 
@@ -158,12 +172,16 @@
                     let event = MemberEvent::Store { call, outcome };
                     queue.push_back(FleetEvent::Member(event));
                 }
+                Some((RawOwner::Rates, call)) => {
+                    queue.push_back(FleetEvent::Rates(RateEvent::Store { call, outcome }));
+                }
                 None => {}
             },
             FleetEvent::Desk(event) => self.run_desk(now, event, queue, outcomes),
-            FleetEvent::Member(event) => self.run_member(now, event, outcomes),
+            FleetEvent::Member(event) => self.run_member(now, event, queue, outcomes),
             FleetEvent::Sync(event) => self.run_sync(now, event, queue, outcomes),
             FleetEvent::Claims(event) => self.run_claims(now, event, queue, outcomes),
+            FleetEvent::Rates(event) => self.run_rates(now, event, outcomes),
         }
     }
 
@@ -198,9 +216,20 @@
         }
     }
 
-    fn run_member(&mut self, now: ClockTime, event: MemberEvent, outcomes: &mut Vec<FleetOutcome>) {
+    fn run_member(
+        &mut self,
+        now: ClockTime,
+        event: MemberEvent,
+        queue: &mut VecDeque<FleetEvent>,
+        outcomes: &mut Vec<FleetOutcome>,
+    ) {
+        let listed = matches!(event, MemberEvent::VmList(_));
         let mut actions = Vec::new();
         self.member.handle(now, event, &mut actions);
+        if listed {
+            let gone = self.member.gone_zones(now);
+            queue.push_back(FleetEvent::Rates(RateEvent::Gone(gone)));
+        }
         for action in actions {
             match action {
                 MemberAction::Send { to, message, .. } => {
@@ -216,11 +245,48 @@
                     let call = self.desk.raw(RawOwner::Member, call);
                     outcomes.push(FleetOutcome::Act(RouterAction::Store { call, request }));
                 }
-                MemberAction::Report(report) => outcomes.push(FleetOutcome::Report(report)),
+                MemberAction::Report(report) => {
+                    match report {
+                        MemberReport::HandOver => {
+                            queue.push_back(FleetEvent::Rates(RateEvent::HandOver));
+                        }
+                        MemberReport::Left => {}
+                        _ => {
+                            let view = HoldView::of(&self.member);
+                            queue.push_back(FleetEvent::Rates(RateEvent::View(view)));
+                        }
+                    }
+                    outcomes.push(FleetOutcome::Report(report));
+                }
             }
         }
     }
 
+    fn run_rates(&mut self, now: ClockTime, event: RateEvent, outcomes: &mut Vec<FleetOutcome>) {
+        let mut actions = Vec::new();
+        // The term comes first, so that a process that was paused acts on nothing that it held before.
+        let term = RateEvent::Term(self.member.term_end(now));
+        self.rates.handle(now, term, &mut actions);
+        self.rates.handle(now, event, &mut actions);
+        for action in actions {
+            outcomes.push(match action {
+                RateAction::Send { to, message } => {
+                    let message = PeerMessage::Rates(message);
+                    FleetOutcome::Act(RouterAction::Peer { to, message })
+                }
+                RateAction::Store { call, request } => {
+                    let call = self.desk.raw(RawOwner::Rates, call);
+                    FleetOutcome::Act(RouterAction::Store { call, request })
+                }
+                RateAction::Admitted { ticket, .. } => FleetOutcome::Admitted { ticket },
+                RateAction::Refused { ticket, retry_after } => {
+                    FleetOutcome::Refused { ticket, retry_after }
+                }
+                RateAction::HandedOver => FleetOutcome::RatesHandedOver,
+            });
+        }
+    }
+
     fn run_sync(
         &mut self,
         now: ClockTime,
@@ -291,6 +357,7 @@
         let members = zones.get(self.member.zone()).cloned().unwrap_or_default();
         let live = self.live_nodes();
         let mut outcomes = vec![FleetOutcome::Act(RouterAction::Peers(places))];
+        outcomes.push(FleetOutcome::Members(members.clone()));
         outcomes.extend(self.run(now, FleetEvent::Sync(SyncEvent::Rosters(zones))));
         let event = OnceEvent::Rosters { members, live };
         outcomes.extend(self.run(now, FleetEvent::Claims(event)));
--- a/crates/router/src/fleet/settings.rs
+++ b/crates/router/src/fleet/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the parts that need the store and the peers.
 
+use godwitroad_limits::RateSettings;
 use godwitroad_member::MemberSettings;
 use godwitroad_once::OnceSettings;
 use godwitroad_store::ClientSettings;
@@ -22,6 +23,8 @@
     pub sync: SyncSettings,
     /// The settings of the idempotency claims.
     pub claims: OnceSettings,
+    /// The settings of the rates.
+    pub rates: RateSettings,
 }
 
 impl FleetSettings {
@@ -38,6 +41,10 @@
         SyncSettings { vm: router.node.vm.clone(), zone: router.zone.clone(), ..self.sync.clone() }
     }
 
+    pub(crate) fn rate_settings(&self, router: &RouterSettings) -> RateSettings {
+        RateSettings { node: router.node.clone(), zone: router.zone.clone(), ..self.rates.clone() }
+    }
+
     pub(crate) fn claim_settings(&self, router: &RouterSettings) -> OnceSettings {
         OnceSettings { node: router.node.clone(), ..self.claims.clone() }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,13 +10,16 @@
 mod caller;
 mod claim;
 mod dispatch;
+mod ending;
 mod event;
+mod explain;
 mod fleet;
 mod message;
 mod placement;
 mod refusal;
 mod request;
 mod state;
+mod status;
 mod stop;
 mod view;
 
@@ -29,5 +32,7 @@
     VmState,
 };
 pub use fleet::FleetSettings;
-pub use message::PeerMessage;
+pub use message::{LoadNews, PeerMessage};
+pub use placement::PlaceSettings;
 pub use state::{RouterSettings, RouterState};
+pub use status::PollPlace;
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -1,10 +1,15 @@
 //! Messages between routers.
 
+use godwitroad_base::ClockSpan;
+use godwitroad_limits::RateMessage;
 use godwitroad_member::{Heartbeat, MemberMessage};
 use godwitroad_once::OnceMessage;
+use godwitroad_prefix::{PartMessage, TargetTag};
 use godwitroad_sync::{SyncMessage, SyncStatus};
 use serde::{Deserialize, Serialize};
 
+use crate::LoadReport;
+
 /// A message from one router to another.
 ///
 /// All messages are one-way. A lost message is repaired by the next period of the part that sent it. A release that
@@ -26,6 +31,21 @@
     Sync(SyncMessage),
     /// A message of the idempotency claims.
     Claim(OnceMessage),
+    /// A message of the rates.
+    Rates(RateMessage),
+    /// A message of the prefix index.
+    Index(PartMessage),
+    /// The load of targets that the sender polls, and its dispatches.
+    Load(LoadNews),
+}
+
+/// What a router tells its peers of the load of targets.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadNews {
+    /// The reports of the targets that the sender polls; the age of each is that at the time of sending.
+    pub reports: Vec<(TargetTag, LoadReport)>,
+    /// The prompt tokens that targets must compute for the sender's dispatches, each with its age.
+    pub dispatches: Vec<(TargetTag, u64, ClockSpan)>,
 }
 
 impl PeerMessage {
@@ -36,6 +56,9 @@
             PeerMessage::Member(_) => "member",
             PeerMessage::Sync(_) => "sync",
             PeerMessage::Claim(_) => "claim",
+            PeerMessage::Rates(_) => "rates",
+            PeerMessage::Index(_) => "index",
+            PeerMessage::Load(_) => "load",
         }
     }
 }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,83 +1,392 @@
-//! Where requests go: the targets, their load, and the choice between them.
+//! Where requests go: the index of cached prefixes, the load and health of targets, and the choice between them.
+//!
+//! The parts know targets by a position; here they get it, and only names leave the module.
 
 use std::collections::BTreeMap;
 
-use godwitroad_base::{SeededRandom, TargetName, ZoneName, rendezvous};
-use godwitroad_config::{ServiceConfig, TargetConfig};
+use godwitroad_base::{
+    ClockTime, Incarnation, RegionName, RequestId, SeededRandom, TargetName, VmName, ZoneName,
+};
+use godwitroad_config::ServiceConfig;
+use godwitroad_pick::{
+    ChoiceExplain, ChoiceRequest, ChoiceSettings, Distance, HealthSettings, HealthState,
+    HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView, RetryBudget,
+    RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+};
+use godwitroad_prefix::{
+    CacheChange, FeedBatch, IndexPart, PartAction, PartEvent, PartMessage, PartSettings,
+    PieceChain, PieceHash, PrefixMatches, TargetId, TargetTag,
+};
+use godwitroad_queue::{FreeSlots, SlotSettings, SlotTable};
 
-use crate::{LoadReport, view::ConfigView};
+use crate::{CacheBatch, CacheEvent, LoadNews, LoadReport, view::ConfigView};
 
-/// The targets of a router.
+/// The settings of the placement of requests.
+#[derive(Clone, Debug, Default)]
+pub struct PlaceSettings {
+    /// The settings of this router's part of the prefix index.
+    pub part: PartSettings,
+    /// The settings of the choice of a target.
+    pub choice: ChoiceSettings,
+    /// The settings of the load view.
+    pub load: LoadSettings,
+    /// The settings of the targets' health.
+    pub health: HealthSettings,
+    /// The settings of the spread of hot prefixes.
+    pub hot: HotSettings,
+    /// The settings of the link to other regions; the rate comes from the configuration.
+    pub link: LinkSettings,
+    /// The settings of the retry budget.
+    pub retry: RetrySettings,
+    /// The settings of this router's share of the targets' slots.
+    pub slots: SlotSettings,
+}
+
+/// The placement of one router's requests.
 #[derive(Debug)]
-pub(crate) struct TargetTable {
+pub(crate) struct RequestPlacement {
     zone: ZoneName,
+    region: RegionName,
+    part: IndexPart,
+    choice: TargetChoice,
+    load: LoadView,
+    health: TargetHealth,
+    hot: HotPrefixes,
+    link: LinkMeter,
+    pub(crate) retry: RetryBudget,
+    slots: SlotTable,
+    routers: usize,
     random: SeededRandom,
-    states: BTreeMap<TargetName, TargetState>,
+    news: LoadNews,
+    news_from: ClockTime,
+    reports: BTreeMap<TargetTag, (LoadReport, ClockTime)>,
+    incarnations: BTreeMap<TargetId, u64>,
+}
+
+/// A chosen target, until the attempt at it ends.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacedAttempt {
+    pub(crate) target: TargetName,
+    id: TargetId,
+    pub(crate) at: ClockTime,
+    pub(crate) explain: ChoiceExplain,
+    missing_tokens: u64,
+    pub(crate) first_token: Option<ClockTime>,
 }
 
-#[derive(Debug, Default)]
-struct TargetState {
-    report: LoadReport,
-    running: u32,
-    failures: u32,
+/// The facts of a request that the choice needs.
+pub(crate) struct PlaceRequest<'a> {
+    pub(crate) id: RequestId,
+    pub(crate) chain: &'a PieceChain,
+    pub(crate) tokens: u64,
+    pub(crate) bytes: u64,
+    pub(crate) tried: &'a [TargetName],
 }
 
-impl TargetTable {
-    pub(crate) fn new(zone: ZoneName, random: SeededRandom) -> TargetTable {
-        TargetTable { zone, random, states: BTreeMap::new() }
+impl RequestPlacement {
+    pub(crate) fn new(
+        now: ClockTime,
+        vm: VmName,
+        zone: ZoneName,
+        region: RegionName,
+        settings: &PlaceSettings,
+        random: SeededRandom,
+    ) -> RequestPlacement {
+        let mut part = IndexPart::new(vm.clone(), settings.part);
+        part.handle(now, PartEvent::Members(vec![vm]), &mut Vec::new());
+        RequestPlacement {
+            zone,
+            region,
+            part,
+            choice: TargetChoice::new(settings.choice),
+            load: LoadView::new(settings.load),
+            health: TargetHealth::new(settings.health),
+            hot: HotPrefixes::new(settings.hot),
+            link: LinkMeter::new(now, settings.link),
+            retry: RetryBudget::new(settings.retry),
+            slots: SlotTable::new(settings.slots),
+            routers: 1,
+            random,
+            news: LoadNews::default(),
+            news_from: now,
+            reports: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+        }
     }
 
-    pub(crate) fn configure(&mut self, view: &ConfigView) {
-        self.states.retain(|name, _| view.target(name).is_some());
-        let services = view.document.services.iter();
-        for target in services.flat_map(|service| &service.targets) {
-            self.states.entry(target.name.clone()).or_default();
+    pub(crate) fn configure(&mut self, now: ClockTime, view: &ConfigView) {
+        let names = view.target_names();
+        let event = PartEvent::Targets(names.iter().cloned().collect());
+        self.part.handle(now, event, &mut Vec::new());
+        for name in &names {
+            let (Some(id), Some(config)) = (self.id_of(name), view.target(name)) else { continue };
+            self.slots.set_slots(id.index(), config.slots);
+            self.load.set_slots(id, config.slots);
+            self.health.set_leaving(now, id, config.leaving);
         }
+        let share = view.document.fleet.link_bytes_per_second / self.routers.max(1) as u64;
+        self.link.set_rate(now, share);
+    }
+
+    pub(crate) fn part(&mut self, now: ClockTime, event: PartEvent) -> Vec<PartAction> {
+        let mut actions = Vec::new();
+        self.part.handle(now, event, &mut actions);
+        actions
+    }
+
+    pub(crate) fn set_members(&mut self, now: ClockTime, members: Vec<VmName>) -> Vec<PartAction> {
+        self.routers = members.len().max(1);
+        self.slots.set_routers(self.routers);
+        self.part(now, PartEvent::Members(members))
+    }
+
+    pub(crate) fn hear(
+        &mut self,
+        now: ClockTime,
+        from: VmName,
+        message: PartMessage,
+    ) -> Vec<PartAction> {
+        self.part(now, PartEvent::Message { from, message })
+    }
+
+    pub(crate) fn is_reader_of(&self, target: &TargetName, vm: &VmName) -> bool {
+        self.part.reader_of(target) == Some(vm)
     }
 
-    pub(crate) fn load(&mut self, target: &TargetName, report: LoadReport) {
-        if let Some(state) = self.states.get_mut(target) {
-            state.report = report;
+    pub(crate) fn next_sequence(&self, target: &TargetName) -> u64 {
+        self.part.next_sequence(target.as_str())
+    }
+
+    pub(crate) fn is_part_ready(&self) -> bool {
+        self.part.is_ready()
+    }
+
+    pub(crate) fn index_entries(&self) -> usize {
+        self.part.index().len()
+    }
+
+    pub(crate) fn health_of(&self, now: ClockTime, target: &TargetName) -> Option<HealthState> {
+        Some(self.health.state(now, self.id_of(target)?))
+    }
+
+    pub(crate) fn report_of(&self, target: &TargetName) -> Option<(LoadReport, ClockTime)> {
+        self.reports.get(&TargetTag::of(target.as_str())).copied()
+    }
+
+    /// Takes a report that this router polled itself.
+    pub(crate) fn take_load(&mut self, now: ClockTime, target: &TargetName, report: LoadReport) {
+        let tag = TargetTag::of(target.as_str());
+        self.news.reports.retain(|(other, _)| *other != tag);
+        self.news.reports.push((tag, report));
+        self.note_report(now, tag, target, report);
+    }
+
+    fn note_report(
+        &mut self,
+        now: ClockTime,
+        tag: TargetTag,
+        target: &TargetName,
+        report: LoadReport,
+    ) {
+        let Some(id) = self.id_of(target) else { return };
+        let age = godwitroad_base::ClockSpan::from_ms(report.age_ms);
+        self.reports.insert(tag, (report, now - age));
+        let before = self.incarnations.insert(id, report.incarnation);
+        if before.is_some_and(|before| before != report.incarnation) {
+            self.load.restart(now, id);
+            self.health.restart(now, id);
         }
+        let LoadReport { running, waiting, waiting_tokens, .. } = report;
+        self.load.report(now, id, TargetReport { running, waiting, waiting_tokens, age });
     }
 
-    /// Returns a target of `service` with a free slot, or `None` when all are taken.
-    ///
-    /// `avoid` is the target of a failed attempt; it is chosen only when there is no other.
-    pub(crate) fn choose(
+    pub(crate) fn take_cache(
         &mut self,
+        now: ClockTime,
+        target: TargetName,
+        batch: CacheBatch,
+    ) -> Vec<PartAction> {
+        let changes = batch.events.iter().map(|event| match *event {
+            CacheEvent::Stored { piece, parent } => CacheChange::Stored {
+                piece: PieceHash(piece),
+                parent: (parent != 0).then_some(PieceHash(parent)),
+            },
+            CacheEvent::Evicted { piece } => CacheChange::Evicted { piece: PieceHash(piece) },
+            CacheEvent::Cleared => CacheChange::Cleared,
+        });
+        let batch = FeedBatch {
+            incarnation: Incarnation(batch.incarnation),
+            first: batch.first,
+            snapshot: batch.snapshot,
+            changes: changes.collect(),
+        };
+        self.part(now, PartEvent::Cache { target, batch })
+    }
+
+    /// Takes what a peer knows of the targets' load.
+    pub(crate) fn take_news(&mut self, now: ClockTime, news: LoadNews) {
+        let names: BTreeMap<TargetTag, TargetName> = self
+            .part
+            .index()
+            .targets()
+            .map(|(name, _)| (TargetTag::of(name.as_str()), name.clone()))
+            .collect();
+        for (tag, report) in news.reports {
+            if let Some(name) = names.get(&tag) {
+                self.note_report(now, tag, name, report);
+            }
+        }
+        for (tag, tokens, age) in news.dispatches {
+            if let Some(id) = names.get(&tag).and_then(|name| self.id_of(name)) {
+                self.load.note_dispatch(now - age, id, tokens, None);
+            }
+        }
+    }
+
+    /// Returns what this router has to tell its peers since the last call.
+    pub(crate) fn give_news(&mut self, now: ClockTime) -> Option<LoadNews> {
+        let span = now.since(self.news_from);
+        self.news_from = now;
+        let mut news = std::mem::take(&mut self.news);
+        for (_, report) in &mut news.reports {
+            report.age_ms += span.as_ms();
+        }
+        for (_, _, age) in &mut news.dispatches {
+            *age = span;
+        }
+        (!news.reports.is_empty() || !news.dispatches.is_empty()).then_some(news)
+    }
+
+    /// Returns the slots of a service that this router may fill.
+    pub(crate) fn free_slots(&self, now: ClockTime, service: &ServiceConfig) -> FreeSlots {
+        let ids = service.targets.iter().filter_map(|target| self.id_of(&target.name));
+        let usable = ids.filter(|id| self.health.share(now, *id) > 0.0);
+        let (free, total) = usable.fold((0, 0), |(free, total), id| {
+            (free + self.slots.free(id.index()), total + self.slots.share(id.index()))
+        });
+        FreeSlots { free, total }
+    }
+
+    /// Chooses a target of `service` with a free slot and takes the slot.
+    pub(crate) fn place(
+        &mut self,
+        now: ClockTime,
+        view: &ConfigView,
         service: &ServiceConfig,
-        prefix: u64,
-        avoid: Option<&TargetName>,
-    ) -> Option<TargetName> {
-        let free: Vec<&TargetConfig> =
-            service.targets.iter().filter(|target| self.has_room(target)).collect();
-        let near: Vec<&TargetConfig> =
-            free.iter().copied().filter(|target| target.zone == self.zone).collect();
-        let pool = if near.is_empty() { free } else { near };
-        let others: Vec<&TargetConfig> =
-            pool.iter().copied().filter(|target| Some(&target.name) != avoid).collect();
-        let pool = if others.is_empty() { pool } else { others };
-        let names: Vec<&str> = pool.iter().map(|target| target.name.as_str()).collect();
-        let key = if prefix == 0 { self.random.next_u64() } else { prefix };
-        rendezvous::owner(key, &names).map(|index| pool[index].name.clone())
-    }
-
-    pub(crate) fn started(&mut self, target: &TargetName) {
-        if let Some(state) = self.states.get_mut(target) {
-            state.running += 1;
+        request: &PlaceRequest<'_>,
+        matches: &PrefixMatches,
+    ) -> Option<PlacedAttempt> {
+        let places = self.places(view, service);
+        let excluded: Vec<TargetId> =
+            request.tried.iter().filter_map(|name| self.id_of(name)).collect();
+        // A target that failed the request is better than none.
+        let chosen = self
+            .choose(now, request, &places, &excluded, matches)
+            .or_else(|| self.choose(now, request, &places, &[], matches))?;
+        let (id, missing_tokens, explain) = chosen;
+        let target = self.part.index().target_name(id)?.clone();
+        self.slots.take(id.index());
+        if explain.chosen.distance == Distance::Remote {
+            self.link.take(now, request.bytes);
         }
+        self.load.note_dispatch(now, id, missing_tokens, Some(request.id.serial));
+        let span = now.since(self.news_from);
+        self.news.dispatches.push((TargetTag::of(target.as_str()), missing_tokens, span));
+        if let Some(first) = request.chain.first() {
+            let used_ms = missing_tokens as f64 * 1_000.0 / self.load.prefill_rate(id);
+            self.hot.note(now, first.short(), used_ms, self.routers);
+            let chain = request.chain.clone();
+            self.part(now, PartEvent::Dispatched { target: target.clone(), chain });
+        }
+        Some(PlacedAttempt { target, id, at: now, explain, missing_tokens, first_token: None })
+    }
+
+    fn choose(
+        &mut self,
+        now: ClockTime,
+        request: &PlaceRequest<'_>,
+        places: &[TargetPlace],
+        excluded: &[TargetId],
+        matches: &PrefixMatches,
+    ) -> Option<(TargetId, u64, ChoiceExplain)> {
+        let facts = ChoiceRequest {
+            first: request.chain.first().map(PieceHash::short),
+            pieces: request.chain.len(),
+            tokens: request.tokens,
+            bytes: request.bytes,
+            routers: self.routers,
+            excluded,
+        };
+        let chosen = self.choice.choose(
+            now,
+            &facts,
+            places,
+            matches,
+            &self.load,
+            &self.health,
+            &self.hot,
+            &self.link,
+            &mut self.random,
+        )?;
+        Some((chosen.target, chosen.missing_tokens, chosen.explain))
     }
 
-    pub(crate) fn ended(&mut self, target: &TargetName, failed: bool) {
-        if let Some(state) = self.states.get_mut(target) {
-            state.running = state.running.saturating_sub(1);
-            state.failures = if failed { state.failures + 1 } else { 0 };
+    fn places(&self, view: &ConfigView, service: &ServiceConfig) -> Vec<TargetPlace> {
+        let with_room = service.targets.iter().filter_map(|target| {
+            let id = self.id_of(&target.name)?;
+            let distance = if target.zone == self.zone {
+                Distance::Zone
+            } else if view.region(&target.zone) == Some(&self.region) {
+                Distance::Region
+            } else {
+                Distance::Remote
+            };
+            (self.slots.free(id.index()) > 0).then_some(TargetPlace { target: id, distance })
+        });
+        with_room.collect()
+    }
+
+    /// Records the first token of an attempt.
+    pub(crate) fn first_token(&mut self, now: ClockTime, attempt: &mut PlacedAttempt) {
+        if attempt.first_token.is_some() {
+            return;
+        }
+        attempt.first_token = Some(now);
+        // Only an attempt that did not wait at the target shows the target's own rate.
+        if attempt.explain.chosen.queue_ms < 1.0 {
+            let span = now.since(attempt.at);
+            self.load.note_prefill(attempt.id, attempt.missing_tokens, span);
         }
     }
 
-    fn has_room(&self, target: &TargetConfig) -> bool {
-        let running = self.states.get(&target.name).map_or(0, |state| state.running);
-        !target.leaving && running < target.slots
+    /// Records the end of an attempt, and returns the new state of the target's health if it changed for the worse.
+    pub(crate) fn end(
+        &mut self,
+        now: ClockTime,
+        id: RequestId,
+        attempt: &PlacedAttempt,
+        end: AttemptEnd,
+    ) -> bool {
+        self.slots.release(attempt.id.index());
+        self.load.note_end(now, attempt.id, id.serial, now.since(attempt.at));
+        match end {
+            AttemptEnd::Answered => self.health.note_success(now, attempt.id),
+            AttemptEnd::Failed => return self.health.note_failure(now, attempt.id),
+            AttemptEnd::Dropped => {}
+        }
+        false
+    }
+
+    fn id_of(&self, target: &TargetName) -> Option<TargetId> {
+        self.part.index().target_id(target.as_str())
     }
 }
+
+/// How an attempt ended, as far as it tells of the target's health.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AttemptEnd {
+    Answered,
+    Failed,
+    /// The router itself gave the attempt up.
+    Dropped,
+}
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -3,27 +3,31 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use godwitroad_base::{AccountName, ClockTime, NodeId, RequestId, TargetName};
-use godwitroad_config::{
-    KeyHash, ModelConfig, PriorityClass, RepeatRule, RouteConfig, ServiceKind,
-};
+use godwitroad_config::{KeyHash, PriorityClass, RepeatRule, RouteConfig};
 use godwitroad_life::LifeStage;
+use godwitroad_prefix::PieceChain;
+use godwitroad_queue::{QueuePriority, QueuedRequest};
 use godwitroad_stream::StreamLog;
 
-use crate::claim::ClaimedAnswer;
+use crate::{claim::ClaimedAnswer, placement::PlacedAttempt};
 
 /// What a router knows of one request from its arrival on.
 #[derive(Debug)]
 pub(crate) struct RequestFacts {
     pub(crate) route: RouteConfig,
     pub(crate) path: String,
-    pub(crate) kind: ServiceKind,
     pub(crate) account: Option<AccountName>,
     pub(crate) key: Option<KeyHash>,
-    pub(crate) model: Option<ModelConfig>,
     pub(crate) prompt: Arc<[u8]>,
+    pub(crate) chain: PieceChain,
+    pub(crate) cache_salt: String,
+    pub(crate) prompt_tokens: u64,
+    /// The tokens that are reserved under the account's rate.
+    pub(crate) cost: u64,
     pub(crate) priority: PriorityClass,
     pub(crate) deadline: ClockTime,
     pub(crate) streams: bool,
+    pub(crate) idempotency_key: Option<Arc<str>>,
 }
 
 /// A request that is under way.
@@ -33,9 +37,14 @@
     // Taken out while a step consumes the stage; always present between two events.
     pub(crate) stage: Option<LifeStage>,
     pub(crate) log: StreamLog,
-    pub(crate) target: Option<TargetName>,
     pub(crate) caller: CallerState,
     pub(crate) claim: Option<ClaimedAnswer>,
+    /// The request as the queue gave it out, from then until its end.
+    pub(crate) taken: Option<QueuedRequest>,
+    /// The target of the attempt that is under way.
+    pub(crate) placed: Option<PlacedAttempt>,
+    /// The targets whose attempts failed.
+    pub(crate) tried: Vec<TargetName>,
 }
 
 /// Whether a caller listens to a request's answer.
@@ -61,6 +70,22 @@
     pub(crate) fn repeat(&self) -> RepeatRule {
         self.route.repeat
     }
+
+    /// Returns the request as the queue sees it.
+    pub(crate) fn queued(&self, id: RequestId) -> QueuedRequest {
+        QueuedRequest {
+            id,
+            // Requests without an account share one place in the queue.
+            account: self.account.clone().unwrap_or_else(|| "".into()),
+            priority: match self.priority {
+                PriorityClass::Interactive => QueuePriority::Interactive,
+                PriorityClass::Batch => QueuePriority::Batch,
+                PriorityClass::Overnight => QueuePriority::Overnight,
+            },
+            tokens: self.cost,
+            deadline: self.deadline,
+        }
+    }
 }
 
 impl RequestEntry {
@@ -68,13 +93,12 @@
         self.stage.as_ref().map_or(0, LifeStage::attempts)
     }
 
-    pub(crate) fn is_queued(&self) -> bool {
-        matches!(self.stage, Some(LifeStage::Queued(_)))
-    }
-
-    /// Returns whether the request waits, for its claim or for a target.
+    /// Returns whether the request waits for tokens, for its claim or for a target.
     pub(crate) fn is_waiting(&self) -> bool {
-        matches!(self.stage, Some(LifeStage::Admitted(_) | LifeStage::Queued(_)))
+        matches!(
+            self.stage,
+            Some(LifeStage::Received(_) | LifeStage::Admitted(_) | LifeStage::Queued(_))
+        )
     }
 
     /// Returns whether an attempt is under way.
@@ -82,6 +106,14 @@
         self.stage.is_some() && !self.is_waiting()
     }
 
+    /// Returns the tokens that the request has used.
+    pub(crate) fn used_tokens(&self) -> u64 {
+        if self.attempts() == 0 {
+            return 0;
+        }
+        self.facts.prompt_tokens.max(1) + self.log.tokens()
+    }
+
     pub(crate) fn keep_header(&mut self, status: u16, content_type: &str) {
         if let Some(claim) = &mut self.claim {
             claim.start(status, content_type);
@@ -102,7 +134,12 @@
 
     pub(crate) fn next_id(&mut self) -> RequestId {
         self.last += 1;
-        RequestId { node: self.tag, serial: self.last }
+        self.id_of(self.last)
+    }
+
+    /// Returns the id of this router's request number `serial`.
+    pub(crate) fn id_of(&self, serial: u64) -> RequestId {
+        RequestId { node: self.tag, serial }
     }
 
     pub(crate) fn insert(&mut self, id: RequestId, entry: RequestEntry) {
@@ -121,8 +158,10 @@
         self.entries.remove(&id)
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (RequestId, &RequestEntry)> {
-        self.entries.iter().map(|(&id, entry)| (id, entry))
+    /// Returns the ids of the requests that satisfy `test`.
+    pub(crate) fn select(&self, test: impl Fn(&RequestEntry) -> bool) -> Vec<RequestId> {
+        let matching = self.entries.iter().filter(|(_, entry)| test(entry));
+        matching.map(|(&id, _)| id).collect()
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,20 +1,30 @@
 //! One router's whole decision state.
 
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use godwitroad_base::{ClockSpan, ClockTime, NodeId, RegionName, SeededRandom, ZoneName};
-use godwitroad_config::ConfigDocument;
+use godwitroad_base::{
+    ClockSpan, ClockTime, NodeId, RegionName, SeededRandom, ServiceName, ZoneName,
+};
+use godwitroad_config::{ConfigDocument, check, chunks};
+use godwitroad_limits::{RateEvent, RateTable};
 use godwitroad_member::{MemberEvent, MemberReport};
+use godwitroad_prefix::PartEvent;
+use godwitroad_queue::{FairQueue, QueueSettings};
 use godwitroad_stream::LogSettings;
 use godwitroad_sync::SyncEvent;
 
 use crate::{
-    FleetSettings, RouterAction, RouterEvent, StateNotice, VmListing, VmState,
-    admission::RateTable,
+    FleetSettings, PeerMessage, PlaceSettings, RouterAction, RouterEvent, StateNotice, VmListing,
+    VmState,
+    admission::LocalRates,
+    explain::ExplainLog,
     fleet::{FleetEvent, FleetOutcome, FleetParts},
-    placement::TargetTable,
+    placement::RequestPlacement,
     request::RequestTable,
-    stop::StopPhase,
+    stop::{HandOver, StopPhase},
     view::ConfigView,
 };
 
@@ -35,6 +45,12 @@
     pub return_grace: ClockSpan,
     /// The time that a planned stop waits for the successors before the process exits all the same.
     pub leave_wait: ClockSpan,
+    /// The settings of the queues.
+    pub queue: QueueSettings,
+    /// The settings of the placement of requests.
+    pub place: PlaceSettings,
+    /// The time between two messages to the peers on the load of targets.
+    pub news_period: ClockSpan,
     /// The settings of the parts that need the store; `None` for a router that runs alone, with a configuration
     /// from [`RouterEvent::Configure`].
     pub fleet: Option<FleetSettings>,
@@ -46,8 +62,16 @@
     pub(crate) settings: RouterSettings,
     pub(crate) view: ConfigView,
     pub(crate) requests: RequestTable,
-    pub(crate) rates: RateTable,
-    pub(crate) targets: TargetTable,
+    pub(crate) rates: LocalRates,
+    pub(crate) placement: RequestPlacement,
+    pub(crate) queues: BTreeMap<ServiceName, FairQueue>,
+    /// The requests whose cached prefix is being looked up.
+    pub(crate) looking: BTreeSet<u64>,
+    /// Whether a request that left a queue has found no target.
+    pub(crate) stalled: bool,
+    pub(crate) explained: ExplainLog,
+    pub(crate) hand_over: HandOver,
+    news_at: ClockTime,
     pub(crate) fleet: Option<FleetParts>,
     pub(crate) stop: StopPhase,
     was_ready: bool,
@@ -69,6 +93,9 @@
             log: LogSettings::default(),
             return_grace: ClockSpan::from_secs(5),
             leave_wait: ClockSpan::from_secs(5),
+            queue: QueueSettings::default(),
+            place: PlaceSettings::default(),
+            news_period: ClockSpan::from_ms(100),
             fleet: None,
         }
     }
@@ -82,8 +109,21 @@
         RouterState {
             view: ConfigView::default(),
             requests: RequestTable::new(&settings.node),
-            rates: RateTable::default(),
-            targets: TargetTable::new(settings.zone.clone(), random.fork()),
+            rates: LocalRates::default(),
+            placement: RequestPlacement::new(
+                now,
+                settings.node.vm.clone(),
+                settings.zone.clone(),
+                settings.region.clone(),
+                &settings.place,
+                random.fork(),
+            ),
+            queues: BTreeMap::new(),
+            looking: BTreeSet::new(),
+            stalled: false,
+            explained: ExplainLog::default(),
+            hand_over: HandOver::default(),
+            news_at: now,
             fleet: fleet.map(|fleet| FleetParts::new(now, &settings, fleet, &mut random)),
             stop: StopPhase::Running,
             was_ready: false,
@@ -107,6 +147,9 @@
         }
         if let Some(fleet) = &self.fleet {
             fleet.sync.readiness()?;
+            if !self.placement.is_part_ready() {
+                return Err("the prefix index is being read from the peers");
+            }
         }
         if self.view.generation == 0 {
             return Err("no configuration is in force");
@@ -136,14 +179,14 @@
             RouterEvent::Attempt { id, attempt, report } => {
                 self.attempt_report(&mut context, id, attempt, report);
             }
-            RouterEvent::Load { target, report } => self.targets.load(&target, report),
-            RouterEvent::Cache { .. } => {}
-            RouterEvent::Peer { from, message } => {
-                if let Some(fleet) = &mut self.fleet {
-                    let outcomes = fleet.hear(now, from, message);
-                    self.take_outcomes(&mut context, outcomes);
-                }
+            RouterEvent::Load { target, report } => {
+                self.placement.take_load(now, &target, report);
+            }
+            RouterEvent::Cache { target, batch } => {
+                let actions = self.placement.take_cache(now, target, batch);
+                self.take_part(&mut context, actions);
             }
+            RouterEvent::Peer { from, message } => self.hear(&mut context, from, message),
             RouterEvent::Store { call, outcome } => {
                 self.run_fleet(&mut context, FleetEvent::Store { call, outcome });
             }
@@ -151,6 +194,9 @@
             RouterEvent::Configure { generation, document } => {
                 self.configure(&mut context, generation, document);
             }
+            RouterEvent::AskProgress => {
+                self.run_fleet(&mut context, FleetEvent::Sync(SyncEvent::AskProgress));
+            }
             RouterEvent::Stop => self.begin_stop(&mut context),
             RouterEvent::Tick => self.tick(&mut context),
         }
@@ -159,6 +205,22 @@
         self.note_readiness(&mut context);
     }
 
+    fn hear(&mut self, context: &mut EventContext<'_>, from: NodeId, message: PeerMessage) {
+        match message {
+            PeerMessage::Index(message) => {
+                let actions = self.placement.hear(context.now, from.vm, message);
+                self.take_part(context, actions);
+            }
+            PeerMessage::Load(news) => self.placement.take_news(context.now, news),
+            message => {
+                if let Some(fleet) = &mut self.fleet {
+                    let outcomes = fleet.hear(context.now, from, message);
+                    self.take_outcomes(context, outcomes);
+                }
+            }
+        }
+    }
+
     /// Gives an event to the parts that need the store, and takes what they ask for.
     pub(crate) fn run_fleet(&mut self, context: &mut EventContext<'_>, event: FleetEvent) {
         if let Some(fleet) = &mut self.fleet {
@@ -177,17 +239,32 @@
                 FleetOutcome::Ready => {}
                 FleetOutcome::Verdict { id, verdict } => self.take_verdict(context, id, verdict),
                 FleetOutcome::Report(report) => self.take_report(context, report),
+                FleetOutcome::Admitted { ticket } => {
+                    let id = self.requests.id_of(ticket);
+                    self.admit(context, id);
+                }
+                FleetOutcome::Refused { ticket, retry_after } => {
+                    let id = self.requests.id_of(ticket);
+                    self.refuse_rate(context, id, retry_after);
+                }
+                FleetOutcome::RatesHandedOver => self.rates_handed_over(context),
+                FleetOutcome::Members(members) => {
+                    let actions = self.placement.set_members(context.now, members);
+                    self.take_part(context, actions);
+                    self.placement.configure(context.now, &self.view);
+                }
             }
         }
     }
 
     fn install(&mut self, context: &mut EventContext<'_>, generation: u64, document: &[u8]) {
-        let event = match serde_json::from_slice::<ConfigDocument>(document) {
-            Ok(document) => {
+        let document = chunks::read(document).ok().filter(|document| check(document).is_empty());
+        let event = match document {
+            Some(document) => {
                 self.configure(context, generation, Arc::new(document));
                 SyncEvent::Accepted { generation }
             }
-            Err(_) => SyncEvent::Refused { generation },
+            None => SyncEvent::Refused { generation },
         };
         self.run_fleet(context, FleetEvent::Sync(event));
     }
@@ -199,10 +276,11 @@
                 let members = members.map_or(0, |roster| roster.members.len());
                 context.notice(StateNotice::RosterEpoch { epoch, members });
             }
-            MemberReport::HandOver => self.hand_over(context),
+            MemberReport::HandOver => self.hand_over_index(context),
             MemberReport::Left => self.stop = StopPhase::Left,
             MemberReport::TermStarted { .. }
             | MemberReport::TermEnded
+            | MemberReport::NeighboursChanged
             | MemberReport::Settled { .. } => {}
         }
     }
@@ -233,7 +311,9 @@
             return;
         }
         self.view = ConfigView::new(generation, document);
-        self.targets.configure(&self.view);
+        self.placement.configure(context.now, &self.view);
+        let table = RateTable::from_document(generation, &self.view.document);
+        self.run_fleet(context, FleetEvent::Rates(RateEvent::Configure(Arc::new(table))));
         context.notice(StateNotice::ConfigInForce { generation });
         self.end_withdrawn(context);
     }
@@ -243,8 +323,26 @@
             let outcomes = fleet.tick(context.now);
             self.take_outcomes(context, outcomes);
         }
+        let actions = self.placement.part(context.now, PartEvent::Tick);
+        self.take_part(context, actions);
         self.expire_queued(context);
         self.cancel_abandoned(context);
+        self.tell_news(context);
+    }
+
+    fn tell_news(&mut self, context: &mut EventContext<'_>) {
+        let Some(fleet) = &self.fleet else { return };
+        if context.now.since(self.news_at) < self.settings.news_period {
+            return;
+        }
+        self.news_at = context.now;
+        let Some(news) = self.placement.give_news(context.now) else { return };
+        let own = &self.settings.node.vm;
+        let zones = fleet.zones();
+        for to in zones.values().flatten().filter(|vm| *vm != own) {
+            let message = PeerMessage::Load(news.clone());
+            context.actions.push(RouterAction::Peer { to: to.clone(), message });
+        }
     }
 
     fn note_readiness(&mut self, context: &mut EventContext<'_>) {
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -5,6 +5,7 @@
 
 use godwitroad_base::ClockTime;
 use godwitroad_member::MemberEvent;
+use godwitroad_prefix::PartEvent;
 
 use crate::{RouterAction, RouterState, fleet::FleetEvent, state::EventContext};
 
@@ -18,6 +19,13 @@
     Exited,
 }
 
+/// What has been handed over to the successors.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HandOver {
+    pub(crate) index: bool,
+    pub(crate) rates: bool,
+}
+
 impl RouterState {
     pub(crate) fn begin_stop(&mut self, _context: &mut EventContext<'_>) {
         if self.stop == StopPhase::Running {
@@ -42,9 +50,26 @@
         }
     }
 
-    /// Hands over what this router holds for its zone.
-    pub(crate) fn hand_over(&mut self, context: &mut EventContext<'_>) {
-        self.run_fleet(context, FleetEvent::Member(MemberEvent::HandedOver));
+    /// Hands over this router's part of the index; the rates are handed over at the same time.
+    pub(crate) fn hand_over_index(&mut self, context: &mut EventContext<'_>) {
+        let actions = self.placement.part(context.now, PartEvent::Stop);
+        self.take_part(context, actions);
+    }
+
+    pub(crate) fn part_handed_over(&mut self, context: &mut EventContext<'_>) {
+        self.hand_over.index = true;
+        self.finish_hand_over(context);
+    }
+
+    pub(crate) fn rates_handed_over(&mut self, context: &mut EventContext<'_>) {
+        self.hand_over.rates = true;
+        self.finish_hand_over(context);
+    }
+
+    fn finish_hand_over(&mut self, context: &mut EventContext<'_>) {
+        if self.hand_over.index && self.hand_over.rates {
+            self.run_fleet(context, FleetEvent::Member(MemberEvent::HandedOver));
+        }
     }
 
     fn leave(&mut self, context: &mut EventContext<'_>) {
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,11 +1,14 @@
 //! The configuration in force, indexed for the questions that a request asks.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use godwitroad_base::{AccountName, ModelName, TargetName};
+use godwitroad_base::{AccountName, ModelName, RegionName, ServiceName, TargetName, ZoneName};
 use godwitroad_config::{
-    AccountConfig, ConfigDocument, KeyHash, ModelConfig, RouteAccess, RouteConfig, ServiceConfig,
-    TargetConfig,
+    AccountConfig, ConfigDocument, KeyHash, KeyTable, ModelConfig, RouteAccess, RouteConfig,
+    RouteTable, ServiceConfig, TargetConfig,
 };
 
 use crate::ErrorKind;
@@ -15,28 +18,43 @@
 pub(crate) struct ConfigView {
     pub(crate) generation: u64,
     pub(crate) document: Arc<ConfigDocument>,
+    routes: RouteTable,
+    keys: KeyTable,
     accounts: BTreeMap<AccountName, usize>,
     models: BTreeMap<ModelName, usize>,
+    services: BTreeMap<ServiceName, usize>,
     targets: BTreeMap<TargetName, (usize, usize)>,
+    regions: BTreeMap<ZoneName, RegionName>,
 }
 
 impl ConfigView {
     pub(crate) fn new(generation: u64, document: Arc<ConfigDocument>) -> ConfigView {
-        let accounts = index(document.accounts.iter().map(|account| account.name.clone()));
-        let models = index(document.models.iter().map(|model| model.name.clone()));
         let mut targets = BTreeMap::new();
         for (service, config) in document.services.iter().enumerate() {
             for (position, target) in config.targets.iter().enumerate() {
                 targets.insert(target.name.clone(), (service, position));
             }
         }
-        ConfigView { generation, document, accounts, models, targets }
+        let zones = document
+            .regions
+            .iter()
+            .flat_map(|region| region.zones.iter().map(|zone| (zone.clone(), region.name.clone())));
+        ConfigView {
+            generation,
+            routes: RouteTable::new(&document),
+            keys: KeyTable::new(&document),
+            accounts: index(document.accounts.iter().map(|account| account.name.clone())),
+            models: index(document.models.iter().map(|model| model.name.clone())),
+            services: index(document.services.iter().map(|service| service.name.clone())),
+            targets,
+            regions: zones.collect(),
+            document: Arc::clone(&document),
+        }
     }
 
     /// Returns the route that takes `path`: the one with the longest prefix on whole path segments.
     pub(crate) fn route(&self, path: &str) -> Option<&RouteConfig> {
-        let routes = self.document.routes.iter();
-        routes.filter(|route| takes(&route.path, path)).max_by_key(|route| route.path.len())
+        self.routes.find(path)
     }
 
     /// Returns the account for which a request with `key` may run on `route`, or `None` on an open route.
@@ -45,32 +63,16 @@
         route: &RouteConfig,
         key: Option<&KeyHash>,
     ) -> Result<Option<AccountName>, ErrorKind> {
-        let Some(key) = key else {
-            return match route.access {
-                RouteAccess::Open => Ok(None),
-                RouteAccess::Keyed => Err(ErrorKind::KeyMissing),
-            };
-        };
-        match (self.key_owner(route, key), route.access) {
-            (Some(account), _) => Ok(Some(account)),
+        let grant = key.and_then(|key| self.keys.find(key));
+        let account = grant.filter(|grant| grant.allows(&route.name));
+        match (account, route.access) {
+            (Some(grant), _) => Ok(Some(grant.account.clone())),
             (None, RouteAccess::Open) => Ok(None),
+            (None, RouteAccess::Keyed) if key.is_none() => Err(ErrorKind::KeyMissing),
             (None, RouteAccess::Keyed) => Err(ErrorKind::KeyInvalid),
         }
     }
 
-    fn key_owner(&self, route: &RouteConfig, key: &KeyHash) -> Option<AccountName> {
-        let mut owner = None;
-        for account in &self.document.accounts {
-            for config in &account.keys {
-                let valid = config.routes.is_empty() || config.routes.contains(&route.name);
-                if config.hash.matches(key) && valid {
-                    owner = Some(account.name.clone());
-                }
-            }
-        }
-        owner
-    }
-
     pub(crate) fn account(&self, name: &AccountName) -> Option<&AccountConfig> {
         self.accounts.get(name).map(|&index| &self.document.accounts[index])
     }
@@ -79,21 +81,25 @@
         self.models.get(name).map(|&index| &self.document.models[index])
     }
 
-    pub(crate) fn service(&self, route: &RouteConfig) -> Option<&ServiceConfig> {
-        self.document.services.iter().find(|service| service.name == route.service)
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<&ServiceConfig> {
+        self.services.get(name).map(|&index| &self.document.services[index])
     }
 
     pub(crate) fn target(&self, name: &TargetName) -> Option<&TargetConfig> {
         let &(service, position) = self.targets.get(name)?;
         Some(&self.document.services[service].targets[position])
     }
+
+    pub(crate) fn region(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.regions.get(zone)
+    }
+
+    /// Returns the names of all targets, each once.
+    pub(crate) fn target_names(&self) -> BTreeSet<TargetName> {
+        self.targets.keys().cloned().collect()
+    }
 }
 
 fn index<N: Ord>(names: impl Iterator<Item = N>) -> BTreeMap<N, usize> {
     names.enumerate().map(|(index, name)| (name, index)).collect()
 }
-
-fn takes(prefix: &str, path: &str) -> bool {
-    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
-    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
