Add the simulated fleet and the first histories

Cause: a prefetch from the own VM's empty holder was answered and repeated within one event, without end. Change: a prefetch is repeated after a rest; a fleet under virtual time with a store, a network and faults in memory.

--- /dev/null
+++ b/crates/bench/src/fleet/node.rs
@@ -0,0 +1,225 @@
+//! One simulated VM with its clock and its process.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use godwitroad_base::{ClockSpan, ClockTime, NodeId, SeededRandom, VmName, ZoneName};
+use godwitroad_limits::{
+    HoldView, RateAction, RateEvent, RateMessage, RateNode, RateSettings, RateTable,
+};
+use godwitroad_member::{
+    MemberAction, MemberEvent, MemberMessage, MemberReport, MemberSettings, MemberTable,
+};
+use godwitroad_store::{CallId, StoreOutcome, StoreRequest};
+
+/// A wrong variant of the product, to show that the checks find it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WrongVariant {
+    /// Holders act without a term and before earlier holders have stopped.
+    IgnoreTerm,
+    /// Buckets refill at twice the rate.
+    RefillTwice,
+}
+
+/// A message between simulated VMs.
+#[derive(Clone, Debug)]
+pub(crate) enum WireMessage {
+    Member(MemberMessage),
+    Rate(RateMessage),
+}
+
+/// An event at one simulated process.
+#[derive(Clone, Debug)]
+pub(crate) enum NodeEvent {
+    Wire { from: NodeId, message: WireMessage },
+    MemberStore { call: CallId, outcome: StoreOutcome },
+    RateStore { call: CallId, outcome: StoreOutcome },
+    Member(MemberEvent),
+    Rate(RateEvent),
+    Tick,
+}
+
+/// What a process asks the simulation for.
+#[derive(Clone, Debug)]
+pub(crate) enum NodeAction {
+    Send { to: VmName, message: WireMessage },
+    MemberStore { call: CallId, request: StoreRequest },
+    RateStore { call: CallId, request: StoreRequest },
+    Admitted { ticket: u64, tokens: u64 },
+    Refused { ticket: u64 },
+    Left,
+}
+
+/// One simulated VM.
+#[derive(Debug)]
+pub(crate) struct SimNode {
+    pub(crate) id: NodeId,
+    pub(crate) zone: ZoneName,
+    pub(crate) zone_index: usize,
+    pub(crate) running: bool,
+    pub(crate) paused: bool,
+    pub(crate) lost: bool,
+    /// The events that wait while the process is paused.
+    pub(crate) backlog: VecDeque<NodeEvent>,
+    pub(crate) member: MemberTable,
+    pub(crate) rate: RateNode,
+    pub(crate) epoch: u64,
+    offset: u64,
+    /// The speed of the clock in parts per million.
+    pub(crate) speed: u64,
+    wrong: Option<WrongVariant>,
+}
+
+impl SimNode {
+    pub(crate) fn new(
+        id: NodeId,
+        zone: (usize, ZoneName),
+        table: &Arc<RateTable>,
+        clock: (u64, u64),
+        wrong: Option<WrongVariant>,
+        at: u64,
+        random: &mut SeededRandom,
+    ) -> SimNode {
+        let (offset, speed) = clock;
+        let now = read_clock(offset, speed, at);
+        let settings = MemberSettings {
+            zone: zone.1.clone(),
+            node: id.clone(),
+            address: format!("{}:7000", id.vm),
+            ..MemberSettings::default()
+        };
+        let rates =
+            RateSettings { node: id.clone(), zone: zone.1.clone(), ..RateSettings::default() };
+        let mut node = SimNode {
+            member: MemberTable::new(settings, now, random.fork()),
+            rate: RateNode::new(rates, now, random.fork()),
+            id,
+            zone: zone.1,
+            zone_index: zone.0,
+            running: true,
+            paused: false,
+            lost: false,
+            backlog: VecDeque::new(),
+            epoch: 0,
+            offset,
+            speed,
+            wrong,
+        };
+        let configure = RateEvent::Configure(Arc::clone(table));
+        node.handle(at, NodeEvent::Rate(configure), &mut Vec::new());
+        node
+    }
+
+    pub(crate) fn now(&self, at: u64) -> ClockTime {
+        read_clock(self.offset, self.speed, at)
+    }
+
+    fn rate_now(&self, at: u64) -> ClockTime {
+        match self.wrong {
+            Some(WrongVariant::RefillTwice) => read_clock(self.offset, 2 * self.speed, at),
+            _ => self.now(at),
+        }
+    }
+
+    /// Returns whether the process may issue tokens of `shard`.
+    pub(crate) fn holds(&self, at: u64, shard: u16) -> bool {
+        self.running && !self.paused && self.rate.holder().holds(self.rate_now(at), shard)
+    }
+
+    pub(crate) fn handle(&mut self, at: u64, event: NodeEvent, actions: &mut Vec<NodeAction>) {
+        match event {
+            NodeEvent::Wire { from, message: WireMessage::Member(message) } => {
+                self.run_member(at, MemberEvent::Peer { from, message }, actions);
+            }
+            NodeEvent::Wire { from, message: WireMessage::Rate(message) } => {
+                self.run_rate(at, RateEvent::Peer { from, message }, actions);
+            }
+            NodeEvent::MemberStore { call, outcome } => {
+                self.run_member(at, MemberEvent::Store { call, outcome }, actions);
+            }
+            NodeEvent::RateStore { call, outcome } => {
+                self.run_rate(at, RateEvent::Store { call, outcome }, actions);
+            }
+            NodeEvent::Member(event) => self.run_member(at, event, actions),
+            NodeEvent::Rate(event) => self.run_rate(at, event, actions),
+            NodeEvent::Tick => {
+                self.run_member(at, MemberEvent::Tick, actions);
+                self.run_rate(at, RateEvent::Tick, actions);
+            }
+        }
+    }
+
+    fn run_member(&mut self, at: u64, event: MemberEvent, actions: &mut Vec<NodeAction>) {
+        let listed = matches!(event, MemberEvent::VmList(_));
+        let mut out = Vec::new();
+        self.member.handle(self.now(at), event, &mut out);
+        let mut changed = false;
+        let mut leaves = false;
+        for action in out {
+            match action {
+                MemberAction::Send { to, message, .. } => {
+                    actions.push(NodeAction::Send { to, message: WireMessage::Member(message) });
+                }
+                MemberAction::Store { call, request } => {
+                    actions.push(NodeAction::MemberStore { call, request });
+                }
+                MemberAction::Report(MemberReport::HandOver) => leaves = true,
+                MemberAction::Report(MemberReport::Left) => actions.push(NodeAction::Left),
+                MemberAction::Report(_) => changed = true,
+            }
+        }
+        self.epoch = self.member.epoch();
+        if changed {
+            let mut view = (*HoldView::of(&self.member)).clone();
+            if self.wrong == Some(WrongVariant::IgnoreTerm) {
+                for shard in &mut view.shards {
+                    shard.effective = shard.owner.as_ref() == Some(&self.id.vm);
+                }
+            }
+            self.run_rate(at, RateEvent::View(Arc::new(view)), actions);
+        }
+        if listed {
+            let gone = self.member.gone_zones(self.now(at));
+            self.run_rate(at, RateEvent::Gone(gone), actions);
+        }
+        if leaves {
+            self.run_rate(at, RateEvent::HandOver, actions);
+        }
+    }
+
+    fn run_rate(&mut self, at: u64, event: RateEvent, actions: &mut Vec<NodeAction>) {
+        let now = self.rate_now(at);
+        let term = match self.wrong {
+            Some(WrongVariant::IgnoreTerm) => Some(now + ClockSpan::from_secs(3_600)),
+            Some(WrongVariant::RefillTwice) => {
+                self.member.may_hold(self.now(at)).then(|| now + ClockSpan::from_secs(1))
+            }
+            None => self.member.term_end(now),
+        };
+        let mut out = Vec::new();
+        // The term comes first, so that a process that was paused acts on nothing that it held before.
+        self.rate.handle(now, RateEvent::Term(term), &mut out);
+        self.rate.handle(now, event, &mut out);
+        for action in out {
+            match action {
+                RateAction::Send { to, message } => {
+                    actions.push(NodeAction::Send { to, message: WireMessage::Rate(message) });
+                }
+                RateAction::Store { call, request } => {
+                    actions.push(NodeAction::RateStore { call, request });
+                }
+                RateAction::Admitted { ticket, tokens } => {
+                    actions.push(NodeAction::Admitted { ticket, tokens });
+                }
+                RateAction::Refused { ticket, .. } => actions.push(NodeAction::Refused { ticket }),
+                RateAction::HandedOver => {
+                    self.run_member(at, MemberEvent::HandedOver, actions);
+                }
+            }
+        }
+    }
+}
+
+fn read_clock(offset: u64, speed: u64, at: u64) -> ClockTime {
+    let elapsed = u128::from(at) * u128::from(speed) / 1_000_000;
+    ClockTime::from_ms(offset + elapsed as u64)
+}
--- /dev/null
+++ b/crates/bench/src/fleet/sim.rs
@@ -0,0 +1,590 @@
+//! The simulation itself: virtual time, the network, the store and the faults.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use godwitroad_base::{
+    AccountName, ClockSpan, Incarnation, NodeId, SeededRandom, VmName, ZoneName,
+};
+use godwitroad_limits::{RateCounters, RateEvent, RateTable, shard_of};
+use godwitroad_member::{MemberEvent, Roster, VmListing, VmState};
+use godwitroad_store::{StoreFailure, StoreOutcome, StoreReply, StoreRequest};
+
+use super::{
+    fault::{FaultKind, FleetFault},
+    judge::{AdmissionLog, FleetFaults},
+    node::{NodeAction, NodeEvent, SimNode, WireMessage, WrongVariant},
+    store::MemoryStore,
+};
+
+/// The time after which a call without an answer ends as unknown.
+const LOST_ANSWER_MS: u64 = 1_000;
+
+/// What a simulated fleet consists of and goes through.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// The seed of everything.
+    pub seed: u64,
+    /// The number of VMs in each zone.
+    pub zones: Vec<usize>,
+    /// The limits at the start.
+    pub table: Arc<RateTable>,
+    /// Later generations of the limits with the times at which they are accepted.
+    pub changes: Vec<(u64, Arc<RateTable>)>,
+    /// The requests in the order of their times.
+    pub arrivals: Vec<FleetArrival>,
+    /// The faults.
+    pub faults: Vec<FleetFault>,
+    /// The simulated time in milliseconds.
+    pub length: u64,
+    /// The time between two ticks of a process.
+    pub tick: u64,
+    /// The longest wait of a request for tokens.
+    pub wait: ClockSpan,
+    /// The age of the platform's VM list.
+    pub list_lag: u64,
+    /// The largest error of a clock's speed, in parts per million.
+    pub drift_ppm: u64,
+    /// Whether the bytes of messages are counted.
+    pub count_bytes: bool,
+    /// The fault built into every process, if any.
+    pub wrong: Option<WrongVariant>,
+}
+
+impl Default for FleetSpec {
+    fn default() -> FleetSpec {
+        FleetSpec {
+            seed: 1,
+            zones: vec![3, 3, 3],
+            table: Arc::default(),
+            changes: Vec::new(),
+            arrivals: Vec::new(),
+            faults: Vec::new(),
+            length: 20_000,
+            tick: 10,
+            wait: ClockSpan::from_ms(500),
+            list_lag: 3_000,
+            drift_ppm: 500,
+            count_bytes: false,
+            wrong: None,
+        }
+    }
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct FleetArrival {
+    /// The time in milliseconds.
+    pub at: u64,
+    /// The number of the VM to which the load balancer sends the request while it runs.
+    pub vm: usize,
+    /// The account.
+    pub account: AccountName,
+    /// The tokens to reserve.
+    pub tokens: u64,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestEnd {
+    /// The request had no answer when the run ended, or its router stopped.
+    Open,
+    /// The tokens were admitted at this time.
+    Admitted(u64),
+    /// The request was refused at this time.
+    Refused(u64),
+}
+
+/// What a run shows.
+#[derive(Clone, Debug, Default)]
+pub struct FleetResult {
+    /// The admissions of each account.
+    pub logs: BTreeMap<AccountName, AdmissionLog>,
+    /// The end of each arrival, in the order of the arrivals.
+    pub ends: Vec<RequestEnd>,
+    /// What was violated.
+    pub faults: FleetFaults,
+    /// The messages between VMs.
+    pub messages: u64,
+    /// The messages of the limits alone.
+    pub rate_messages: u64,
+    /// The bytes of the limits' messages, written as JSON.
+    pub rate_bytes: u64,
+    /// The calls to the store that took effect.
+    pub store_calls: u64,
+    /// The times at which processes that had started held all that they should, with their starts.
+    pub ready: Vec<(usize, u64, u64)>,
+    /// The counters of the processes that ran at the end.
+    pub counters: Vec<RateCounters>,
+}
+
+#[derive(Debug)]
+enum SimEvent {
+    Node {
+        index: usize,
+        incarnation: u64,
+        event: NodeEvent,
+    },
+    Tick {
+        index: usize,
+        incarnation: u64,
+    },
+    List {
+        index: usize,
+    },
+    Store {
+        index: usize,
+        incarnation: u64,
+        member: bool,
+        call: u64,
+        request: StoreRequest,
+        back: Option<u64>,
+    },
+    Arrive(usize),
+    FaultOn(usize),
+    FaultOff(usize),
+    Configure {
+        index: usize,
+        change: usize,
+    },
+}
+
+/// A simulated fleet.
+#[derive(Debug)]
+pub struct FleetSim {
+    spec: FleetSpec,
+    random: SeededRandom,
+    now: u64,
+    queue: BTreeMap<(u64, u64), SimEvent>,
+    sequence: u64,
+    nodes: Vec<SimNode>,
+    names: BTreeMap<VmName, usize>,
+    store: MemoryStore,
+    result: FleetResult,
+    shards: BTreeSet<u16>,
+    lists: Vec<(u64, Vec<VmListing>)>,
+    tables: Vec<Arc<RateTable>>,
+    started: BTreeMap<usize, u64>,
+    roster_epochs: BTreeMap<ZoneName, u64>,
+}
+
+impl FleetSim {
+    /// Returns a fleet whose processes start at time zero.
+    pub fn new(spec: FleetSpec) -> FleetSim {
+        let mut random = SeededRandom::new(spec.seed);
+        let mut nodes = Vec::new();
+        for (zone, count) in spec.zones.iter().enumerate() {
+            let name: ZoneName = spec.table.zones[zone].clone();
+            for number in 0..*count {
+                let id = NodeId::new(format!("{name}-{number}"), 1);
+                let clock = (random.below(1 << 40), speed(&spec, &mut random));
+                let zone = (zone, name.clone());
+                let node = SimNode::new(id, zone, &spec.table, clock, spec.wrong, 0, &mut random);
+                nodes.push(node);
+            }
+        }
+        let names = nodes.iter().enumerate().map(|(index, node)| (node.id.vm.clone(), index));
+        let result = FleetResult {
+            ends: vec![RequestEnd::Open; spec.arrivals.len()],
+            ..FleetResult::default()
+        };
+        FleetSim {
+            names: names.collect(),
+            shards: spec.table.accounts.keys().map(shard_of).collect(),
+            tables: vec![Arc::clone(&spec.table); nodes.len()],
+            started: (0..nodes.len()).map(|index| (index, 0)).collect(),
+            random,
+            now: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            nodes,
+            store: MemoryStore::default(),
+            result,
+            lists: Vec::new(),
+            roster_epochs: BTreeMap::new(),
+            spec,
+        }
+    }
+
+    /// Runs to the end and returns what happened.
+    pub fn run(mut self) -> FleetResult {
+        self.note_list();
+        for index in 0..self.nodes.len() {
+            self.schedule_tick(index);
+            let first = self.random.below(1_000);
+            self.push(first, SimEvent::List { index });
+        }
+        for index in 0..self.spec.arrivals.len() {
+            self.push(self.spec.arrivals[index].at, SimEvent::Arrive(index));
+        }
+        for index in 0..self.spec.faults.len() {
+            let (from, until) = (self.spec.faults[index].from, self.spec.faults[index].until);
+            self.push(from, SimEvent::FaultOn(index));
+            self.push(until, SimEvent::FaultOff(index));
+        }
+        for change in 0..self.spec.changes.len() {
+            for index in 0..self.nodes.len() {
+                let at = self.spec.changes[change].0 + self.random.below(2_000);
+                self.push(at, SimEvent::Configure { index, change });
+            }
+        }
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > self.spec.length {
+                break;
+            }
+            self.now = at;
+            self.step(event);
+        }
+        self.finish()
+    }
+
+    fn finish(mut self) -> FleetResult {
+        for (name, log) in &self.result.logs {
+            let limits = self.spec.changes.iter().map(|(_, table)| table);
+            let limits = limits.chain([&self.spec.table]).filter_map(|it| it.accounts.get(name));
+            // A window over a change is judged by the larger limits.
+            let limit = limits.copied().reduce(|left, right| godwitroad_config::RateConfig {
+                tokens_per_second: left.tokens_per_second.max(right.tokens_per_second),
+                burst_tokens: left.burst_tokens.max(right.burst_tokens),
+            });
+            let excess = log.excess(limit.unwrap_or_default());
+            if excess > 0 {
+                self.result.faults.excess.insert(name.clone(), excess);
+            }
+        }
+        self.result.store_calls = self.store.calls;
+        let running = self.nodes.iter().filter(|node| node.running);
+        self.result.counters = running.map(|node| node.rate.counters()).collect();
+        self.result
+    }
+
+    fn push(&mut self, at: u64, event: SimEvent) {
+        self.sequence += 1;
+        self.queue.insert((at.max(self.now), self.sequence), event);
+    }
+
+    fn step(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::Node { index, incarnation, event } => {
+                if self.nodes[index].id.incarnation == Incarnation(incarnation) {
+                    self.run_node(index, event);
+                }
+            }
+            SimEvent::Tick { index, incarnation } => {
+                if self.nodes[index].id.incarnation == Incarnation(incarnation) {
+                    if !self.nodes[index].paused {
+                        self.run_node(index, NodeEvent::Tick);
+                    }
+                    if self.nodes[index].running {
+                        self.schedule_tick(index);
+                    }
+                }
+            }
+            SimEvent::List { index } => {
+                let seen = self.now.saturating_sub(self.spec.list_lag);
+                let lists = self.lists.iter().rev();
+                let list = lists.clone().find(|(at, _)| *at <= seen).or(self.lists.first());
+                if let Some((_, list)) = list.cloned() {
+                    self.run_node(index, NodeEvent::Member(MemberEvent::VmList(list)));
+                }
+                self.push(self.now + 1_000, SimEvent::List { index });
+            }
+            SimEvent::Store { index, incarnation, member, call, request, back } => {
+                self.run_store(index, incarnation, member, call, &request, back);
+            }
+            SimEvent::Arrive(index) => self.arrive(index),
+            SimEvent::FaultOn(index) => self.fault_on(index),
+            SimEvent::FaultOff(index) => self.fault_off(index),
+            SimEvent::Configure { index, change } => {
+                let table = Arc::clone(&self.spec.changes[change].1);
+                self.tables[index] = Arc::clone(&table);
+                self.run_node(index, NodeEvent::Rate(RateEvent::Configure(table)));
+            }
+        }
+    }
+
+    fn schedule_tick(&mut self, index: usize) {
+        let incarnation = self.nodes[index].id.incarnation.0;
+        let at = self.now + 1 + self.random.below(2 * self.spec.tick - 1);
+        self.push(at, SimEvent::Tick { index, incarnation });
+    }
+
+    fn run_node(&mut self, index: usize, event: NodeEvent) {
+        let node = &mut self.nodes[index];
+        if !node.running {
+            return;
+        }
+        if node.paused {
+            if node.backlog.len() < 1_000 {
+                node.backlog.push_back(event);
+            }
+            return;
+        }
+        let epoch = node.epoch;
+        let mut actions = Vec::new();
+        node.handle(self.now, event, &mut actions);
+        if node.epoch < epoch {
+            self.result.faults.epoch_returns += 1;
+        }
+        for action in actions {
+            self.act(index, action);
+        }
+        self.observe(index);
+    }
+
+    // A process that acts may be the only effective holder of a shard in its zone.
+    fn observe(&mut self, index: usize) {
+        let at = self.now;
+        for shard in &self.shards {
+            if self.nodes[index].holds(at, *shard) {
+                let zone = self.nodes[index].zone_index;
+                let holders = self.nodes.iter().filter(|node| node.zone_index == zone);
+                if holders.filter(|node| node.holds(at, *shard)).count() > 1 {
+                    self.result.faults.double_holders += 1;
+                }
+            }
+        }
+        if let Some(start) = self.started.get(&index).copied()
+            && self.nodes[index].member.may_hold(self.nodes[index].now(at))
+            && self.nodes[index].rate.is_ready()
+        {
+            self.started.remove(&index);
+            self.result.ready.push((index, start, at));
+        }
+    }
+
+    fn act(&mut self, index: usize, action: NodeAction) {
+        match action {
+            NodeAction::Send { to, message } => self.send(index, &to, message),
+            NodeAction::MemberStore { call, request } => {
+                self.call_store(index, true, call.0, request);
+            }
+            NodeAction::RateStore { call, request } => {
+                self.call_store(index, false, call.0, request);
+            }
+            NodeAction::Admitted { ticket, tokens } => {
+                let arrival = &self.spec.arrivals[ticket as usize];
+                let log = self.result.logs.entry(arrival.account.clone()).or_default();
+                log.admitted.push((self.now, tokens));
+                self.result.ends[ticket as usize] = RequestEnd::Admitted(self.now);
+                let settle = RateEvent::Settle { ticket, used: tokens };
+                let incarnation = self.nodes[index].id.incarnation.0;
+                let event = NodeEvent::Rate(settle);
+                self.push(self.now + 300, SimEvent::Node { index, incarnation, event });
+            }
+            NodeAction::Refused { ticket } => {
+                self.result.ends[ticket as usize] = RequestEnd::Refused(self.now);
+            }
+            NodeAction::Left => self.stop(index),
+        }
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let arrival = self.spec.arrivals[number].clone();
+        // The load balancer passes over VMs that don't run, first within the zone.
+        let zone = self.nodes[arrival.vm].zone_index;
+        let count = self.nodes.len();
+        let order = (0..count).map(|step| (arrival.vm + step) % count);
+        let mut order: Vec<usize> = order.filter(|index| self.nodes[*index].running).collect();
+        order.sort_by_key(|index| self.nodes[*index].zone_index != zone);
+        let Some(index) = order.first().copied() else { return };
+        let event = RateEvent::Reserve {
+            ticket: number as u64,
+            account: arrival.account,
+            tokens: arrival.tokens,
+            wait: self.spec.wait,
+        };
+        self.run_node(index, NodeEvent::Rate(event));
+    }
+
+    fn active(&self) -> impl Iterator<Item = FaultKind> + '_ {
+        self.spec.faults.iter().filter(|fault| fault.is_on(self.now)).map(|fault| fault.kind)
+    }
+
+    fn send(&mut self, from: usize, to: &VmName, message: WireMessage) {
+        let Some(index) = self.names.get(to).copied() else { return };
+        self.result.messages += 1;
+        if let WireMessage::Rate(message) = &message {
+            self.result.rate_messages += 1;
+            if self.spec.count_bytes {
+                let bytes = serde_json::to_vec(message).map_or(0, |bytes| bytes.len());
+                self.result.rate_bytes += bytes as u64;
+            }
+        }
+        let (here, there) = (self.nodes[from].zone_index, self.nodes[index].zone_index);
+        let mut bad = 0.0;
+        for fault in self.active().collect::<Vec<_>>() {
+            match fault {
+                FaultKind::ZoneCut(left, right) if (here, there) == (left, right) => return,
+                FaultKind::ZoneAlone(zone) if (here == zone) != (there == zone) => return,
+                FaultKind::Deaf(vm) if vm == index => return,
+                FaultKind::Mute(vm) if vm == from => return,
+                FaultKind::BadNetwork(chance) => bad = chance,
+                _ => {}
+            }
+        }
+        let base = if here == there { 1 } else { 2 + 3 * here.abs_diff(there) as u64 };
+        let copies = 1 + usize::from(self.random.chance(bad));
+        for _ in 0..copies {
+            if self.random.chance(bad) {
+                continue;
+            }
+            let late = if self.random.chance(bad) { self.random.below(1_000) } else { 0 };
+            let at = self.now + base + self.random.below(2) + late;
+            let event =
+                NodeEvent::Wire { from: self.nodes[from].id.clone(), message: message.clone() };
+            let incarnation = self.nodes[index].id.incarnation.0;
+            // A late message reaches whatever process runs on the VM by then.
+            let incarnation = if late > 500 { incarnation + 1 } else { incarnation };
+            self.push(at, SimEvent::Node { index, incarnation, event });
+        }
+    }
+
+    fn call_store(&mut self, index: usize, member: bool, call: u64, request: StoreRequest) {
+        let zone = self.nodes[index].zone_index;
+        let (mut reach, mut slow, mut lost) = (true, 0, 0.0);
+        for fault in self.active() {
+            match fault {
+                FaultKind::StoreDown => reach = false,
+                FaultKind::StoreCut(cut) | FaultKind::ZoneAlone(cut) if cut == zone => {
+                    reach = false;
+                }
+                FaultKind::StoreSlow(most) => slow = most,
+                FaultKind::AnswersLost(chance) => lost = chance,
+                _ => {}
+            }
+        }
+        let there = 2 + 3 * zone as u64 + self.random.below(2 + slow / 2);
+        let back = there + self.random.below(2 + slow / 2);
+        let incarnation = self.nodes[index].id.incarnation.0;
+        if !reach {
+            let failure =
+                if self.random.chance(0.5) { StoreFailure::Unknown } else { StoreFailure::NotSent };
+            let event = store_event(member, call, Err(failure));
+            self.push(self.now + back, SimEvent::Node { index, incarnation, event });
+            return;
+        }
+        let answered = !self.random.chance(lost);
+        let back = answered.then_some(back);
+        if !answered {
+            let event = store_event(member, call, Err(StoreFailure::Unknown));
+            let at = self.now + LOST_ANSWER_MS;
+            self.push(at, SimEvent::Node { index, incarnation, event });
+        }
+        let event = SimEvent::Store { index, incarnation, member, call, request, back };
+        self.push(self.now + there, event);
+    }
+
+    fn run_store(
+        &mut self,
+        index: usize,
+        incarnation: u64,
+        member: bool,
+        call: u64,
+        request: &StoreRequest,
+        back: Option<u64>,
+    ) {
+        let reply = self.store.apply(request);
+        if let (StoreRequest::Put { key, value, .. }, StoreReply::Written(_)) = (request, &reply)
+            && let Some(zone) = key.as_str().strip_prefix("roster/")
+        {
+            let epoch = Roster::decode(value).map_or(0, |roster| roster.epoch);
+            let last = self.roster_epochs.insert(zone.into(), epoch).unwrap_or(0);
+            self.result.faults.epoch_returns += u64::from(epoch != last + 1);
+        }
+        if let Some(back) = back {
+            let event = store_event(member, call, Ok(reply));
+            self.push(self.now + back, SimEvent::Node { index, incarnation, event });
+        }
+    }
+
+    fn fault_on(&mut self, fault: usize) {
+        match self.spec.faults[fault].kind {
+            FaultKind::Pause(vm) => self.nodes[vm].paused = true,
+            FaultKind::Restart(vm) => self.stop(vm),
+            FaultKind::RestartZone(zone) => {
+                let vms = (0..self.nodes.len()).filter(|vm| self.nodes[*vm].zone_index == zone);
+                vms.collect::<Vec<_>>().into_iter().for_each(|vm| self.stop(vm));
+            }
+            FaultKind::RestartAll => (0..self.nodes.len()).for_each(|vm| self.stop(vm)),
+            FaultKind::PlannedStop(vm) => {
+                self.run_node(vm, NodeEvent::Member(MemberEvent::Leave));
+            }
+            FaultKind::Lose(vm) => {
+                self.stop(vm);
+                self.nodes[vm].lost = true;
+                self.note_list();
+            }
+            _ => {}
+        }
+    }
+
+    fn fault_off(&mut self, fault: usize) {
+        match self.spec.faults[fault].kind {
+            FaultKind::Pause(vm) => self.resume(vm),
+            FaultKind::Restart(vm) => self.start(vm),
+            FaultKind::PlannedStop(vm) => {
+                self.stop(vm);
+                self.start(vm);
+            }
+            FaultKind::RestartZone(zone) => {
+                let vms = (0..self.nodes.len()).filter(|vm| self.nodes[*vm].zone_index == zone);
+                vms.collect::<Vec<_>>().into_iter().for_each(|vm| self.start(vm));
+            }
+            FaultKind::RestartAll => (0..self.nodes.len()).for_each(|vm| self.start(vm)),
+            _ => {}
+        }
+    }
+
+    fn resume(&mut self, vm: usize) {
+        self.nodes[vm].paused = false;
+        let backlog = std::mem::take(&mut self.nodes[vm].backlog);
+        for event in backlog {
+            self.run_node(vm, event);
+        }
+    }
+
+    fn stop(&mut self, vm: usize) {
+        self.nodes[vm].running = false;
+        self.nodes[vm].paused = false;
+        self.nodes[vm].backlog.clear();
+        self.started.remove(&vm);
+    }
+
+    fn start(&mut self, vm: usize) {
+        let old = &self.nodes[vm];
+        if old.running || old.lost {
+            return;
+        }
+        let id =
+            NodeId { vm: old.id.vm.clone(), incarnation: Incarnation(old.id.incarnation.0 + 1) };
+        let zone = (old.zone_index, old.zone.clone());
+        let clock = (self.random.below(1 << 40), speed(&self.spec, &mut self.random));
+        let table = Arc::clone(&self.tables[vm]);
+        let (wrong, now) = (self.spec.wrong, self.now);
+        self.nodes[vm] = SimNode::new(id, zone, &table, clock, wrong, now, &mut self.random);
+        self.started.insert(vm, now);
+        self.schedule_tick(vm);
+    }
+
+    fn note_list(&mut self) {
+        let live = self.nodes.iter().filter(|node| !node.lost);
+        let listing = |node: &SimNode| VmListing { vm: node.id.vm.clone(), state: VmState::Live };
+        self.lists.push((self.now, live.map(listing).collect()));
+    }
+}
+
+fn speed(spec: &FleetSpec, random: &mut SeededRandom) -> u64 {
+    1_000_000 - spec.drift_ppm + random.below(2 * spec.drift_ppm + 1)
+}
+
+fn store_event(member: bool, call: u64, outcome: StoreOutcome) -> NodeEvent {
+    let call = godwitroad_store::CallId(call);
+    if member {
+        NodeEvent::MemberStore { call, outcome }
+    } else {
+        NodeEvent::RateStore { call, outcome }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet/store.rs
@@ -0,0 +1,48 @@
+//! A key-value service in memory, with the semantics of the platform's.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use godwitroad_store::{KeyVersion, StoreEntry, StoreKey, StoreReply, StoreRequest};
+
+/// A key-value service with versions and compare-and-swap.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    newest: u64,
+    values: BTreeMap<StoreKey, (KeyVersion, Arc<[u8]>)>,
+    /// The calls that took effect.
+    pub calls: u64,
+}
+
+impl MemoryStore {
+    /// Carries out one call.
+    pub fn apply(&mut self, request: &StoreRequest) -> StoreReply {
+        self.calls += 1;
+        match request {
+            StoreRequest::Get { key } => StoreReply::Value(self.entry(key)),
+            StoreRequest::List { prefix } => {
+                let range = self.values.range(prefix.clone()..);
+                let keys = range.take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()));
+                let entries = keys.filter_map(|(key, _)| self.entry(key)).collect();
+                let newest = KeyVersion(self.newest);
+                StoreReply::Entries { entries, removed: Vec::new(), newest }
+            }
+            StoreRequest::Put { key, value, expected, .. } => {
+                let current = self.values.get(key).map_or(KeyVersion(0), |(version, _)| *version);
+                if expected.is_some_and(|expected| expected != current) {
+                    return StoreReply::Conflict(self.entry(key));
+                }
+                self.newest += 1;
+                let version = KeyVersion(self.newest);
+                self.values.insert(key.clone(), (version, Arc::clone(value)));
+                StoreReply::Written(version)
+            }
+            _ => StoreReply::LeaseGone,
+        }
+    }
+
+    /// Returns the value of `key`.
+    pub fn entry(&self, key: &StoreKey) -> Option<StoreEntry> {
+        let (version, value) = self.values.get(key)?;
+        Some(StoreEntry { key: key.clone(), version: *version, value: Arc::clone(value) })
+    }
+}
--- /dev/null
+++ b/crates/bench/src/limits.rs
@@ -0,0 +1,1 @@
+//! Over-admission and wrongful refusals.
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -1,9 +1,6 @@
 //! Events, messages and actions of the limits.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, VmName, ZoneName};
 use godwitroad_config::{ConfigDocument, RateConfig};
@@ -82,8 +79,8 @@
         /// The reservation.
         ticket: u64,
     },
-    /// The zones whose VMs are all gone by the platform's list, and whose terms have run out.
-    Gone(BTreeSet<ZoneName>),
+    /// The zones whose VMs are all gone by the platform's list and whose terms have run out, with their processes.
+    Gone(BTreeMap<ZoneName, Vec<NodeId>>),
     /// The process leaves: everything held goes to the successors.
     HandOver,
     /// Time passed.
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -9,7 +9,7 @@
     sync::Arc,
 };
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime, SeededRandom, VmName, ZoneName};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, SeededRandom, VmName, ZoneName};
 use godwitroad_store::{
     CallId, KeyVersion, StoreEntry, StoreFailure, StoreOutcome, StoreReply, StoreRequest,
 };
@@ -35,8 +35,8 @@
     View(Arc<HoldView>),
     /// The term until which this process may hold shards.
     Term(Option<ClockTime>),
-    /// The zones whose VMs are all gone by the platform's list, and whose terms have run out.
-    Gone(BTreeSet<ZoneName>),
+    /// The zones whose VMs are all gone by the platform's list and whose terms have run out, with their processes.
+    Gone(BTreeMap<ZoneName, Vec<NodeId>>),
     /// A call to the store ended.
     Store {
         /// The call.
@@ -191,7 +191,7 @@
     table: Arc<RateTable>,
     view: Arc<HoldView>,
     term: Option<ClockTime>,
-    gone: BTreeMap<ZoneName, ClockTime>,
+    gone: BTreeMap<ZoneName, (Vec<NodeId>, ClockTime)>,
     shards: BTreeMap<u16, ShardWork>,
     used: BTreeSet<u16>,
     serial: u64,
@@ -223,10 +223,14 @@
             ShareEvent::Term(term) => self.term = term,
             ShareEvent::Gone(zones) => {
                 // The grants of a zone's last holders can be spent for a while after their terms.
-                self.gone.retain(|zone, _| zones.contains(zone));
-                for zone in zones {
-                    self.gone.entry(zone).or_insert(now + RateBucket::grant_life());
+                let life = RateBucket::grant_life();
+                let mut gone = BTreeMap::new();
+                for (zone, nodes) in zones {
+                    let known = self.gone.get(&zone).filter(|(known, _)| *known == nodes);
+                    let until = known.map_or(now + life, |(_, until)| *until);
+                    gone.insert(zone, (nodes, until));
                 }
+                self.gone = gone;
             }
             ShareEvent::Store { call, outcome } => self.take_outcome(now, call, outcome, actions),
             ShareEvent::Received { shard } => {
@@ -487,8 +491,12 @@
             work.lowered.insert(name.clone());
         }
         let zone = &self.settings.zone;
-        let gone: BTreeSet<ZoneName> =
-            self.gone.iter().filter(|(_, at)| now >= **at).map(|(zone, _)| zone.clone()).collect();
+        // A claim by any other process shows that the zone has come back.
+        let gone = self.gone.iter().filter(|(zone, (nodes, until))| {
+            let claim = work.value.claims.get(*zone);
+            now >= *until && claim.is_none_or(|claim| nodes.contains(&claim.node))
+        });
+        let gone: BTreeSet<ZoneName> = gone.map(|(zone, _)| zone.clone()).collect();
         let mut value = changed_value(&work.value, shard, zone, &self.table, &rows, &gone);
         if let Some((claim, _)) = &work.trying {
             value.claims.insert(zone.clone(), claim.clone());
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -340,7 +340,10 @@
         let ask = wallet.asks.remove(index);
         self.silent.remove(from);
         wallet.pool.add(from, grant.serial, grant.tokens, ask.sent);
-        if ask.awaited {
+        if ask.awaited && ask.need == 0 {
+            // A holder that has nothing to spare is not asked for more at once.
+            wallet.dry_until = now + ClockSpan::from_ms(DRY_MS.1 / 2);
+        } else if ask.awaited {
             if grant.tokens >= ask.need.max(1) {
                 wallet.step = 0;
             } else {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -319,13 +319,16 @@
         self.gone_since = since.collect();
     }
 
-    /// Returns the zones whose last members the VM list has shown as gone for longer than their terms.
-    ///
-    /// A zone whose roster is empty counts too: its members left after handing over.
-    pub fn gone_zones(&self, now: ClockTime) -> BTreeSet<ZoneName> {
+    /// Returns the zones whose last members the VM list has shown as gone for longer than their terms, with those
+    /// members. The zone's roster can be old: only what exactly these processes held is surely free.
+    pub fn gone_zones(&self, now: ClockTime) -> BTreeMap<ZoneName, Vec<NodeId>> {
         let wait = longest_span(ClockSpan::from_ms(HOLD_TERM_MS + TERM_MARGIN_MS));
         let over = self.gone_since.iter().filter(|(_, (_, since))| now >= *since + wait);
-        over.map(|(zone, _)| zone.clone()).collect()
+        let members = over.filter_map(|(zone, _)| {
+            let roster = self.neighbours.get(zone)?;
+            Some((zone.clone(), roster.members.iter().map(RosterMember::node).collect()))
+        });
+        members.collect()
     }
 
     fn take_news(&mut self, now: ClockTime, news: WorkNews, actions: &mut Vec<MemberAction>) {
