--- a/crates/limits/src/holder.rs
+++ b/crates/limits/src/holder.rs
@@ -19,7 +19,10 @@
 };
 
 /// The part of a bucket's level that is promised to the backup.
-const RESERVE_PART: u64 = 2;
+const RESERVE_PART: u64 = 4;
+
+/// The part of a bucket's capacity that may be prepaid: tokens that lie idle in one router are missed in another.
+const PREPAID_PART: u64 = 4;
 
 /// The time without an ask after which an account's state is dropped once its bucket is full.
 const QUIET_MS: u64 = 60_000;
@@ -402,8 +405,10 @@
         account.demand.add(now, if entry.partial { 0 } else { entry.need });
         let level = account.bucket.level();
         let available = level.saturating_sub(account.pledges.floor());
+        let prepaid = RateBucket::capacity(account.bucket.row()) / PREPAID_PART;
+        let extra = entry.extra.min(prepaid.saturating_sub(account.bucket.outstanding()));
         grant.tokens = match available.checked_sub(entry.need) {
-            Some(spare) => entry.need + entry.extra.min(spare / EXTRA_PART),
+            Some(spare) => entry.need + extra.min(spare / EXTRA_PART),
             None if entry.partial => available,
             None => 0,
         };
--- a/crates/limits/src/settings.rs
+++ b/crates/limits/src/settings.rs
@@ -40,7 +40,7 @@
             call: ClockSpan::from_ms(5_000),
             ask: ClockSpan::from_ms(150),
             report: ClockSpan::from_ms(100),
-            prefetch: ClockSpan::from_ms(400),
+            prefetch: ClockSpan::from_ms(1_000),
             pledge: ClockSpan::from_ms(500),
             hand_over: ClockSpan::from_ms(300),
         }
