Never release the claim of an earlier process

Change: a process releases only claims of its own incarnation. A test of this case, a state-machine test against a naive sequential table, and tests of retention and of a silent store.

--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -45,7 +45,8 @@
     ) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             match reply {
-                ClaimReply::Granted => self.orphan(now, id, hash),
+                // A late grant for an earlier process of this VM is none of ours to release: its request may have run.
+                ClaimReply::Granted if id.node == self.tag => self.orphan(now, id, hash),
                 ClaimReply::Done => self.take_release(now, id),
                 _ => {}
             }
--- /dev/null
+++ b/crates/once/tests/support/fixture.rs
@@ -0,0 +1,160 @@
+//! Claim tables driven until nothing is left to do, over a store that answers at once.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use godwitroad_base::{ClockSpan, ClockTime, NodeId, RequestId, VmName};
+use godwitroad_once::{ClaimTable, ClaimVerdict, OnceAction, OnceEvent, OnceSettings};
+use godwitroad_store::{
+    OperationReply, StoreOperation, StoreReply, StoreRequest, model::StoreModel,
+};
+
+/// Tables in one zone that share a store.
+#[derive(Debug)]
+pub(crate) struct Fixture {
+    tables: Vec<ClaimTable>,
+    incarnations: Vec<u64>,
+    settings: OnceSettings,
+    model: StoreModel,
+    now: ClockTime,
+    serial: u64,
+    verdicts: Vec<(RequestId, ClaimVerdict)>,
+    keys: BTreeMap<RequestId, Arc<str>>,
+}
+
+impl Fixture {
+    pub(crate) fn new(tables: usize, settings: OnceSettings) -> Fixture {
+        let mut fixture = Fixture {
+            tables: Vec::new(),
+            incarnations: vec![1; tables],
+            settings,
+            model: StoreModel::new(),
+            now: ClockTime::from_ms(1_000),
+            serial: 0,
+            verdicts: Vec::new(),
+            keys: BTreeMap::new(),
+        };
+        for index in 0..tables {
+            let table = fixture.build(index);
+            fixture.tables.push(table);
+        }
+        fixture.tell_rosters();
+        fixture
+    }
+
+    pub(crate) fn node(&self, index: usize) -> NodeId {
+        NodeId::new(vm(index), self.incarnations[index])
+    }
+
+    fn build(&self, index: usize) -> ClaimTable {
+        ClaimTable::new(OnceSettings { node: self.node(index), ..self.settings.clone() })
+    }
+
+    pub(crate) fn restart(&mut self, index: usize) {
+        self.incarnations[index] += 1;
+        self.tables[index] = self.build(index);
+        self.tell_rosters();
+    }
+
+    pub(crate) fn next_id(&mut self, index: usize) -> RequestId {
+        self.serial += 1;
+        RequestId { node: self.node(index).tag(), serial: self.serial }
+    }
+
+    fn tell_rosters(&mut self) {
+        let indices = 0..self.incarnations.len();
+        let live: Vec<NodeId> = indices.clone().map(|index| self.node(index)).collect();
+        for index in indices.clone() {
+            let members = indices.clone().map(vm).collect();
+            self.drive(index, OnceEvent::Rosters { members, live: live.clone() });
+        }
+    }
+
+    /// Hands an event to a table and lets two seconds pass.
+    pub(crate) fn drive(&mut self, index: usize, event: OnceEvent) {
+        if let OnceEvent::Claim { id, key, .. } = &event {
+            self.keys.insert(*id, key.clone());
+        }
+        self.step(index, event);
+        for _ in 0..200 {
+            self.now += ClockSpan::from_ms(10);
+            for table in 0..self.tables.len() {
+                self.step(table, OnceEvent::Tick);
+            }
+        }
+    }
+
+    /// Hands an event to a table and everything that follows from it at once.
+    fn step(&mut self, index: usize, event: OnceEvent) {
+        let mut events = VecDeque::from([(index, event)]);
+        while let Some((index, event)) = events.pop_front() {
+            let Some(table) = self.tables.get_mut(index) else { continue };
+            let mut actions = Vec::new();
+            table.handle(self.now, event, &mut actions);
+            for action in actions {
+                match action {
+                    OnceAction::Verdict { id, verdict } => self.verdicts.push((id, verdict)),
+                    OnceAction::State { .. } => {}
+                    OnceAction::Submit { op, order } => {
+                        let result = Ok(self.apply(&order.operation));
+                        events.push_back((index, OnceEvent::Store { op, result }));
+                    }
+                    OnceAction::Send { to, message } => {
+                        let to = (0..self.tables.len()).find(|index| vm(*index) == to);
+                        let from = vm(index);
+                        events.extend(to.map(|to| (to, OnceEvent::Peer { from, message })));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets time pass without a tick.
+    pub(crate) fn pass(&mut self, span: ClockSpan) {
+        self.now += span;
+    }
+
+    pub(crate) fn key_of(&self, id: RequestId) -> Option<&Arc<str>> {
+        self.keys.get(&id)
+    }
+
+    /// Returns the only verdict of a request.
+    pub(crate) fn verdict(&self, id: RequestId) -> Option<&ClaimVerdict> {
+        let mut verdicts = self.verdicts.iter().filter(|(other, _)| *other == id);
+        let verdict = verdicts.next().map(|(_, verdict)| verdict);
+        assert!(verdicts.next().is_none(), "{id} had two verdicts");
+        verdict
+    }
+
+    fn apply(&mut self, operation: &StoreOperation) -> OperationReply {
+        let now = self.now;
+        let request = match operation.clone() {
+            StoreOperation::Get { key } => StoreRequest::Get { key },
+            StoreOperation::List { prefix } => StoreRequest::List { prefix },
+            StoreOperation::Cas { key, value, expected, lease, .. } => {
+                StoreRequest::Put { key, value, expected: Some(expected), lease }
+            }
+            StoreOperation::Delete { key, expected } => StoreRequest::Delete { key, expected },
+            StoreOperation::Grant { ttl } => StoreRequest::Grant { ttl },
+            StoreOperation::KeepAlive { lease } => StoreRequest::KeepAlive { lease },
+            StoreOperation::Watch { .. } => unreachable!("claims don't watch"),
+        };
+        match self.model.apply(now, &request).expect("only a watch has no reply") {
+            StoreReply::Value(entry) => OperationReply::Value(entry),
+            StoreReply::Entries { entries, newest, .. } => {
+                OperationReply::Entries { entries, newest }
+            }
+            StoreReply::Written(version) => OperationReply::Written { version, entry: None },
+            StoreReply::Conflict(entry) => OperationReply::Conflict(entry),
+            StoreReply::Lease { lease, ttl } => OperationReply::Lease { lease, until: now + ttl },
+            StoreReply::LeaseGone => OperationReply::LeaseGone,
+            StoreReply::Compacted => unreachable!("claims don't watch"),
+        }
+    }
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::new(format!("vm-{index}"))
+}
--- /dev/null
+++ b/crates/once/tests/table.rs
@@ -0,0 +1,216 @@
+//! Claim tables against a naive sequential version, and single rules of theirs.
+
+mod support;
+
+use std::sync::Arc;
+
+use godwitroad_base::{AccountName, ClockSpan, RequestId};
+use godwitroad_once::{
+    ClaimHash, ClaimReply, ClaimVerdict, OnceAction, OnceEvent, OnceMessage, OnceSettings,
+    RequestDigest, RunEnd,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use support::{fixture::Fixture, naive::NaiveTable};
+
+const TABLES: usize = 2;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim { table: usize, key: u8, request: u8 },
+    Finish { pick: usize, end: RunEnd },
+    Restart { table: usize },
+}
+
+#[derive(Clone, Debug, Default)]
+struct Naive {
+    table: NaiveTable,
+    verdict: Option<ClaimVerdict>,
+}
+
+struct Real {
+    fixture: Fixture,
+    // The real ids by the naive serial, because ids name the incarnation that took the request.
+    ids: Vec<(usize, RequestId)>,
+}
+
+fn account() -> AccountName {
+    AccountName::from("account")
+}
+
+fn claim(id: RequestId, key: u8, request: u8) -> OnceEvent {
+    let key = format!("key-{key}").into();
+    OnceEvent::Claim { id, account: account(), key, digest: RequestDigest::of(&[request]) }
+}
+
+fn end() -> impl Strategy<Value = RunEnd> {
+    let body = |length: usize| RunEnd::Answered(Arc::from(vec![b'x'; length]));
+    prop_oneof![
+        4 => Just(body(10)),
+        2 => Just(body(5_000)),
+        1 => Just(RunEnd::Unknown),
+        2 => Just(RunEnd::NotRun),
+    ]
+}
+
+impl ReferenceStateMachine for Naive {
+    type State = Naive;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Naive> {
+        Just(Naive::default()).boxed()
+    }
+
+    fn transitions(_: &Naive) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => (0..TABLES, 0..6u8, prop_oneof![9 => Just(0u8), 1 => Just(1u8)])
+                .prop_map(|(table, key, request)| Step::Claim { table, key, request }),
+            4 => (0..8usize, end()).prop_map(|(pick, end)| Step::Finish { pick, end }),
+            1 => (0..TABLES).prop_map(|table| Step::Restart { table }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Naive, step: &Step) -> Naive {
+        state.verdict = None;
+        match step {
+            Step::Claim { table, key, request } => {
+                let digest = RequestDigest::of(&[*request]);
+                state.verdict = Some(state.table.claim(*table, *key, digest));
+            }
+            Step::Finish { pick, end } => {
+                let running = state.table.running();
+                if let Some(key) = running.get(pick % running.len().max(1)) {
+                    state.table.finish(*key, end.clone());
+                }
+            }
+            Step::Restart { table } => state.table.restart(*table),
+        }
+        state
+    }
+}
+
+impl StateMachineTest for Real {
+    type SystemUnderTest = Real;
+    type Reference = Naive;
+
+    fn init_test(_: &Naive) -> Real {
+        // Small slices and few loaded ones make a short run pass through sealed and unloaded slices.
+        let settings = OnceSettings { slice_records: 2, loaded_slices: 1, ..Default::default() };
+        Real { fixture: Fixture::new(TABLES, settings), ids: Vec::new() }
+    }
+
+    fn apply(mut real: Real, naive: &Naive, step: Step) -> Real {
+        match step {
+            Step::Claim { table, key, request } => {
+                let id = real.fixture.next_id(table);
+                real.ids.push((table, id));
+                real.fixture.drive(table, claim(id, key, request));
+                assert_eq!(real.fixture.verdict(id), naive.verdict.as_ref());
+            }
+            Step::Finish { pick, end } => {
+                // The naive table has applied the step already, so that the running requests are found by what the
+                // real ones were told.
+                let running = real.running();
+                if let Some((table, id)) = running.get(pick % running.len().max(1)).copied() {
+                    real.fixture.drive(table, OnceEvent::Finish { id, end });
+                    real.ids.retain(|(_, other)| *other != id);
+                }
+            }
+            Step::Restart { table } => {
+                real.fixture.restart(table);
+                real.ids.retain(|(other, _)| *other != table);
+            }
+        }
+        real
+    }
+}
+
+impl Real {
+    // The running requests in the order of their keys, as the naive table lists them.
+    fn running(&self) -> Vec<(usize, RequestId)> {
+        let mut running: Vec<(usize, RequestId)> = self
+            .ids
+            .iter()
+            .filter(|(_, id)| self.fixture.verdict(*id) == Some(&ClaimVerdict::Run))
+            .copied()
+            .collect();
+        running.sort_by_key(|(_, id)| self.fixture.key_of(*id));
+        running
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..Config::default()
+    })]
+
+    /// Guards against a verdict that differs from that of a table without store, batches, slices and forwarding.
+    #[test]
+    fn tables_agree_with_naive_table(sequential 1..24 => Real);
+}
+
+/// Guards against a restarted process that releases the claims of its predecessor, whose requests may have run.
+#[test]
+fn late_grant_for_an_earlier_process_is_not_released() {
+    let mut fixture = Fixture::new(1, OnceSettings::default());
+    let id = fixture.next_id(0);
+    fixture.drive(0, claim(id, 1, 0));
+    assert_eq!(fixture.verdict(id), Some(&ClaimVerdict::Run));
+    fixture.restart(0);
+    let hash = ClaimHash::new(&account(), "key-1");
+    let message = OnceMessage::Reply { id, hash, reply: ClaimReply::Granted };
+    fixture.drive(0, OnceEvent::Peer { from: "vm-0".into(), message });
+    let again = fixture.next_id(0);
+    fixture.drive(0, claim(again, 1, 0));
+    assert_eq!(fixture.verdict(again), Some(&ClaimVerdict::Unknown));
+}
+
+/// Guards against a claim that expires before its retention has passed, and against one that never expires.
+#[test]
+fn claims_last_for_their_retention() {
+    let retention = ClockSpan::from_secs(600);
+    let mut fixture = Fixture::new(1, OnceSettings { retention, ..Default::default() });
+    let [first, early, late] = [0; 3].map(|_| fixture.next_id(0));
+    fixture.drive(0, claim(first, 1, 0));
+    let body: Arc<[u8]> = b"answer".to_vec().into();
+    fixture.drive(0, OnceEvent::Finish { id: first, end: RunEnd::Answered(body.clone()) });
+    fixture.pass(ClockSpan::from_secs(590));
+    fixture.drive(0, claim(early, 1, 0));
+    let replay = ClaimVerdict::Replay { digest: RequestDigest::of(&body), body: Some(body) };
+    assert_eq!(fixture.verdict(early), Some(&replay));
+    fixture.pass(ClockSpan::from_secs(1_300));
+    fixture.restart(0);
+    fixture.drive(0, claim(late, 1, 0));
+    assert_eq!(fixture.verdict(late), Some(&ClaimVerdict::Run));
+}
+
+/// Guards against a request that runs after its caller was told that it didn't.
+#[test]
+fn silent_store_refuses_and_never_runs() {
+    let mut table = godwitroad_once::ClaimTable::new(OnceSettings::default());
+    let mut actions = Vec::new();
+    let id = RequestId { node: 1, serial: 1 };
+    let at = godwitroad_base::ClockTime::from_ms;
+    table.handle(at(0), claim(id, 1, 0), &mut actions);
+    for ms in (10..5_000).step_by(10) {
+        table.handle(at(ms), OnceEvent::Tick, &mut actions);
+    }
+    let hash = ClaimHash::new(&account(), "key-1");
+    let message = OnceMessage::Reply { id, hash, reply: ClaimReply::Granted };
+    table.handle(at(5_000), OnceEvent::Peer { from: "vm-1".into(), message }, &mut actions);
+    let verdicts: Vec<&ClaimVerdict> = actions
+        .iter()
+        .filter_map(|action| match action {
+            OnceAction::Verdict { verdict, .. } => Some(verdict),
+            _ => None,
+        })
+        .collect();
+    assert!(matches!(verdicts[..], [ClaimVerdict::NotRun { .. }]), "{verdicts:?}");
+}
