--- a/crates/once/src/sim.rs
+++ b/crates/once/src/sim.rs
@@ -315,7 +315,8 @@
                 self.drive(now, to, OnceEvent::Peer { from, message });
             }
             FleetEvent::Outcome { node, incarnation, call, outcome } => {
-                if self.nodes[node].incarnation == incarnation {
+                let is_cut = self.is_cut(now, self.nodes[node].zone);
+                if self.nodes[node].incarnation == incarnation && !is_cut {
                     self.drive_client(now, node, StoreEvent::Outcome { call, outcome });
                 }
             }
--- a/crates/store/src/sim.rs
+++ b/crates/store/src/sim.rs
@@ -30,6 +30,8 @@
     pub slow_requests: f64,
     /// The times during which the service answers nothing.
     pub outages: Vec<(ClockTime, ClockTime)>,
+    /// The bytes that an answer carries in a millisecond, or zero when its size doesn't matter.
+    pub answer_bytes_per_ms: u64,
     /// Whether writes ignore the expected version: a wrong service, against which checkers are tested.
     pub is_blind: bool,
 }
@@ -214,9 +216,11 @@
         back: Option<u64>,
     ) {
         let traffic = self.traffic.entry((node.clone(), kind)).or_default();
-        traffic.bytes_out += reply_bytes(&reply);
+        let bytes = reply_bytes(&reply);
+        traffic.bytes_out += bytes;
+        let transfer = bytes.checked_div(self.faults.answer_bytes_per_ms).unwrap_or(0);
         if let Some(back) = back {
-            self.put(at, back, SimWork::Answer { node, call, outcome: Ok(reply) });
+            self.put(at, back + transfer, SimWork::Answer { node, call, outcome: Ok(reply) });
         }
     }
 
--- a/crates/store/tests/linearizability.rs
+++ b/crates/store/tests/linearizability.rs
@@ -24,7 +24,7 @@
         late_requests: 0.03,
         slow_requests: 0.1,
         outages,
-        is_blind: false,
+        ..SimFaults::default()
     }
 }
 
--- a/crates/sync/src/contact.rs
+++ b/crates/sync/src/contact.rs
@@ -13,6 +13,7 @@
     pub(crate) store: Option<ClockTime>,
     pub(crate) outside: Option<ClockTime>,
     told: Option<ClockTime>,
+    told_store: Option<ClockTime>,
 }
 
 impl ContactRecord {
@@ -29,6 +30,7 @@
         let ages = [status.store_age, status.outside_age];
         let newest = ages.into_iter().flatten().min().map(|age| now - age);
         self.told = self.told.max(newest);
+        self.told_store = self.told_store.max(status.store_age.map(|age| now - age));
     }
 
     /// Returns the age of the zone's newest contact, counted from `start` when there was none.
@@ -36,4 +38,9 @@
         let newest = self.store.max(self.outside).max(self.told).unwrap_or(start);
         now.since(newest.max(start))
     }
+
+    /// Returns the age of the zone's newest read of the store, counted from `start` when there was none.
+    pub(crate) fn store_age(&self, now: ClockTime, start: ClockTime) -> ClockSpan {
+        now.since(self.store.max(self.told_store).unwrap_or(start).max(start))
+    }
 }
--- a/crates/sync/src/duty.rs
+++ b/crates/sync/src/duty.rs
@@ -24,6 +24,8 @@
             return;
         };
         match SyncHead::decode(&entry.value) {
+            // A refused generation is of no use: the newest one that can come into force is known to peers only.
+            Ok(head) if head.generation == self.refused => self.startup.fail_store(),
             Ok(head) => {
                 self.startup.read_store(head.generation);
                 self.take_head(not_before, Arc::new(head));
@@ -40,8 +42,7 @@
             WatchUpdate::Snapshot(entries) | WatchUpdate::Changes { entries, .. } => entries,
         };
         // Only the first watcher fetches at once; the second gives it time to do so for the zone.
-        let watchers = self.watchers_of(&self.settings.zone);
-        let is_first = watchers.first() == Some(&self.settings.vm);
+        let is_first = self.watchers.first() == Some(&self.settings.vm);
         let not_before = if is_first { now } else { now + self.settings.second_wait };
         let entry = entries.iter().find(|entry| entry.key == head_key());
         match (entry, &update) {
@@ -103,7 +104,7 @@
     }
 
     pub(crate) fn do_watch_duty(&mut self, actions: &mut Vec<SyncAction>) {
-        let is_duty = self.watchers_of(&self.settings.zone).contains(&self.settings.vm);
+        let is_duty = self.watchers.contains(&self.settings.vm);
         match (is_duty, self.watch) {
             (true, None) => {
                 let op = self.next_op();
@@ -131,7 +132,7 @@
         let is_watching = self.watch.is_some()
             && since(self.contact.store).is_none_or(|age| age >= self.settings.confirm)
             && since(self.head_read_at).is_some_and(|age| age >= self.settings.confirm);
-        let zone_age = self.zone_store_age(now);
+        let zone_age = self.contact.store_age(now, self.start);
         let pause = ClockSpan::from_ms(self.settings.confirm.as_ms() + self.random.below(1_000));
         let is_substitute = zone_age >= self.settings.substitute_after
             && since(self.head_read_at).is_some_and(|age| age >= pause);
@@ -148,16 +149,6 @@
         actions.push(SyncAction::Submit { op, order });
     }
 
-    fn zone_store_age(&self, now: ClockTime) -> ClockSpan {
-        let own = self.contact.store.unwrap_or(self.start);
-        let told = self
-            .peers
-            .iter()
-            .filter(|(peer, _)| self.is_neighbour(peer))
-            .filter_map(|(_, view)| view.status.store_age.map(|age| view.heard - age));
-        now.since(told.fold(own, ClockTime::max))
-    }
-
     pub(crate) fn order_from_store(
         &mut self,
         need: FetchNeed,
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -14,6 +14,9 @@
 mod progress;
 mod serve;
 mod settings;
+pub mod sim;
+mod sim_judge;
+mod sim_settings;
 mod startup;
 
 pub use apply::{ApplyAction, ApplyEvent, ApplyResult, ApplySettings, ConfigApply};
--- a/crates/sync/src/machine.rs
+++ b/crates/sync/src/machine.rs
@@ -126,10 +126,13 @@
     pub(crate) random: SeededRandom,
     pub(crate) counters: SyncCounters,
     pub(crate) zones: BTreeMap<ZoneName, Vec<VmName>>,
+    // Derived from `zones`, because every tick and every message asks for them.
+    zone_by_vm: BTreeMap<VmName, ZoneName>,
+    pub(crate) watchers: Vec<VmName>,
     pub(crate) peers: BTreeMap<VmName, PeerView>,
     pub(crate) force: Option<HeldConfig>,
     offered: Option<HeldConfig>,
-    refused: u64,
+    pub(crate) refused: u64,
     pub(crate) fetch: Option<ConfigFetch>,
     pub(crate) startup: StartupCheck,
     pub(crate) ready: Option<ReadySource>,
@@ -155,6 +158,8 @@
             random,
             counters: SyncCounters::default(),
             zones: BTreeMap::new(),
+            zone_by_vm: BTreeMap::new(),
+            watchers: Vec::new(),
             peers: BTreeMap::new(),
             force: None,
             offered: None,
@@ -245,7 +250,7 @@
     }
 
     pub(crate) fn zone_of(&self, vm: &VmName) -> Option<&ZoneName> {
-        self.zones.iter().find(|(_, members)| members.contains(vm)).map(|(zone, _)| zone)
+        self.zone_by_vm.get(vm)
     }
 
     pub(crate) fn is_neighbour(&self, vm: &VmName) -> bool {
@@ -266,6 +271,11 @@
 
     fn take_rosters(&mut self, zones: BTreeMap<ZoneName, Vec<VmName>>) {
         self.zones = zones;
+        self.watchers = self.watchers_of(&self.settings.zone);
+        let pairs = self.zones.iter().flat_map(|(zone, members)| {
+            members.iter().map(|member| (member.clone(), zone.clone()))
+        });
+        self.zone_by_vm = pairs.collect();
         let members: BTreeSet<&VmName> = self.zones.values().flatten().collect();
         self.peers.retain(|peer, _| members.contains(peer));
         if self.ready.is_none() {
@@ -312,6 +322,9 @@
     }
 
     pub(crate) fn take_head(&mut self, not_before: ClockTime, head: Arc<SyncHead>) {
+        if head.generation == self.refused {
+            return;
+        }
         self.want(not_before, head.generation);
         let Some(fetch) = &mut self.fetch else { return };
         if fetch.head.is_none() && head.generation >= fetch.generation {
@@ -340,6 +353,7 @@
     fn refuse(&mut self, generation: u64) {
         if self.offered.take_if(|held| held.head.generation == generation).is_some() {
             self.refused = generation;
+            self.startup.refuse(generation);
             self.counters.refused += 1;
         }
     }
@@ -400,11 +414,7 @@
         if self.ready.is_some() {
             return;
         }
-        // A refused generation can't come into force; with an older one in force the node has done what it can.
-        let generation = match self.generation() {
-            0 => 0,
-            generation => generation.max(self.refused),
-        };
+        let generation = self.generation();
         match self.startup.check(now, &self.settings, generation) {
             Ok(source) => {
                 self.ready = Some(source);
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -69,3 +69,19 @@
     /// The sender doesn't hold these chunks.
     ChunksMissing(Vec<ChunkDigest>),
 }
+
+impl SyncMessage {
+    /// Returns the approximate size in bytes, by which traffic is counted.
+    pub fn weight(&self) -> u64 {
+        // A digest takes 32 bytes and a line of the change log 24; the rest of a message is below 64 bytes.
+        let body = match self {
+            SyncMessage::Head(head) => 32 * head.chunks.len() + 24 * head.log.len(),
+            SyncMessage::ChunkRequest(digests) | SyncMessage::ChunksMissing(digests) => {
+                32 * digests.len()
+            }
+            SyncMessage::Chunk(chunk) => chunk.len(),
+            _ => 0,
+        };
+        body as u64 + 64
+    }
+}
--- a/crates/sync/src/startup.rs
+++ b/crates/sync/src/startup.rs
@@ -46,6 +46,14 @@
         self.store = self.store.max(Some(generation));
     }
 
+    /// Records that the store's generation can't come into force, so that the peers must be asked.
+    pub(crate) fn refuse(&mut self, generation: u64) {
+        if self.store == Some(generation) {
+            self.store = None;
+            self.store_failed = true;
+        }
+    }
+
     pub(crate) fn fail_store(&mut self) {
         self.store_failed = true;
     }
