Settle a repeated apply by its change id even when its own write was answered

Change: the marker of a write is checked in every conflict, and the generation comes from the value that shows it. The judge no longer expects a document back that no node and no head holds: while a refused document is the newest, nodes must agree on the newest generation that any of them holds; readiness after a store read is judged more strictly. Conclusion: operators get the true result of a change.

--- a/crates/store/src/task.rs
+++ b/crates/store/src/task.rs
@@ -176,7 +176,8 @@
             marker.is_some_and(|marker| (marker.holds)(&entry.value, marker.change))
         };
         match entry {
-            Some(entry) if self.is_exposed && holds(&entry) => {
+            // An earlier operation with the same change id, whose result its owner never got, counts as well.
+            Some(entry) if holds(&entry) => {
                 TaskNext::Done(Ok(OperationReply::Written { version, entry: Some(entry) }))
             }
             _ if self.step == TaskStep::Settle && version == expected => {
--- a/crates/sync/src/apply.rs
+++ b/crates/sync/src/apply.rs
@@ -259,9 +259,12 @@
 
     fn take_write(&mut self, result: Result<OperationReply>, actions: &mut Vec<ApplyAction>) {
         let result = match result {
-            Ok(OperationReply::Written { .. }) => {
-                let generation = self.next.as_ref().map_or(0, |next| next.generation);
-                ApplyResult::Accepted { generation }
+            Ok(OperationReply::Written { entry, .. }) => {
+                // A value that was read in place of the answer can hold an earlier attempt's write of this change.
+                let head = decode(entry.as_ref()).ok().flatten();
+                let read = head.and_then(|head| head.generation_of(self.change));
+                let written = self.next.as_ref().map_or(0, |next| next.generation);
+                ApplyResult::Accepted { generation: read.unwrap_or(written) }
             }
             Ok(OperationReply::Conflict(entry)) => match decode(entry.as_ref()) {
                 Ok(head) => ApplyResult::Conflict { head },
--- a/crates/sync/src/sim.rs
+++ b/crates/sync/src/sim.rs
@@ -446,8 +446,7 @@
 
     fn install(&mut self, now: ClockTime, index: usize, head: &Arc<SyncHead>) {
         let generation = head.generation;
-        let change = (head.change.0 - 1) as usize;
-        if self.settings.changes[change].is_invalid {
+        if self.is_invalid(head.change) {
             return self.drive(now, index, SyncEvent::Refused { generation });
         }
         let run = self.nodes[index].run;
@@ -506,7 +505,7 @@
         });
         let newest = peers.map(|(_, generation)| *generation).max().unwrap_or(0);
         let known = match source {
-            ReadySource::Store => self.last_valid(node.known.0),
+            ReadySource::Store => node.known.0,
             ReadySource::Peers if self.settings.message_faults > 0.0 => 0,
             ReadySource::Peers => newest,
         };
@@ -515,14 +514,8 @@
         self.judge.ready(now, index, span, generation, known);
     }
 
-    // Refused documents never come into force, so that the newest valid generation counts.
-    fn last_valid(&self, generation: u64) -> u64 {
-        let Some(head) = self.store_head() else { return 0 };
-        let is_valid =
-            |change: ChangeId| !self.settings.changes[(change.0 - 1) as usize].is_invalid;
-        let valid =
-            head.log.iter().filter(|note| note.generation <= generation && is_valid(note.change));
-        valid.map(|note| note.generation).max().unwrap_or(0)
+    fn is_invalid(&self, change: ChangeId) -> bool {
+        self.settings.changes[(change.0 - 1) as usize].is_invalid
     }
 
     fn check_contact(&mut self, now: ClockTime, zone: usize, from: ClockTime) {
@@ -621,21 +614,24 @@
 
     fn finish(mut self) -> HistoryReport {
         let now = ClockTime::from_ms(self.settings.length_ms);
-        let newest = self.store_head().map_or(0, |head| head.generation);
-        let newest = self.last_valid(newest);
+        // A refused document never comes into force. While one is the newest, the nodes must agree on the newest
+        // generation that any of them holds, if there is one.
+        let held = self.nodes.iter().map(|node| node.sync.generation()).max().unwrap_or(0);
+        let newest = match self.store_head() {
+            Some(head) if !self.is_invalid(head.change) => head.generation,
+            _ => held,
+        };
         for index in 0..self.nodes.len() {
-            let node = &self.nodes[index];
-            let generation = node.sync.generation();
+            let sync = &self.nodes[index].sync;
+            let (generation, readiness) = (sync.generation(), sync.readiness());
             if generation != newest {
                 let text = format!("node {index} ended with {generation} in place of {newest}");
                 self.judge.breach(now, text);
             }
-            let node = &self.nodes[index];
-            if let Err(reason) = node.sync.readiness()
+            if let Err(reason) = readiness
                 && newest > 0
             {
-                let text = format!("node {index} isn't ready: {reason}");
-                self.judge.breach(now, text);
+                self.judge.breach(now, format!("node {index} isn't ready: {reason}"));
             }
             self.calls += self.nodes[index].client.counters().sent();
         }
--- a/crates/sync/src/sim_judge.rs
+++ b/crates/sync/src/sim_judge.rs
@@ -41,6 +41,8 @@
     generations: BTreeMap<(usize, u64), u64>,
     accepted: BTreeMap<u64, ChangeId>,
     began: BTreeMap<ChangeId, ClockTime>,
+    // Changes of which an earlier attempt may still take effect.
+    unknown: BTreeSet<ChangeId>,
     waiting: BTreeMap<u64, (ClockTime, BTreeSet<usize>)>,
 }
 
@@ -124,11 +126,11 @@
             }
             ApplyResult::Conflict { .. } | ApplyResult::NotAccepted(_) => {
                 self.report.conflicts += u64::from(matches!(result, ApplyResult::Conflict { .. }));
-                if in_log.is_some() {
+                if in_log.is_some() && !self.unknown.contains(&change) {
                     self.breach(now, format!("change {change} was refused and is in the store"));
                 }
             }
-            ApplyResult::Unknown => {}
+            ApplyResult::Unknown => drop(self.unknown.insert(change)),
         }
     }
 }
