Measure the configuration and fetch it once for a zone

Change: bench config; nodes that learn of a head from the store leave it to the first watcher for a time that grows with the missing chunks, and a starting node asks its neighbours at once.

--- /dev/null
+++ b/crates/bench/src/config.rs
@@ -0,0 +1,146 @@
+//! How long a change of the configuration takes to be in force, and what it costs.
+//!
+//! Three changes follow the first document: an account's rate, a withdrawn key and a leaving target. All three reach
+//! a router in the same way, because all are generations of one document. Costs are the difference to a run without
+//! the three changes.
+
+use anyhow::{Result, ensure};
+use godwitroad_base::{ClockTime, ZoneName};
+use godwitroad_sync::sim::{
+    FleetSettings, HistoryReport, SimChange, SimZone, SyncPolicy, run_history,
+};
+
+use crate::report::BenchRow;
+
+/// The names of the changes by the generation that they make.
+const CHANGES: [(u64, &str); 3] = [(2, "change"), (3, "withdrawn key"), (4, "leaving target")];
+
+/// The target in milliseconds at today's size.
+const TODAY_MS: f64 = 2_000.0;
+
+/// The target in milliseconds at full size.
+const FULL_MS: f64 = 16_000.0;
+
+struct FleetSize {
+    nodes: usize,
+    regions: usize,
+    zones: usize,
+    chunks: usize,
+    chunk_bytes: usize,
+    target: Option<f64>,
+}
+
+// A document of five accounts fits one chunk; one of 25,000 accounts takes about 6 MB.
+const SIZES: [FleetSize; 4] = [
+    FleetSize {
+        nodes: 9,
+        regions: 2,
+        zones: 3,
+        chunks: 1,
+        chunk_bytes: 8_000,
+        target: Some(TODAY_MS),
+    },
+    FleetSize { nodes: 33, regions: 3, zones: 6, chunks: 8, chunk_bytes: 64_000, target: None },
+    FleetSize { nodes: 110, regions: 5, zones: 12, chunks: 32, chunk_bytes: 64_000, target: None },
+    FleetSize {
+        nodes: 330,
+        regions: 8,
+        zones: 21,
+        chunks: 96,
+        chunk_bytes: 64_000,
+        target: Some(FULL_MS),
+    },
+];
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns an error if a change doesn't come into force or a node breaks a rule.
+pub fn run(seed: u64) -> Result<Vec<BenchRow>> {
+    let mut rows = Vec::new();
+    for size in &SIZES {
+        let scenario = format!("{} nodes", size.nodes);
+        for (policy, name) in
+            [(SyncPolicy::Product, "product"), (SyncPolicy::EveryNodeWatches, "every_node_watches")]
+        {
+            let target = size.target.filter(|_| policy == SyncPolicy::Product);
+            let settings = settings(size, policy);
+            measure(seed, &scenario, name, &settings, target, &mut rows)?;
+        }
+    }
+    let mut faulty = settings(&SIZES[0], SyncPolicy::Product);
+    faulty.message_faults = 0.05;
+    faulty.store.lost_answers = 0.05;
+    measure(seed, "9 nodes, 5% lost", "product", &faulty, None, &mut rows)?;
+    Ok(rows)
+}
+
+fn settings(size: &FleetSize, policy: SyncPolicy) -> FleetSettings {
+    // Zones and VMs are spread evenly; the store is in the first region.
+    let spread =
+        |total: usize, parts: usize, part: usize| (part + 1) * total / parts - part * total / parts;
+    let zones = (0..size.zones).map(|zone| SimZone {
+        name: ZoneName::new(format!("zone-{zone:02}")),
+        region: zone * size.regions / size.zones,
+        vms: spread(size.nodes, size.zones, zone),
+    });
+    let change = |ms| SimChange { at: ClockTime::from_ms(ms), chunks: 1, is_invalid: false };
+    FleetSettings {
+        zones: zones.collect(),
+        policy,
+        changes: [2_000, 27_000, 34_000, 41_000].map(change).to_vec(),
+        document_chunks: size.chunks,
+        chunk_bytes: size.chunk_bytes,
+        length_ms: 60_000,
+        faults_end_ms: 55_000,
+        ..FleetSettings::default()
+    }
+}
+
+fn measure(
+    seed: u64,
+    scenario: &str,
+    policy: &str,
+    settings: &FleetSettings,
+    target: Option<f64>,
+    rows: &mut Vec<BenchRow>,
+) -> Result<()> {
+    let nodes: usize = settings.zones.iter().map(|zone| zone.vms).sum();
+    let mut quiet = settings.clone();
+    quiet.changes.truncate(1);
+    let idle = run_history(seed, quiet);
+    let busy = run_history(seed, settings.clone());
+    for report in [&idle, &busy] {
+        ensure!(report.violations.is_empty(), "{scenario}, {policy}: {:?}", report.violations);
+    }
+    for (generation, name) in CHANGES {
+        let ms = busy.in_force_ms.get(&generation).copied();
+        ensure!(ms.is_some(), "{scenario}, {policy}: the {name} isn't in force at each node");
+        let measure = format!("{name} in force everywhere");
+        let row = BenchRow::new(scenario, policy, measure, "virtual ms", ms.unwrap_or(0) as f64);
+        rows.push(match target {
+            Some(target) => row.at_most(target),
+            None => row,
+        });
+    }
+    let changes = CHANGES.len() as f64;
+    let per_change =
+        |value: fn(&HistoryReport) -> u64| (value(&busy) as f64 - value(&idle) as f64) / changes;
+    let values = [
+        ("store calls per node, first minute", "calls", idle.store_calls as f64 / nodes as f64),
+        ("store calls per change", "calls", per_change(|report| report.store_calls)),
+        (
+            "store and peer bytes per change and node",
+            "bytes",
+            per_change(|report| report.store_bytes + report.peer_bytes) / nodes as f64,
+        ),
+        ("link bytes per change", "bytes", per_change(|report| report.link_bytes)),
+        ("store bytes per change", "bytes", per_change(|report| report.store_bytes)),
+        ("link bytes of the first document", "bytes", idle.link_bytes as f64),
+    ];
+    rows.extend(
+        values.map(|(measure, unit, value)| BenchRow::new(scenario, policy, measure, unit, value)),
+    );
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,6 @@
 //! Each experiment runs the product beside its baselines in the same process, from one seed, and prints rows that
 //! name the stated target where there is one.
 
+pub mod config;
 pub mod registry;
 pub mod report;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -17,5 +17,9 @@
 
 /// Returns all experiments in the order of their names.
 pub fn experiments() -> Vec<BenchExperiment> {
-    Vec::new()
+    vec![BenchExperiment {
+        name: "config",
+        about: "time and cost of a change",
+        run: crate::config::run,
+    }]
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -15,6 +15,7 @@
 mod shelf;
 pub mod sim;
 mod sim_judge;
+mod sim_settings;
 mod table;
 mod view;
 mod waiters;
--- a/crates/sync/src/duty.rs
+++ b/crates/sync/src/duty.rs
@@ -17,8 +17,8 @@
 };
 
 impl ConfigSync {
-    fn take_entry(&mut self, now: ClockTime, not_before: ClockTime, entry: Option<&StoreEntry>) {
-        self.contact.reach_store(now);
+    fn take_entry(&mut self, contact: ClockTime, now: ClockTime, entry: Option<&StoreEntry>) {
+        self.contact.reach_store(contact);
         let Some(entry) = entry else {
             self.startup.read_store(0);
             return;
@@ -28,12 +28,29 @@
             Ok(head) if head.generation == self.refused => self.startup.fail_store(),
             Ok(head) => {
                 self.startup.read_store(head.generation);
-                self.take_head(not_before, Arc::new(head));
+                self.take_store_head(now, head);
             }
             Err(_) => self.counters.corrupt += 1,
         }
     }
 
+    // Only the first watcher fetches at once. The others give it time to do so for the zone, and go on as soon as a
+    // peer has the generation.
+    fn take_store_head(&mut self, now: ClockTime, head: SyncHead) {
+        let is_first = self.watchers.first() == Some(&self.settings.vm);
+        if is_first || self.fetch.as_ref().is_some_and(|fetch| fetch.is_first_hand) {
+            return self.take_head(now, Arc::new(head));
+        }
+        let is_known = self.fetch.as_ref().is_some_and(|fetch| fetch.generation >= head.generation);
+        self.take_head(now + self.settings.second_wait, Arc::new(head));
+        if let Some(fetch) = &mut self.fetch
+            && !is_known
+        {
+            let transfer = self.settings.chunk_wait.as_ms() * fetch.missing() as u64;
+            fetch.not_before += ClockSpan::from_ms(transfer);
+        }
+    }
+
     pub(crate) fn take_watch(&mut self, now: ClockTime, op: OpId, update: WatchUpdate) {
         if self.watch != Some(op) {
             return;
@@ -41,12 +58,9 @@
         let entries = match &update {
             WatchUpdate::Snapshot(entries) | WatchUpdate::Changes { entries, .. } => entries,
         };
-        // Only the first watcher fetches at once; the second gives it time to do so for the zone.
-        let is_first = self.watchers.first() == Some(&self.settings.vm);
-        let not_before = if is_first { now } else { now + self.settings.second_wait };
         let entry = entries.iter().find(|entry| entry.key == head_key());
         match (entry, &update) {
-            (Some(entry), _) => self.take_entry(now, not_before, Some(entry)),
+            (Some(entry), _) => self.take_entry(now, now, Some(entry)),
             (None, WatchUpdate::Snapshot(_)) => self.take_entry(now, now, None),
             (None, WatchUpdate::Changes { .. }) => self.contact.reach_store(now),
         }
--- a/crates/sync/src/fetch.rs
+++ b/crates/sync/src/fetch.rs
@@ -102,6 +102,12 @@
         is_wanted
     }
 
+    /// Returns the number of chunks that are missing.
+    pub(crate) fn missing(&self) -> usize {
+        let is_missing = |digest: &&ChunkDigest| !self.parts.contains_key(*digest);
+        self.head.as_ref().map_or(0, |head| head.chunks.iter().filter(is_missing).count())
+    }
+
     pub(crate) fn need(&self) -> FetchNeed {
         let Some(head) = &self.head else { return FetchNeed::Head };
         let mut missing: Vec<ChunkDigest> = Vec::new();
--- a/crates/sync/src/machine.rs
+++ b/crates/sync/src/machine.rs
@@ -140,6 +140,7 @@
     pub(crate) contact: ContactRecord,
     pub(crate) board: ProgressBoard,
     pub(crate) nonce: u64,
+    pub(crate) has_greeted: bool,
     pub(crate) start: ClockTime,
     pub(crate) watch: Option<OpId>,
     pub(crate) head_read: Option<OpId>,
@@ -171,6 +172,7 @@
             contact: ContactRecord::default(),
             board: ProgressBoard::default(),
             nonce,
+            has_greeted: false,
             start: now,
             watch: None,
             head_read: None,
@@ -315,8 +317,11 @@
         match &mut self.fetch {
             None => self.fetch = Some(ConfigFetch::new(generation, not_before)),
             Some(fetch) => {
+                let is_newest = generation >= fetch.generation;
                 fetch.raise(generation);
-                fetch.not_before = fetch.not_before.min(not_before);
+                if is_newest {
+                    fetch.not_before = fetch.not_before.min(not_before);
+                }
             }
         }
     }
@@ -362,6 +367,7 @@
         self.do_watch_duty(actions);
         self.read_head(now, actions);
         if self.ready.is_none() {
+            self.greet_neighbours(actions);
             for to in self.startup.ask(now, &self.settings) {
                 actions.push(SyncAction::Send {
                     to,
--- a/crates/sync/src/serve.rs
+++ b/crates/sync/src/serve.rs
@@ -204,6 +204,18 @@
         able.partition(|peer| self.is_neighbour(peer))
     }
 
+    /// Asks the members of the own zone once at the start, so that what they hold isn't fetched from the store.
+    pub(crate) fn greet_neighbours(&mut self, actions: &mut Vec<SyncAction>) {
+        let Some(members) = self.zones.get(&self.settings.zone) else { return };
+        if std::mem::replace(&mut self.has_greeted, true) {
+            return;
+        }
+        let nonce = self.nonce;
+        for to in members.iter().filter(|member| **member != self.settings.vm).cloned() {
+            actions.push(SyncAction::Send { to, message: SyncMessage::Query { nonce } });
+        }
+    }
+
     pub(crate) fn ask_random_peers(&mut self, actions: &mut Vec<SyncAction>) {
         let (near, far): (Vec<&VmName>, Vec<&VmName>) = self
             .zones
--- a/crates/sync/src/settings.rs
+++ b/crates/sync/src/settings.rs
@@ -19,6 +19,8 @@
     pub substitute_after: ClockSpan,
     /// The time for which the second watcher leaves a new generation to the first, so that a zone fetches it once.
     pub second_wait: ClockSpan,
+    /// The time that the first watcher has in addition for each missing chunk: 64 KB take 26 ms on a link of 20 Mbit/s.
+    pub chunk_wait: ClockSpan,
     /// The time after which a peer that was asked counts as silent.
     pub peer_timeout: ClockSpan,
     /// The number of queries after which a silent peer counts as unreachable while the node starts.
@@ -42,6 +44,7 @@
             confirm: ClockSpan::from_secs(5),
             substitute_after: ClockSpan::from_secs(12),
             second_wait: ClockSpan::from_ms(300),
+            chunk_wait: ClockSpan::from_ms(50),
             peer_timeout: ClockSpan::from_ms(300),
             start_queries: 4,
             start_period: ClockSpan::from_ms(400),
--- a/crates/sync/src/sim.rs
+++ b/crates/sync/src/sim.rs
@@ -139,6 +139,7 @@
         };
         if self.settings.policy == SyncPolicy::EveryNodeWatches {
             settings.second_wait = ClockSpan::ZERO;
+            settings.chunk_wait = ClockSpan::ZERO;
         }
         let begin = ClockTime::from_ms(1_000);
         SimNode {
