--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::{limits, report::BenchRow, restart, rollout, streams};
+use crate::{config, limits, report::BenchRow, restart, rollout, streams};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -19,6 +19,7 @@
 pub fn experiments() -> Vec<BenchExperiment> {
     let entry = |name, about, run| BenchExperiment { name, about, run };
     vec![
+        entry("config", "time and cost of a change of the configuration", config::run),
         entry("limits", "over-admission and wrongful refusals", limits::run),
         entry("restart", "time until restarted routers hold and serve", restart::run),
         entry("rollout", "time and lost capacity of a rollout of weights", rollout::run),
--- a/crates/sync/src/duty.rs
+++ b/crates/sync/src/duty.rs
@@ -17,21 +17,40 @@
 };
 
 impl ConfigSync {
-    fn take_entry(&mut self, now: ClockTime, not_before: ClockTime, entry: Option<&StoreEntry>) {
-        self.contact.reach_store(now);
+    fn take_entry(&mut self, contact: ClockTime, now: ClockTime, entry: Option<&StoreEntry>) {
+        self.contact.reach_store(contact);
         let Some(entry) = entry else {
             self.startup.read_store(0);
             return;
         };
         match SyncHead::decode(&entry.value) {
+            // A refused generation is of no use: the newest one that can come into force is known to peers only.
+            Ok(head) if head.generation == self.refused => self.startup.fail_store(),
             Ok(head) => {
                 self.startup.read_store(head.generation);
-                self.take_head(not_before, Arc::new(head));
+                self.take_store_head(now, head);
             }
             Err(_) => self.counters.corrupt += 1,
         }
     }
 
+    // Only the first watcher fetches at once. The others give it time to do so for the zone, and go on as soon as a
+    // peer has the generation.
+    fn take_store_head(&mut self, now: ClockTime, head: SyncHead) {
+        let is_first = self.watchers.first() == Some(&self.settings.vm);
+        if is_first || self.fetch.as_ref().is_some_and(|fetch| fetch.is_first_hand) {
+            return self.take_head(now, Arc::new(head));
+        }
+        let is_known = self.fetch.as_ref().is_some_and(|fetch| fetch.generation >= head.generation);
+        self.take_head(now + self.settings.second_wait, Arc::new(head));
+        if let Some(fetch) = &mut self.fetch
+            && !is_known
+        {
+            let transfer = self.settings.chunk_wait.as_ms() * fetch.missing() as u64;
+            fetch.not_before += ClockSpan::from_ms(transfer);
+        }
+    }
+
     pub(crate) fn take_watch(&mut self, now: ClockTime, op: OpId, update: WatchUpdate) {
         if self.watch != Some(op) {
             return;
@@ -39,13 +58,9 @@
         let entries = match &update {
             WatchUpdate::Snapshot(entries) | WatchUpdate::Changes { entries, .. } => entries,
         };
-        // Only the first watcher fetches at once; the second gives it time to do so for the zone.
-        let watchers = self.watchers_of(&self.settings.zone);
-        let is_first = watchers.first() == Some(&self.settings.vm);
-        let not_before = if is_first { now } else { now + self.settings.second_wait };
         let entry = entries.iter().find(|entry| entry.key == head_key());
         match (entry, &update) {
-            (Some(entry), _) => self.take_entry(now, not_before, Some(entry)),
+            (Some(entry), _) => self.take_entry(now, now, Some(entry)),
             (None, WatchUpdate::Snapshot(_)) => self.take_entry(now, now, None),
             (None, WatchUpdate::Changes { .. }) => self.contact.reach_store(now),
         }
@@ -103,7 +118,7 @@
     }
 
     pub(crate) fn do_watch_duty(&mut self, actions: &mut Vec<SyncAction>) {
-        let is_duty = self.watchers_of(&self.settings.zone).contains(&self.settings.vm);
+        let is_duty = self.watchers.contains(&self.settings.vm);
         match (is_duty, self.watch) {
             (true, None) => {
                 let op = self.next_op();
@@ -131,7 +146,7 @@
         let is_watching = self.watch.is_some()
             && since(self.contact.store).is_none_or(|age| age >= self.settings.confirm)
             && since(self.head_read_at).is_some_and(|age| age >= self.settings.confirm);
-        let zone_age = self.zone_store_age(now);
+        let zone_age = self.contact.store_age(now, self.start);
         let pause = ClockSpan::from_ms(self.settings.confirm.as_ms() + self.random.below(1_000));
         let is_substitute = zone_age >= self.settings.substitute_after
             && since(self.head_read_at).is_some_and(|age| age >= pause);
@@ -148,16 +163,6 @@
         actions.push(SyncAction::Submit { op, order });
     }
 
-    fn zone_store_age(&self, now: ClockTime) -> ClockSpan {
-        let own = self.contact.store.unwrap_or(self.start);
-        let told = self
-            .peers
-            .iter()
-            .filter(|(peer, _)| self.is_neighbour(peer))
-            .filter_map(|(_, view)| view.status.store_age.map(|age| view.heard - age));
-        now.since(told.fold(own, ClockTime::max))
-    }
-
     pub(crate) fn order_from_store(
         &mut self,
         need: FetchNeed,
