Add the operators' client

Cause: operators check, compare and apply configurations, issue and withdraw keys and ask routers, from scripts and by hand.

Change: godwitctl with check, diff, apply, status, keys, targets, explain and completion. Changes go through the routers' own state machines for the store and for a change, so that a lost answer is settled by reading. Each outcome has an exit code, a text for people and JSON. A secret is printed once, when its key is accepted.

Conclusion: awc 3.11 reports a connection that closes after the request was written as SendRequestError::Connect(ConnectError::Disconnected). An adapter that takes every Connect error for "not sent" would repeat a write or a request that ran; the daemon's store and target adapters need the same distinction.

--- /dev/null
+++ b/crates/client/src/command/view.rs
@@ -0,0 +1,131 @@
+//! `status`, `targets` and `explain`.
+
+use serde_json::{Value, json};
+
+use super::{CommandContext, Result, apply::zone_table, current};
+use crate::{
+    CommandReport, ExitKind,
+    output::{cell, table},
+    router::{self, RouterAnswer},
+};
+
+/// Shows the current generation and the routers.
+pub(super) async fn status(context: &CommandContext) -> Result<CommandReport> {
+    let mut text = String::new();
+    let mut json = json!({ "generation": null });
+    let mut newest = None;
+    let mut exit = ExitKind::Done;
+    if context.store.is_some() {
+        match current(&mut context.session()?).await {
+            Ok(current) => {
+                newest = Some(current.generation());
+                json["generation"] = current.generation().into();
+                json["change_id"] = current.head.map(|head| head.change_id).into();
+                text += &format!("current generation: {}\n", json["generation"]);
+            }
+            Err(report) if context.routers.is_empty() => return Err(report),
+            Err(report) => {
+                // The routers go on without the store, so that their state is worth showing.
+                exit = report.exit;
+                text += &format!("current generation: unknown ({})\n", cell(&report.json["error"]));
+                json["error"] = report.json["error"].clone();
+            }
+        }
+    } else {
+        context.routers()?;
+    }
+    if !context.routers.is_empty() {
+        let answers = router::ask(&context.routers, "/admin/status").await;
+        if answers.iter().all(|answer| !answer.is_found()) {
+            exit = ExitKind::RoutersUnavailable;
+        }
+        let zones = router::by_zone(&answers);
+        let known = answers.iter().filter_map(RouterAnswer::generation).max();
+        text += &router_table(&answers);
+        text += &zone_table(&zones, newest.or(known).unwrap_or(0));
+        json["routers"] = serde_json::to_value(&answers).unwrap_or_default();
+        json["zones"] = serde_json::to_value(&zones).unwrap_or_default();
+    }
+    Ok(CommandReport::new(exit, text, json))
+}
+
+fn router_table(answers: &[RouterAnswer]) -> String {
+    let rows = answers.iter().map(|answer| {
+        let field = |name: &str| cell(&answer.answer[name]);
+        let state = match (answer.status, answer.answer["ready"].as_bool()) {
+            (None, _) => "unreachable".to_owned(),
+            (Some(200), Some(true)) => "ready".to_owned(),
+            (Some(200), _) => "not ready".to_owned(),
+            (Some(status), _) => format!("HTTP {status}"),
+        };
+        vec![
+            answer.router.clone(),
+            field("vm"),
+            field("zone"),
+            state,
+            field("generation"),
+            field("requests"),
+        ]
+    });
+    let rows: Vec<Vec<String>> = rows.collect();
+    table(&["router", "vm", "zone", "state", "generation", "requests"], &rows)
+}
+
+/// Shows the targets as each router sees them.
+pub(super) async fn targets(context: &CommandContext) -> Result<CommandReport> {
+    let answers = router::ask(context.routers()?, "/admin/targets").await;
+    require_answer(&answers)?;
+    let mut text = String::new();
+    for answer in answers.iter().filter(|answer| answer.is_found()) {
+        text += &format!("{}:\n", answer.router);
+        text += &value_table(&answer.answer);
+    }
+    let json = json!({ "routers": answers });
+    Ok(CommandReport::new(ExitKind::Done, text, json))
+}
+
+/// Shows why a request went where it went.
+pub(super) async fn explain(context: &CommandContext, id: &str) -> Result<CommandReport> {
+    if id.parse::<godwitroad_base::RequestId>().is_err() {
+        let message = "a request id is 32 hexadecimal digits";
+        return Err(CommandReport::failure(ExitKind::Usage, message));
+    }
+    let answers = router::ask(context.routers()?, &format!("/admin/explain/{id}")).await;
+    if let Some(found) = answers.iter().find(|answer| answer.is_found()) {
+        let text = format!("{}:\n{:#}\n", found.router, found.answer);
+        let json = json!({ "router": found.router, "explanation": found.answer });
+        return Ok(CommandReport::new(ExitKind::Done, text, json));
+    }
+    require_reachable(&answers)?;
+    let message = format!("none of the routers knows the request {id}");
+    Err(CommandReport::failure(ExitKind::NotFound, message))
+}
+
+fn require_reachable(answers: &[RouterAnswer]) -> Result<()> {
+    if answers.iter().any(|answer| answer.status.is_some()) {
+        return Ok(());
+    }
+    Err(CommandReport::failure(ExitKind::RoutersUnavailable, "no router can be reached"))
+}
+
+fn require_answer(answers: &[RouterAnswer]) -> Result<()> {
+    require_reachable(answers)?;
+    if answers.iter().any(RouterAnswer::is_found) {
+        return Ok(());
+    }
+    let states = answers.iter().filter_map(|answer| answer.status);
+    let states: Vec<String> = states.map(|status| status.to_string()).collect();
+    let message = format!("no router gives its targets (HTTP {})", states.join(", "));
+    Err(CommandReport::failure(ExitKind::NotFound, message))
+}
+
+/// Returns a table of a list of objects, with the columns of the first one; any other value as JSON.
+fn value_table(value: &Value) -> String {
+    let list = value.as_array().or_else(|| value["targets"].as_array());
+    let Some(list) = list else { return format!("{value:#}\n") };
+    let Some(first) = list.first().and_then(Value::as_object) else { return "none\n".into() };
+    let heading: Vec<&str> = first.keys().map(String::as_str).collect();
+    let rows = list.iter().map(|line| heading.iter().map(|name| cell(&line[*name])).collect());
+    let rows: Vec<Vec<String>> = rows.collect();
+    table(&heading, &rows)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! All servers need a running `actix_rt` system and stop when their handle is dropped.
 
 mod engine;
+mod fixed;
 mod hangup;
 mod piece;
 mod plain;
@@ -17,6 +18,7 @@
     AnswerFault, EngineFaults, EngineServer, EngineSettings, EngineWork, LoadedModel, PrefixCache,
     answer_text, token_text,
 };
+pub use fixed::FixedServer;
 pub use godwitroad_prefix::PIECE_BYTES;
 pub use piece::chain_pieces;
 pub use plain::{PlainFault, PlainServer};
