Cut the document's JSON text itself into chunks

Cause: the distribution hands a router the chunks one after the other, and the facade reads them as the document.

Change: the chunks together are the document's JSON. Cuts stay at the borders of items, and the lists inside services and accounts can be cut too. join() verifies each chunk, the digest and the text.

Conclusion: no reader needs to know where a document was cut.

--- a/crates/config/src/chunks.rs
+++ b/crates/config/src/chunks.rs
@@ -5,11 +5,11 @@
 //! lists them. Where the text is cut depends on the items' names and not on their positions, so that a change
 //! replaces few chunks.
 //!
-//! A chunk is lines of JSON, one item each, so that the chunks one after the other are the whole document as
-//! [`read`] takes it, wherever they were cut.
+//! The chunks one after the other are the document's JSON text, so that a reader needs to know nothing about where
+//! it was cut.
 
 mod head;
-mod item;
+mod text;
 
 use std::{fmt, str::FromStr, sync::Arc};
 
@@ -20,9 +20,8 @@
 use thiserror::Error;
 
 pub use head::{ChangeRecord, ConfigHead, HEAD_KEY, LOG_LIMIT};
-use item::ConfigItem;
 
-use crate::ConfigDocument;
+use crate::{ConfigDocument, ParseError};
 
 /// The largest chunk.
 pub const CHUNK_LIMIT_BYTES: usize = 256 << 10;
@@ -34,6 +33,9 @@
 /// of about 350 bytes, the sum of both is least when a chunk has about 64 accounts.
 const CHUNK_ITEMS: u64 = 64;
 
+/// The key under which names are hashed to find the cuts; another key would move all cuts.
+const CUT_KEY: u64 = 0;
+
 /// The SHA-256 hash of a chunk's bytes, or of all chunks' bytes.
 #[derive(Clone, Copy, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd)]
 #[schemars(with = "String")]
@@ -73,14 +75,9 @@
     /// The chunks together don't have the digest of the head.
     #[error("the chunks together do not have the digest {0}")]
     Digest(ChunkName),
-    /// A line isn't an item of a document.
-    #[error("line {line} of the chunks is malformed: {reason}")]
-    Malformed {
-        /// The line, counted from one over all chunks.
-        line: usize,
-        /// What is wrong.
-        reason: String,
-    },
+    /// The chunks together aren't a document.
+    #[error("the chunks together are not a configuration: {0}")]
+    Malformed(#[from] ParseError),
 }
 
 impl ChunkName {
@@ -137,9 +134,7 @@
 /// Returns an error when one item, such as an account without its keys, is larger than a chunk.
 pub fn split(document: &ConfigDocument) -> std::result::Result<Vec<ConfigChunk>, SplitError> {
     let mut builder = ChunkBuilder::default();
-    for item in item::list(document) {
-        builder.add(&item)?;
-    }
+    text::write(document, &mut builder)?;
     builder.finish();
     Ok(builder.chunks)
 }
@@ -164,51 +159,40 @@
     if ChunkName::of(&text) != head.digest {
         return Err(JoinError::Digest(head.digest));
     }
-    read(&text)
+    Ok(crate::parse(&text)?)
 }
 
-/// Returns the document whose chunks, one after the other, are `text`.
-///
-/// # Errors
-///
-/// Returns an error when a line isn't an item or stands before the item that it belongs to.
-pub fn read(text: &[u8]) -> std::result::Result<ConfigDocument, JoinError> {
-    let mut document = ConfigDocument::default();
-    let lines = text.split(|&byte| byte == b'\n').enumerate();
-    for (index, line) in lines.filter(|(_, line)| !line.is_empty()) {
-        let malformed = |reason: String| JoinError::Malformed { line: index + 1, reason };
-        let item: ConfigItem =
-            serde_json::from_slice(line).map_err(|error| malformed(error.to_string()))?;
-        item.append_to(&mut document).map_err(|reason| malformed(reason.into()))?;
-    }
-    Ok(document)
+/// A part of the document's text that is never cut.
+struct TextPart<'a> {
+    text: String,
+    // The name that decides whether a chunk begins with the part.
+    cut_name: Option<&'a str>,
+    // The kind and name for a person.
+    label: (&'static str, &'a str),
 }
 
 #[derive(Default)]
 struct ChunkBuilder {
     chunks: Vec<ConfigChunk>,
     text: String,
-    section: u8,
 }
 
 impl ChunkBuilder {
-    fn add(&mut self, item: &ConfigItem) -> std::result::Result<(), SplitError> {
-        let text = item.text();
-        // Each line ends with a line feed.
-        if text.len() + 1 > CHUNK_LIMIT_BYTES {
-            return Err(SplitError::ItemTooLarge { item: item.label(), bytes: text.len() });
+    fn add(&mut self, part: &TextPart<'_>) -> std::result::Result<(), SplitError> {
+        let (kind, name) = part.label;
+        let bytes = part.text.len();
+        if bytes > CHUNK_LIMIT_BYTES {
+            // The item may be too large because of its name.
+            let name: String = name.chars().take(64).collect();
+            return Err(SplitError::ItemTooLarge { item: format!("{kind} {name}"), bytes });
         }
-        let section = item.section();
-        let is_cut = item.cut_name().is_some_and(|name| {
-            rendezvous::score(u64::from(section), name).is_multiple_of(CHUNK_ITEMS)
-        });
-        let is_full = self.text.len() + text.len() + 1 > CHUNK_LIMIT_BYTES;
-        if section != self.section || is_cut || is_full {
+        let is_cut = part
+            .cut_name
+            .is_some_and(|name| rendezvous::score(CUT_KEY, name).is_multiple_of(CHUNK_ITEMS));
+        if is_cut || self.text.len() + bytes > CHUNK_LIMIT_BYTES {
             self.finish();
         }
-        self.section = section;
-        self.text.push_str(&text);
-        self.text.push('\n');
+        self.text.push_str(&part.text);
         Ok(())
     }
 
