--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -24,5 +24,4 @@
 pub use plain::{PlainFault, PlainServer};
 pub use platform::{
     CallCounters, KeyValue, KvStore, PlatformFaults, PlatformServer, StoreChange, StoreError,
-    VmLine,
 };
--- a/crates/standin/src/platform/core.rs
+++ b/crates/standin/src/platform/core.rs
@@ -2,11 +2,12 @@
 
 use actix_web::HttpResponse;
 use godwitroad_base::{ClockSpan, ClockTime};
+use godwitroad_router::VmListing;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
 use super::{
-    CallCounters, KeyValue, KvStore, PlatformFaults, StoreError, VmLine,
+    CallCounters, KeyValue, KvStore, PlatformFaults, StoreError,
     shape::{
         self, CompareCall, CompareResult, CompareTarget, DeleteCall, LeaseCall, OperationCall,
         PutCall, RangeCall, TxnCall,
@@ -19,7 +20,7 @@
     pub(crate) store: KvStore,
     pub(crate) faults: PlatformFaults,
     pub(crate) counters: CallCounters,
-    pub(crate) vms: Vec<VmLine>,
+    pub(crate) vms: Vec<VmListing>,
 }
 
 /// A refusal in the gateway's shape.
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,10 +5,8 @@
 mod server;
 mod shape;
 mod store;
-mod vms;
 mod watch;
 
 pub use faults::{CallCounters, PlatformFaults};
 pub use server::PlatformServer;
 pub use store::{KeyValue, KvStore, StoreChange, StoreError};
-pub use vms::VmLine;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use super::{
-    CallCounters, KvStore, PlatformFaults, StoreChange, VmLine,
+    CallCounters, KvStore, PlatformFaults, StoreChange,
     core::{self, PlatformCore},
     shape::WatchCall,
     store::{self, KeyRange},
@@ -98,14 +98,13 @@
 
     /// Replaces the VM list by one without addresses.
     pub fn set_vms<T: Into<VmName>>(&self, vms: impl IntoIterator<Item = (T, VmState)>) {
-        let lines =
-            vms.into_iter().map(|(vm, state)| VmLine::new(VmListing { vm: vm.into(), state }));
-        self.state.lock().vms = lines.collect();
+        let listing = |(vm, state): (T, VmState)| VmListing { vm: vm.into(), state, address: None };
+        self.state.lock().vms = vms.into_iter().map(listing).collect();
     }
 
     /// Replaces the VM list.
-    pub fn set_vm_lines(&self, lines: Vec<VmLine>) {
-        self.state.lock().vms = lines;
+    pub fn set_vm_list(&self, list: Vec<VmListing>) {
+        self.state.lock().vms = list;
     }
 
     /// Returns the value of `key`.
@@ -259,7 +258,7 @@
     HttpResponse::Ok().json(&core.vms)
 }
 
-async fn replace_vms(state: Data<PlatformState>, vms: web::Json<Vec<VmLine>>) -> HttpResponse {
+async fn replace_vms(state: Data<PlatformState>, vms: web::Json<Vec<VmListing>>) -> HttpResponse {
     state.lock().vms = vms.into_inner();
     HttpResponse::NoContent().finish()
 }
