--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -9,7 +9,7 @@
 
 use awc::Client;
 use godwitroad_base::ClockSpan;
-use godwitroad_router::{CacheBatch, CacheEvent};
+use godwitroad_router::{CacheBatch, CacheEvent, LoadReport};
 use godwitroad_standin::{
     AnswerFault, EngineFaults, EngineServer, EngineSettings, PIECE_BYTES, answer_text, chain_pieces,
 };
@@ -174,3 +174,67 @@
         assert_eq!((order(2).await, order(1).await), (200, status));
     });
 }
+
+// Guards against batch work that runs before a request for which a caller waits.
+#[actix_rt::test]
+async fn interactive_goes_first() {
+    let engine = EngineServer::start(EngineSettings { slots: 1, ..quick() }).unwrap();
+    engine.push_faults([AnswerFault::Stall { after_tokens: 0 }]);
+    let finished = std::cell::RefCell::new(Vec::new());
+    let (engine, finished) = (&engine, &finished);
+    let ask_as = async |name: &'static str, priority: u32| {
+        let answer = ask(engine, json!({ "prompt": name, "priority": priority })).await;
+        finished.borrow_mut().push((name, answer.done));
+    };
+    let wait_for = async |taken: u64| {
+        while engine.work().taken < taken {
+            actix_rt::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    };
+    let url = format!("http://{}/v1/completions", engine.address());
+    let client = Client::default();
+    let stalled = client.post(url).send_json(&json!({ "prompt": "stalled" })).await.unwrap();
+    let overnight = async {
+        wait_for(1).await;
+        ask_as("overnight", 2).await;
+    };
+    let interactive = async {
+        wait_for(2).await;
+        ask_as("interactive", 0).await;
+    };
+    let release = async {
+        wait_for(3).await;
+        drop((stalled, client));
+    };
+    futures_util::future::join3(overnight, interactive, release).await;
+    assert_eq!(*finished.borrow(), vec![("interactive", 1), ("overnight", 1)]);
+}
+
+// Guards against late events and lagging reports that are delivered at once.
+#[actix_rt::test]
+async fn events_and_reports_are_late() {
+    let late = ClockSpan::from_secs(3_600);
+    let settings = EngineSettings { event_delay: late, load_lag: late, ..quick() };
+    let engine = EngineServer::start(settings).unwrap();
+    let prompt = "a".repeat(PIECE_BYTES);
+    ask(&engine, json!({ "prompt": prompt, "max_tokens": 1 })).await;
+    let batch = events(&engine, 0).await;
+    assert_eq!((batch.first, batch.snapshot, batch.events), (1, false, vec![]));
+    let url = format!("http://{}/load", engine.address());
+    let mut response = Client::default().get(url).send().await.unwrap();
+    let report: LoadReport = response.json().await.unwrap();
+    assert_eq!((report.age_ms, report.running, report.incarnation), (late.as_ms(), 0, 1));
+}
+
+// Guards against fault switches that work from code only.
+#[actix_rt::test]
+async fn faults_are_set_over_http() {
+    let engine = EngineServer::start(quick()).unwrap();
+    let url = format!("http://{}/faults", engine.address());
+    let body = json!({ "answers": ["none", { "truncate": { "after_tokens": 1 } }] });
+    let response = Client::default().post(url).send_json(&body).await.unwrap();
+    assert_eq!(response.status(), 204);
+    let first = ask(&engine, json!({ "prompt": "p", "max_tokens": 3 })).await;
+    let second = ask(&engine, json!({ "prompt": "p", "max_tokens": 3 })).await;
+    assert_eq!((first.indexes.len(), second.indexes.len()), (3, 1));
+}
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -115,3 +115,21 @@
     assert_eq!(store.keep_alive(at(3_500), lease), None);
     assert_eq!(store.put(b"k", b"v".to_vec(), lease), Err(StoreError::LeaseNotFound));
 }
+
+// Guards against a watch that silently skips changes which are no longer kept.
+#[actix_rt::test]
+async fn watch_of_discarded_changes_is_cancelled() {
+    let platform = PlatformServer::start().unwrap();
+    platform.with_store(|store| {
+        for number in 0..10_100 {
+            store.put(b"k", vec![number as u8], 0).unwrap();
+        }
+    });
+    let body = json!({ "create_request": { "key": encode("k"), "start_revision": "2" } });
+    let url = format!("{}/v3/watch", platform.url());
+    let mut response = Client::default().post(url).send_json(&body).await.unwrap();
+    let body = response.body().await.unwrap();
+    let last = body.split(|&byte| byte == b'\n').rfind(|line| !line.is_empty()).unwrap();
+    let result = &serde_json::from_slice::<Value>(last).unwrap()["result"];
+    assert_eq!((&result["canceled"], &result["compact_revision"]), (&json!(true), &json!("102")));
+}
