--- a/crates/client/src/command/mod.rs
+++ b/crates/client/src/command/mod.rs
@@ -89,13 +89,15 @@
 }
 
 async fn current(session: &mut StoreSession) -> Result<CurrentConfig> {
-    read_current(session).await.map_err(|error| {
-        let exit = match error {
-            ReadError::Store(_) => ExitKind::StoreUnavailable,
-            ReadError::Head(_) | ReadError::Join(_) => ExitKind::Failed,
-        };
-        CommandReport::failure(exit, error.to_string())
-    })
+    read_current(session).await.map_err(|error| unreadable(&error))
+}
+
+fn unreadable(error: &ReadError) -> CommandReport {
+    let exit = match error {
+        ReadError::Store(_) => ExitKind::StoreUnavailable,
+        ReadError::Head(_) | ReadError::Join(_) => ExitKind::Failed,
+    };
+    CommandReport::failure(exit, error.to_string())
 }
 
 fn random_bytes<const N: usize>() -> Result<[u8; N]> {
--- a/crates/client/src/command/view.rs
+++ b/crates/client/src/command/view.rs
@@ -2,11 +2,12 @@
 
 use serde_json::{Value, json};
 
-use super::{CommandContext, Result, apply::zone_table, current};
+use super::{CommandContext, Result, apply::zone_table, unreadable};
 use crate::{
     CommandReport, ExitKind,
     output::{cell, table},
     router::{self, RouterAnswer},
+    store::read_head,
 };
 
 /// Shows the current generation and the routers.
@@ -16,11 +17,13 @@
     let mut newest = None;
     let mut exit = ExitKind::Done;
     if context.store.is_some() {
-        match current(&mut context.session()?).await {
-            Ok(current) => {
-                newest = Some(current.generation());
-                json["generation"] = current.generation().into();
-                json["change_id"] = current.head.map(|head| head.change_id).into();
+        let head = read_head(&mut context.session()?).await;
+        match head.map_err(|error| unreadable(&error)) {
+            Ok(head) => {
+                let generation = head.as_ref().map_or(0, |head| head.generation);
+                newest = Some(generation);
+                json["generation"] = generation.into();
+                json["change_id"] = head.map(|head| head.change_id).into();
                 text += &format!("current generation: {}\n", json["generation"]);
             }
             Err(report) if context.routers.is_empty() => return Err(report),
--- a/crates/client/src/store/current.rs
+++ b/crates/client/src/store/current.rs
@@ -38,15 +38,18 @@
     }
 }
 
+/// Reads the head alone, or `None` before the first configuration.
+pub(crate) async fn read_head(session: &mut StoreSession) -> Result<Option<ConfigHead>, ReadError> {
+    let entry = session.get_all(vec![StoreKey::from(chunks::HEAD_KEY)]).await?;
+    let Some(entry) = entry.into_iter().next().flatten() else { return Ok(None) };
+    serde_json::from_slice(&entry.value).map(Some).map_err(ReadError::Head)
+}
+
 /// Reads the head and its chunks.
 pub(crate) async fn read_current(session: &mut StoreSession) -> Result<CurrentConfig, ReadError> {
     let mut last = None;
     for _ in 0..READ_TRIES {
-        let entry = session.get_all(vec![StoreKey::from(chunks::HEAD_KEY)]).await?;
-        let Some(entry) = entry.into_iter().next().flatten() else {
-            return Ok(CurrentConfig::default());
-        };
-        let head: ConfigHead = serde_json::from_slice(&entry.value).map_err(ReadError::Head)?;
+        let Some(head) = read_head(session).await? else { return Ok(CurrentConfig::default()) };
         let keys = head.chunks.iter().map(|name| StoreKey::new(name.store_key())).collect();
         let entries = session.get_all(keys).await?;
         let pairs = head.chunks.iter().zip(entries);
--- a/crates/client/src/store/mod.rs
+++ b/crates/client/src/store/mod.rs
@@ -18,7 +18,7 @@
     StoreEntry, StoreEvent, StoreKey, StoreOperation, StoreOrder,
 };
 
-pub(crate) use current::{CurrentConfig, ReadError, read_current};
+pub(crate) use current::{CurrentConfig, ReadError, read_current, read_head};
 use gateway::StoreGateway;
 
 /// The period of the state machine's ticks.
