--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod registry;
 pub mod report;
+pub mod routing;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::report::BenchRow;
+use crate::{report::BenchRow, routing};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -17,5 +17,9 @@
 
 /// Returns all experiments in the order of their names.
 pub fn experiments() -> Vec<BenchExperiment> {
-    Vec::new()
+    vec![BenchExperiment {
+        name: "routing",
+        about: "hit rate and time to first token beside baselines and an oracle",
+        run: routing::run,
+    }]
 }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -17,5 +17,5 @@
 pub use health::{HealthSettings, HealthState, TargetHealth};
 pub use hot::{HotPrefixes, HotSettings};
 pub use link::{LinkMeter, LinkSettings};
-pub use load::{LoadSettings, LoadView, TargetReport};
+pub use load::{DispatchHint, LoadSettings, LoadView, TargetReport};
 pub use retry::{RetryBudget, RetrySettings};
--- a/crates/pick/src/load.rs
+++ b/crates/pick/src/load.rs
@@ -7,7 +7,8 @@
 use std::collections::VecDeque;
 
 use godwitroad_base::{ClockSpan, ClockTime};
-use godwitroad_prefix::TargetId;
+use godwitroad_prefix::{TargetId, TargetTag};
+use serde::{Deserialize, Serialize};
 
 /// The number of dispatches remembered per target; older ones are covered by a report by then.
 const MAX_DISPATCHES: usize = 512;
@@ -46,6 +47,17 @@
     pub age: ClockSpan,
 }
 
+/// A dispatch as a router tells its peers, so that their views include it before the target reports it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DispatchHint {
+    /// The target.
+    pub tag: TargetTag,
+    /// The prompt tokens that the target must compute.
+    pub tokens: u32,
+    /// The age of the dispatch when the hint was sent, in milliseconds.
+    pub age_ms: u16,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SentWork {
     at: ClockTime,
