--- a/crates/bench/src/routing/mod.rs
+++ b/crates/bench/src/routing/mod.rs
@@ -91,18 +91,27 @@
 /// # Errors
 ///
 /// Never fails; the signature is that of all experiments.
+///
+/// # Panics
+///
+/// Panics when the simulation itself does.
 pub fn run(seed: u64) -> Result<Vec<BenchRow>> {
-    let mut rows = Vec::new();
-    for firm in [&HANBIT, &CASCADE] {
-        let workers = firm.zones.iter().map(|(_, workers)| workers).sum();
-        for scenario in scenarios(workers) {
-            run_scenario(firm, &scenario, seed, &mut rows);
+    // Each scenario follows from the seed alone, so that threads change the time of a run and nothing else.
+    let parts: Vec<Vec<BenchRow>> = std::thread::scope(|scope| {
+        let mut runs = Vec::new();
+        for firm in [&HANBIT, &CASCADE] {
+            let workers = firm.zones.iter().map(|(_, workers)| workers).sum();
+            for scenario in scenarios(workers) {
+                runs.push(scope.spawn(move || run_scenario(firm, &scenario, seed)));
+            }
         }
-    }
-    Ok(rows)
+        runs.into_iter().map(|run| run.join().expect("a scenario panicked")).collect()
+    });
+    Ok(parts.into_iter().flatten().collect())
 }
 
-fn run_scenario(firm: &FirmShape, scenario: &RoutingScenario, seed: u64, rows: &mut Vec<BenchRow>) {
+fn run_scenario(firm: &FirmShape, scenario: &RoutingScenario, seed: u64) -> Vec<BenchRow> {
+    let mut rows = Vec::new();
     let requests = generate(firm, seed, RUN_SECONDS, scenario.shift);
     let runs: Vec<(PolicyKind, RunResult, RunFigures)> = PolicyKind::ALL
         .into_iter()
@@ -129,7 +138,8 @@
         let found = runs.iter().find(|(policy, _, _)| *policy == wanted);
         found.map(|(_, _, figures)| *figures).unwrap_or_default()
     };
-    push_targets(&name, scenario, &of, rows);
+    push_targets(&name, scenario, &of, &mut rows);
+    rows
 }
 
 fn push_targets(
--- a/crates/bench/src/routing/node.rs
+++ b/crates/bench/src/routing/node.rs
@@ -50,6 +50,17 @@
     Hints(Vec<(TargetId, u64, ClockSpan)>),
 }
 
+impl NodeMessage {
+    /// Returns the length on the wire.
+    pub(super) fn bytes(&self) -> u64 {
+        match self {
+            NodeMessage::Part(message) => message.bytes() as u64,
+            // A tag, the tokens and the age of each dispatch.
+            NodeMessage::Hints(hints) => 16 + 14 * hints.len() as u64,
+        }
+    }
+}
+
 /// The share of the link that one router may use, in bytes per second.
 const LINK_BYTES_PER_SECOND: u64 = 250_000;
 
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -457,19 +457,23 @@
             else {
                 continue;
             };
-            for to in 0..self.vms.len() {
-                if to != router
-                    && region(self.router_zones[to]) == region(self.router_zones[router])
-                {
-                    self.send(router, to, message.clone());
-                }
+            for to in (0..self.vms.len()).filter(|&to| to != router) {
+                self.send(router, to, message.clone());
             }
         }
     }
 
     fn send(&mut self, from: usize, to: usize, message: NodeMessage) {
-        let is_same = self.router_zones[from] == self.router_zones[to];
-        let delay = self.firm.network_us[usize::from(!is_same)];
+        let zones = (self.router_zones[from], self.router_zones[to]);
+        let distance = if zones.0 == zones.1 {
+            0
+        } else {
+            1 + usize::from(region(zones.0) != region(zones.1))
+        };
+        if distance == 2 {
+            self.result.link_bytes += message.bytes();
+        }
+        let delay = self.firm.network_us[distance];
         self.push(self.now + delay, SimEvent::Peer { from, to, message });
     }
 
@@ -498,11 +502,9 @@
             self.pairs(|world, router, engine| world.reads(router, engine));
         for router in 0..self.vms.len() {
             let home = region(self.router_zones[router]);
-            let members: Vec<VmName> = (0..self.vms.len())
-                .filter(|&other| region(self.router_zones[other]) == home)
-                .filter(|&other| self.nodes[other].is_some())
-                .map(|other| self.vms[other].clone())
-                .collect();
+            let far = self.live_in(1 - home);
+            self.tell_part(router, PartEvent::FarMembers(vec![far]));
+            let members = self.live_in(home);
             self.tell_part(router, PartEvent::Members(members));
         }
         for ((router, engine), before) in read_before {
@@ -516,6 +518,14 @@
         }
     }
 
+    fn live_in(&self, home: usize) -> Vec<VmName> {
+        (0..self.vms.len())
+            .filter(|&other| region(self.router_zones[other]) == home)
+            .filter(|&other| self.nodes[other].is_some())
+            .map(|other| self.vms[other].clone())
+            .collect()
+    }
+
     fn pairs<T>(&self, of: impl Fn(&Self, usize, usize) -> T) -> BTreeMap<(usize, usize), T> {
         let engines = 0..self.engines.len();
         let routers = 0..self.vms.len();
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -22,6 +22,8 @@
 pub struct PartSettings {
     /// The number of routers that hold each partition.
     pub copies: usize,
+    /// The number of routers of each far index that hold a partition; zero at sizes at which regions keep apart.
+    pub far_copies: usize,
     /// The time for which changes are collected before they are forwarded.
     pub forward_window: ClockSpan,
     /// The time for which a lookup waits for the owner.
@@ -40,6 +42,7 @@
     fn default() -> PartSettings {
         PartSettings {
             copies: 2,
+            far_copies: 1,
             forward_window: ClockSpan::from_ms(20),
             lookup_wait: ClockSpan::from_ms(10),
             suspect_span: ClockSpan::from_ms(500),
@@ -57,6 +60,9 @@
     Targets(Vec<TargetName>),
     /// The serving routers of the zone, from the roster; they include this one while it serves.
     Members(Vec<VmName>),
+    /// The serving routers of other zones or regions whose requests may come to this router's engines, one list
+    /// for each index of theirs.
+    FarMembers(Vec<Vec<VmName>>),
     /// Cache events of an engine that this router reads.
     Cache {
         /// The engine.
@@ -241,7 +247,10 @@
     vm: VmName,
     index: PrefixIndex,
     tags: BTreeMap<TargetTag, TargetId>,
+    /// The members of all indexes, those of this router's own first.
     members: Vec<VmName>,
+    own_members: Vec<VmName>,
+    far_members: Vec<Vec<VmName>>,
     /// The holders of each partition, as positions in `members`, owner first.
     holders: Vec<Vec<usize>>,
     readers: BTreeMap<TargetName, EngineReader>,
@@ -264,6 +273,8 @@
             index: PrefixIndex::new(settings.index),
             tags: BTreeMap::new(),
             members: Vec::new(),
+            own_members: Vec::new(),
+            far_members: Vec::new(),
             holders: Vec::new(),
             readers: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -294,8 +305,8 @@
 
     /// Returns the router that reads the events of `target`, by rendezvous hashing over the members.
     pub fn reader_of(&self, target: &TargetName) -> Option<&VmName> {
-        let place = rendezvous::owner(TargetTag::of(target.as_str()).0, &self.members)?;
-        self.members.get(place)
+        let place = rendezvous::owner(TargetTag::of(target.as_str()).0, &self.own_members)?;
+        self.own_members.get(place)
     }
 
     /// Returns the `after` with which to read the events of `target` next.
@@ -307,7 +318,14 @@
     pub fn handle(&mut self, now: ClockTime, event: PartEvent, actions: &mut Vec<PartAction>) {
         match event {
             PartEvent::Targets(names) => self.set_targets(names),
-            PartEvent::Members(members) => self.set_members(now, members, actions),
+            PartEvent::Members(members) => {
+                self.own_members = members;
+                self.set_members(now, actions);
+            }
+            PartEvent::FarMembers(members) => {
+                self.far_members = members;
+                self.set_members(now, actions);
+            }
             PartEvent::Cache { target, batch } => self.take_cache(now, target, batch, actions),
             PartEvent::Unread(target) => {
                 self.readers.remove(&target);
@@ -338,20 +356,16 @@
         }
     }
 
-    fn set_members(&mut self, now: ClockTime, members: Vec<VmName>, actions: &mut Vec<PartAction>) {
+    fn set_members(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
+        let far = self.far_members.iter().flatten();
+        let members: Vec<VmName> = self.own_members.iter().chain(far).cloned().collect();
         if members == self.members {
             return;
         }
         self.forward(now, actions);
         let before = std::mem::replace(&mut self.members, members);
         let old = std::mem::take(&mut self.holders);
-        self.holders = (0..PARTS)
-            .map(|part| {
-                let mut order = rendezvous::rank(u64::from(part), &self.members);
-                order.truncate(self.settings.copies);
-                order
-            })
-            .collect();
+        self.holders = (0..PARTS).map(|part| self.rank_holders(part)).collect();
         self.peers.retain(|vm, _| self.members.contains(vm));
         let held_before = |vm: &VmName, part: u16| {
             let order = old.get(usize::from(part));
@@ -371,6 +385,19 @@
         }
     }
 
+    /// Returns the holders of a partition in this router's own index, then those in the far ones.
+    fn rank_holders(&self, part: u16) -> Vec<usize> {
+        let mut holders = rendezvous::rank(u64::from(part), &self.own_members);
+        holders.truncate(self.settings.copies);
+        let mut base = self.own_members.len();
+        for group in &self.far_members {
+            let order = rendezvous::rank(u64::from(part), group);
+            holders.extend(order.iter().take(self.settings.far_copies).map(|place| base + place));
+            base += group.len();
+        }
+        holders
+    }
+
     fn begin_read_back(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
         let others: BTreeSet<VmName> =
             self.members.iter().filter(|vm| **vm != self.vm).cloned().collect();
@@ -456,7 +483,8 @@
             let part = part_of(first.short());
             self.holders.get(usize::from(part)).cloned()
         });
-        let order = order.unwrap_or_default();
+        let mut order = order.unwrap_or_default();
+        order.retain(|&place| place < self.own_members.len());
         let is_local =
             order.is_empty() || order.iter().any(|&place| self.members[place] == self.vm);
         if is_local {
