Send far entries to both copies and large hints at once

Change: far_copies equals copies; hints of 500 tokens or more are sent with the dispatch; a dispatch counts from its arrival at the target.

--- a/crates/bench/src/routing/node.rs
+++ b/crates/bench/src/routing/node.rs
@@ -156,9 +156,10 @@
         name: &TargetName,
         request: usize,
         chain: &PieceChain,
+        network: ClockSpan,
     ) {
         let tokens = self.hints.last().map_or(0, |&(_, tokens, _)| tokens);
-        self.load.note_dispatch(now, target, tokens, Some(request as u64));
+        self.load.note_dispatch(now + network, target, tokens, Some(request as u64));
         let event = PartEvent::Dispatched { target: name.clone(), chain: chain.clone() };
         self.part.handle(now, event, &mut Vec::new());
     }
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -450,16 +450,20 @@
         if self.policy != PolicyKind::Product {
             return;
         }
-        let now = self.clock();
         for router in 0..self.vms.len() {
             self.tell_part(router, PartEvent::Tick);
-            let Some(message) = self.nodes[router].as_mut().and_then(|node| node.take_hints(now))
-            else {
-                continue;
-            };
-            for to in (0..self.vms.len()).filter(|&to| to != router) {
-                self.send(router, to, message.clone());
-            }
+            self.send_hints(router);
+        }
+    }
+
+    fn send_hints(&mut self, router: usize) {
+        let now = self.clock();
+        let Some(message) = self.nodes[router].as_mut().and_then(|node| node.take_hints(now))
+        else {
+            return;
+        };
+        for to in (0..self.vms.len()).filter(|&to| to != router) {
+            self.send(router, to, message.clone());
         }
     }
 
@@ -582,7 +586,9 @@
         let target = node.choose(now, work, &places, matches, routers, &excluded);
         if let Some(target) = target {
             let name = &self.names[target.index()];
-            node.note_dispatch(now, target, name, request, &work.chain);
+            let network = ClockSpan::from_ms(1);
+            node.note_dispatch(now, target, name, request, &work.chain, network);
+            self.send_hints(router);
         }
         self.dispatch(request, target);
     }
--- a/crates/pick/src/load.rs
+++ b/crates/pick/src/load.rs
@@ -58,6 +58,19 @@
     pub age_ms: u16,
 }
 
+/// The missing prompt tokens from which a hint should be sent at once rather than with the next batch.
+///
+/// A dispatch of this size occupies a target for about as long as near-equal estimates differ, so that a peer
+/// that learns of it late may choose the same target.
+const URGENT_TOKENS: u32 = 500;
+
+impl DispatchHint {
+    /// Returns whether the hint should be sent at once rather than with the next batch.
+    pub fn is_urgent(&self) -> bool {
+        self.tokens >= URGENT_TOKENS
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SentWork {
     at: ClockTime,
@@ -119,10 +132,13 @@
 
     /// Counts a dispatch of `tokens` prompt tokens that the target must compute.
     ///
+    /// `at` is the time at which the request reaches the target; it may lie ahead by the time on the network, so
+    /// that a report taken meanwhile doesn't count as including it.
+    ///
     /// `request` is this router's number for a dispatch of its own and `None` for that of a peer.
     pub fn note_dispatch(
         &mut self,
-        now: ClockTime,
+        at: ClockTime,
         target: TargetId,
         tokens: u64,
         request: Option<u64>,
@@ -131,7 +147,7 @@
         if load.sent.len() == MAX_DISPATCHES {
             load.sent.pop_front();
         }
-        load.sent.push_back(SentWork { at: now, tokens, request });
+        load.sent.push_back(SentWork { at, tokens, request });
     }
 
     /// Counts the end of one of this router's requests.
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -23,6 +23,8 @@
     /// The number of routers that hold each partition.
     pub copies: usize,
     /// The number of routers of each far index that hold a partition; zero at sizes at which regions keep apart.
+    ///
+    /// Any other value should equal `copies`, because a second copy answers lookups itself.
     pub far_copies: usize,
     /// The time for which changes are collected before they are forwarded.
     pub forward_window: ClockSpan,
@@ -42,7 +44,7 @@
     fn default() -> PartSettings {
         PartSettings {
             copies: 2,
-            far_copies: 1,
+            far_copies: 2,
             forward_window: ClockSpan::from_ms(20),
             lookup_wait: ClockSpan::from_ms(10),
             suspect_span: ClockSpan::from_ms(500),
