--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,10 +4,12 @@
 //! name the stated target where there is one.
 
 pub mod config;
+pub mod fairness;
 pub mod fleet;
 mod limits;
 pub mod registry;
 pub mod report;
 mod restart;
 mod rollout;
+pub mod routing;
 mod streams;
