--- /dev/null
+++ b/crates/daemon/src/app/ports.rs
@@ -0,0 +1,89 @@
+//! Where the core's actions go.
+
+use std::sync::Arc;
+
+use godwitroad_base::{RequestId, VmName};
+use godwitroad_peers::PeerHub;
+use godwitroad_router::{DispatchOrder, PeerMessage, StateNotice};
+use godwitroad_store::{CallId, StoreFailure, StoreRequest};
+use tokio::sync::{mpsc::UnboundedSender, watch};
+
+use super::AppPhase;
+use crate::{
+    core::{CoreHandle, CorePorts},
+    decision::PollTarget,
+    intake::IntakeRequest,
+    peering::RouterMessage,
+    target::TargetCommand,
+    telemetry::NodeTelemetry,
+};
+
+/// The adapters as the core sees them.
+pub(super) struct AppPorts {
+    pub(super) targets: Vec<UnboundedSender<TargetCommand>>,
+    pub(super) polls: UnboundedSender<Vec<PollTarget>>,
+    pub(super) store: Option<UnboundedSender<(CallId, StoreRequest)>>,
+    pub(super) hub: Arc<PeerHub<RouterMessage>>,
+    pub(super) core: CoreHandle,
+    pub(super) telemetry: Arc<NodeTelemetry>,
+    pub(super) phase: Arc<watch::Sender<AppPhase>>,
+}
+
+impl AppPorts {
+    /// Gives a command to the thread that holds the request's attempts.
+    fn command(&self, id: RequestId, command: TargetCommand) {
+        let count = self.targets.len() as u64;
+        // A remainder of a small count fits; the threads end only with the daemon.
+        let _ = self.targets[(id.serial % count) as usize].send(command);
+    }
+}
+
+impl CorePorts for AppPorts {
+    fn dispatch(&mut self, order: DispatchOrder, request: Arc<IntakeRequest>) {
+        self.command(order.id, TargetCommand::Dispatch(order, request));
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: u32) {
+        self.command(id, TargetCommand::Cancel(id, attempt));
+    }
+
+    fn pause(&mut self, id: RequestId, attempt: u32, paused: bool) {
+        self.command(id, TargetCommand::Pause(id, attempt, paused));
+    }
+
+    fn peer(&mut self, to: VmName, message: PeerMessage) {
+        self.hub.send(&to, RouterMessage(message));
+    }
+
+    fn store(&mut self, call: CallId, request: StoreRequest) {
+        let sent = self.store.as_ref().is_some_and(|store| store.send((call, request)).is_ok());
+        if !sent {
+            // A daemon without a store reaches none.
+            let outcome = Err(StoreFailure::NotSent);
+            self.core.event(godwitroad_router::RouterEvent::Store { call, outcome });
+        }
+    }
+
+    fn poll(&mut self, targets: Vec<PollTarget>) {
+        let _ = self.polls.send(targets);
+    }
+
+    fn notice(&mut self, notice: StateNotice) {
+        self.telemetry.notice(&notice);
+    }
+
+    fn exit(&mut self) {
+        advance(&self.phase, AppPhase::Drained);
+    }
+}
+
+/// Moves a daemon on to a later phase; phases never go back.
+pub(super) fn advance(phase: &watch::Sender<AppPhase>, to: AppPhase) {
+    phase.send_if_modified(|current| {
+        let moves = *current < to;
+        if moves {
+            *current = to;
+        }
+        moves
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,245 @@
+//! The thread that owns the decision state.
+//!
+//! Events of all adapters meet in one queue. The thread applies them one by one and carries out the actions of each
+//! event before it takes the next, so that an adapter sees actions in the order in which they were decided.
+
+mod callers;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+    },
+    time::{Duration, Instant},
+};
+
+use godwitroad_base::{ClockTime, ModelName, RequestId, VmName};
+use godwitroad_config::KeyHash;
+use godwitroad_router::{
+    AttemptReport, CallerReply, DispatchOrder, PeerMessage, RequestArrival, RouterAction,
+    RouterEvent, StateNotice,
+};
+use godwitroad_store::{CallId, StoreRequest};
+use serde_json::Value;
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+
+use crate::{
+    clock::NodeClock,
+    decision::{AdminQuery, DecisionState, PollTarget},
+    intake::IntakeRequest,
+};
+
+use callers::{CallerSlot, CallerTable};
+
+/// The time between two ticks (section 3 of the design page).
+const TICK_MS: u64 = 10;
+
+/// The ticks between two looks at the list of targets to poll.
+const POLL_LIST_TICKS: u64 = 100;
+
+/// What a caller's connection gets from the core.
+#[derive(Debug)]
+pub(crate) enum CallerItem {
+    /// The request has an id.
+    Accepted(RequestId),
+    /// A part of the answer.
+    Reply(CallerReply),
+}
+
+/// What the core takes.
+pub(crate) enum CoreInput {
+    /// A caller's request arrived.
+    Arrive {
+        arrival: RequestArrival,
+        request: Arc<IntakeRequest>,
+        caller: UnboundedSender<CallerItem>,
+    },
+    /// A caller's connection closed before its answer ended.
+    Left { connection: u64 },
+    /// Anything else that happened.
+    Event(RouterEvent),
+    /// An operator's question.
+    Admin(AdminQuery, oneshot::Sender<Option<Value>>),
+    /// A caller's question for the models.
+    Models(Option<KeyHash>, oneshot::Sender<Option<Vec<ModelName>>>),
+    /// The thread must end.
+    Shutdown,
+}
+
+/// What the core asks of the other adapters.
+pub(crate) trait CorePorts: Send {
+    fn dispatch(&mut self, order: DispatchOrder, request: Arc<IntakeRequest>);
+    fn cancel(&mut self, id: RequestId, attempt: u32);
+    fn pause(&mut self, id: RequestId, attempt: u32, paused: bool);
+    fn peer(&mut self, to: VmName, message: PeerMessage);
+    fn store(&mut self, call: CallId, request: StoreRequest);
+    fn poll(&mut self, targets: Vec<PollTarget>);
+    fn notice(&mut self, notice: StateNotice);
+    fn exit(&mut self);
+}
+
+/// The way into the core, for all adapters.
+#[derive(Clone)]
+pub(crate) struct CoreHandle {
+    inputs: Sender<CoreInput>,
+    ready: Arc<AtomicBool>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl CoreHandle {
+    /// Returns a handle and the queue that [`run`] reads.
+    pub(crate) fn new() -> (CoreHandle, Receiver<CoreInput>) {
+        let (inputs, queue) = channel();
+        (CoreHandle { inputs, ready: Arc::default(), stopping: Arc::default() }, queue)
+    }
+
+    /// Hands over an input; returns `false` when the core has ended.
+    pub(crate) fn send(&self, input: CoreInput) -> bool {
+        self.inputs.send(input).is_ok()
+    }
+
+    pub(crate) fn event(&self, event: RouterEvent) -> bool {
+        self.send(CoreInput::Event(event))
+    }
+
+    /// Makes the daemon report "not ready" from now on, before the state is told to stop.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns why the daemon isn't ready, or `None` when it is.
+    pub(crate) fn unready_reason(&self) -> Option<&'static str> {
+        if self.stopping.load(Ordering::Relaxed) {
+            Some("stopping")
+        } else if self.ready.load(Ordering::Relaxed) {
+            None
+        } else {
+            Some("starting")
+        }
+    }
+}
+
+/// The core with its state.
+pub(crate) struct CoreLoop {
+    pub(crate) state: Box<dyn DecisionState>,
+    pub(crate) ports: Box<dyn CorePorts>,
+    pub(crate) clock: NodeClock,
+    pub(crate) handle: CoreHandle,
+}
+
+/// Runs the core until it is told to end.
+pub(crate) fn run(core: CoreLoop, queue: &Receiver<CoreInput>) {
+    let mut runner = CoreRunner {
+        core,
+        callers: CallerTable::default(),
+        actions: Vec::new(),
+        polled: Vec::new(),
+    };
+    let tick = Duration::from_millis(TICK_MS);
+    let mut next_tick = Instant::now() + tick;
+    let mut ticks = 0_u64;
+    loop {
+        let wait = next_tick.saturating_duration_since(Instant::now());
+        match queue.recv_timeout(wait) {
+            Ok(CoreInput::Shutdown) | Err(RecvTimeoutError::Disconnected) => return,
+            Ok(input) => runner.take(input),
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+        if Instant::now() >= next_tick {
+            runner.apply(RouterEvent::Tick);
+            // After a pause of the process one tick stands for all that were missed.
+            next_tick = Instant::now() + tick;
+            ticks += 1;
+            if ticks % POLL_LIST_TICKS == 1 {
+                runner.refresh();
+            }
+        }
+    }
+}
+
+struct CoreRunner {
+    core: CoreLoop,
+    callers: CallerTable,
+    actions: Vec<RouterAction>,
+    polled: Vec<PollTarget>,
+}
+
+impl CoreRunner {
+    fn take(&mut self, input: CoreInput) {
+        match input {
+            CoreInput::Arrive { arrival, request, caller } => {
+                let connection = arrival.connection;
+                self.callers.wait(CallerSlot { connection, caller }, request);
+                self.apply(RouterEvent::Request(arrival));
+            }
+            CoreInput::Left { connection } => {
+                if let Some(id) = self.callers.left(connection, self.now()) {
+                    self.apply(RouterEvent::CallerLeft { id });
+                }
+            }
+            CoreInput::Event(event) => self.apply(event),
+            CoreInput::Admin(query, answer) => {
+                // The operator may have gone; nobody else wants the answer.
+                let _ = answer.send(self.core.state.admin(&query));
+            }
+            CoreInput::Models(key, answer) => {
+                let _ = answer.send(self.core.state.models(key.as_ref()));
+            }
+            CoreInput::Shutdown => {}
+        }
+    }
+
+    fn now(&self) -> ClockTime {
+        self.core.clock.now()
+    }
+
+    fn apply(&mut self, event: RouterEvent) {
+        let now = self.now();
+        let ended = match &event {
+            RouterEvent::Attempt { id, report: AttemptReport::Ended, .. } => Some(*id),
+            _ => None,
+        };
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.state.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+        self.callers.settle(ended);
+        self.core.handle.ready.store(self.core.state.is_ready(), Ordering::Relaxed);
+    }
+
+    fn carry_out(&mut self, action: RouterAction) {
+        let ports = &mut self.core.ports;
+        match action {
+            RouterAction::Accepted { connection, id } => self.callers.accept(connection, id),
+            RouterAction::Reply { id, reply } => self.callers.reply(id, reply),
+            RouterAction::Dispatch(order) => match self.callers.request(order.id) {
+                Some(request) => ports.dispatch(order, request),
+                // The body is gone with its caller; nothing was sent.
+                None => {
+                    let report = AttemptReport::Failed { sent: false, refused: false };
+                    let (id, attempt) = (order.id, order.attempt);
+                    self.core.handle.event(RouterEvent::Attempt { id, attempt, report });
+                }
+            },
+            RouterAction::Cancel { id, attempt } => ports.cancel(id, attempt),
+            RouterAction::Pause { id, attempt, paused } => ports.pause(id, attempt, paused),
+            RouterAction::Peer { to, message } => ports.peer(to, message),
+            RouterAction::Store { call, request } => ports.store(call, request),
+            RouterAction::Notice(notice) => ports.notice(notice),
+            RouterAction::Exit => ports.exit(),
+        }
+    }
+
+    /// Passes on a changed list of targets to poll, and forgets requests that nobody waits for.
+    fn refresh(&mut self) {
+        let targets = self.core.state.poll_targets();
+        if targets != self.polled {
+            self.polled.clone_from(&targets);
+            self.core.ports.poll(targets);
+        }
+        self.callers.sweep(self.now());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/intake/headers.rs
@@ -0,0 +1,256 @@
+//! The headers of a caller's request.
+
+use std::fmt;
+
+use actix_web::http::header::{
+    ACCEPT_ENCODING, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, COOKIE, EXPECT, HOST,
+    HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use godwitroad_base::ClockSpan;
+use godwitroad_config::PriorityClass;
+
+use super::{CallerKey, Result, invalid};
+
+/// The most header lines of a request.
+const MAX_HEADERS: usize = 64;
+
+/// The most bytes of all header names and values.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+
+/// The longest key; longer ones are refused before they are hashed.
+const MAX_KEY_BYTES: usize = 512;
+
+/// The longest idempotency key.
+const MAX_IDEMPOTENCY_BYTES: usize = 256;
+
+/// The longest event id; ours have 32 digits, a dash and a number.
+const MAX_EVENT_ID_BYTES: usize = 64;
+
+/// The longest deadline that a caller may ask for: one day.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+/// The headers that end at the router, besides those named by `Connection`.
+const NOT_FORWARDED: [HeaderName; 14] = [
+    // `Accept-Encoding` ends here, as the facade passes on no `Content-Encoding`.
+    ACCEPT_ENCODING,
+    AUTHORIZATION,
+    CONNECTION,
+    CONTENT_LENGTH,
+    COOKIE,
+    EXPECT,
+    HOST,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// The names without a constant that end at the router: other places for keys, and names that the router sets.
+const NOT_FORWARDED_NAMES: [&str; 12] = [
+    "api-key",
+    "idempotency-key",
+    "last-event-id",
+    "proxy-connection",
+    "traceparent",
+    "tracestate",
+    "x-api-key",
+    "x-attempt",
+    "x-deadline-ms",
+    "x-priority",
+    "x-request-id",
+    "x-not-run",
+];
+
+/// A caller's trace (W3C Trace Context, version 00).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TraceParent {
+    /// The id of the trace; not zero.
+    pub trace: u128,
+    /// The id of the caller's span; not zero.
+    pub span: u64,
+    /// Whether the caller records the trace.
+    pub sampled: bool,
+}
+
+/// What a caller asks for by headers.
+#[derive(Debug, Default)]
+pub(super) struct CallerWishes {
+    pub(super) priority: Option<PriorityClass>,
+    pub(super) deadline: Option<ClockSpan>,
+    pub(super) idempotency_key: Option<String>,
+    pub(super) last_event_id: Option<String>,
+}
+
+impl TraceParent {
+    /// Returns the trace written as `text`, or `None` when it is malformed, in which case the caller has no trace.
+    pub fn parse(text: &str) -> Option<TraceParent> {
+        let mut parts = text.split('-');
+        let (version, trace) = (parts.next()?, parts.next()?);
+        let (span, flags) = (parts.next()?, parts.next()?);
+        let is_hex = |part: &str, length: usize| {
+            part.len() == length
+                && part.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+        };
+        let well_formed = is_hex(version, 2)
+            && version != "ff"
+            && (version != "00" || parts.next().is_none())
+            && is_hex(trace, 32)
+            && is_hex(span, 16)
+            && is_hex(flags, 2);
+        if !well_formed {
+            return None;
+        }
+        let trace = u128::from_str_radix(trace, 16).ok().filter(|&trace| trace != 0)?;
+        let span = u64::from_str_radix(span, 16).ok().filter(|&span| span != 0)?;
+        let flags = u8::from_str_radix(flags, 16).ok()?;
+        Some(TraceParent { trace, span, sampled: flags & 1 == 1 })
+    }
+}
+
+impl fmt::Display for TraceParent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "00-{:032x}-{:016x}-{:02x}",
+            self.trace,
+            self.span,
+            u8::from(self.sampled)
+        )
+    }
+}
+
+/// Refuses headers that are too large, or that this router and another server could read differently.
+pub(super) fn check_headers(headers: &HeaderMap) -> Result<()> {
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if headers.iter().count() > MAX_HEADERS || bytes > MAX_HEADER_BYTES {
+        return Err(invalid("the headers are too large"));
+    }
+    let count = |name: HeaderName| headers.get_all(name).count();
+    let framed_twice = count(CONTENT_LENGTH) > 1
+        || count(TRANSFER_ENCODING) > 1
+        || (count(CONTENT_LENGTH) > 0 && count(TRANSFER_ENCODING) > 0);
+    if framed_twice {
+        return Err(invalid("the length of the body is given twice"));
+    }
+    let chunked = headers.get(TRANSFER_ENCODING).is_none_or(|value| value == "chunked");
+    if !chunked {
+        return Err(invalid("the transfer encoding isn't `chunked`"));
+    }
+    // Some servers take an underscore for a dash, so that such a name could stand for a framing or identity header.
+    if headers.keys().any(|name| name.as_str().contains('_')) {
+        return Err(invalid("a header name holds an underscore"));
+    }
+    if count(AUTHORIZATION) > 1 || count(HOST) > 1 || headers.contains_key(UPGRADE) {
+        return Err(invalid("`authorization` or `host` comes twice, or `upgrade` is asked for"));
+    }
+    Ok(())
+}
+
+/// Returns the key of the `Authorization` header.
+pub(super) fn caller_key(headers: &HeaderMap) -> Result<Option<CallerKey>> {
+    let Some(value) = headers.get(AUTHORIZATION) else { return Ok(None) };
+    let unreadable = || invalid("`authorization` must be `Bearer` and a key");
+    let text = value.to_str().map_err(|_| unreadable())?;
+    let (scheme, secret) = text.split_once(' ').ok_or_else(unreadable)?;
+    let secret = secret.trim();
+    if !scheme.eq_ignore_ascii_case("bearer") || secret.len() > MAX_KEY_BYTES {
+        return Err(unreadable());
+    }
+    CallerKey::new(secret).map(Some).ok_or_else(unreadable)
+}
+
+/// Reads what a caller asks for by headers.
+pub(super) fn read_wishes(headers: &HeaderMap, key: Option<&CallerKey>) -> Result<CallerWishes> {
+    let priority = single(headers, "x-priority")?
+        .map(|text| match text {
+            "interactive" => Ok(PriorityClass::Interactive),
+            "batch" => Ok(PriorityClass::Batch),
+            "overnight" => Ok(PriorityClass::Overnight),
+            _ => Err(invalid("`x-priority` must be interactive, batch or overnight")),
+        })
+        .transpose()?;
+    let deadline = single(headers, "x-deadline-ms")?
+        .map(|text| {
+            let ms = text.parse::<u64>().ok().filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms));
+            ms.map(ClockSpan::from_ms).ok_or_else(|| {
+                invalid(format!("`x-deadline-ms` must be a number from 1 to {MAX_DEADLINE_MS}"))
+            })
+        })
+        .transpose()?;
+    Ok(CallerWishes {
+        priority,
+        deadline,
+        idempotency_key: token(headers, "idempotency-key", MAX_IDEMPOTENCY_BYTES, key)?,
+        last_event_id: token(headers, "last-event-id", MAX_EVENT_ID_BYTES, key)?,
+    })
+}
+
+/// Returns the headers that a plain service may see.
+pub(super) fn end_to_end(
+    headers: &HeaderMap,
+    key: Option<&CallerKey>,
+) -> Vec<(HeaderName, HeaderValue)> {
+    let listed: Vec<String> = headers
+        .get_all(CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let kept = |name: &HeaderName, value: &HeaderValue| {
+        let ends_here = NOT_FORWARDED.contains(name)
+            || NOT_FORWARDED_NAMES.contains(&name.as_str())
+            || (name != CONTENT_TYPE && listed.iter().any(|listed| listed == name.as_str()));
+        let holds_key = key.is_some_and(|key| {
+            key.is_in_bytes(value.as_bytes())
+                || key.is_in(name.as_str())
+                || key.is_in(&key_like(value))
+        });
+        !ends_here && !holds_key
+    };
+    headers
+        .iter()
+        .filter(|(name, value)| kept(name, value))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Returns the caller's trace.
+pub(super) fn trace_parent(headers: &HeaderMap) -> Option<TraceParent> {
+    TraceParent::parse(headers.get("traceparent")?.to_str().ok()?)
+}
+
+/// Returns a header value with its escapes decoded, in which a key could hide.
+fn key_like(value: &HeaderValue) -> String {
+    String::from_utf8_lossy(&super::secret::percent_decoded_bytes(value.as_bytes())).into_owned()
+}
+
+/// Returns a header that may come once.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let mut values = headers.get_all(name);
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(invalid(format!("`{name}` comes twice")));
+    }
+    value.to_str().map(Some).map_err(|_| invalid(format!("`{name}` isn't text")))
+}
+
+/// Returns a header whose value is a short text without the caller's key in it.
+fn token(
+    headers: &HeaderMap,
+    name: &str,
+    limit: usize,
+    key: Option<&CallerKey>,
+) -> Result<Option<String>> {
+    let Some(text) = single(headers, name)? else { return Ok(None) };
+    if text.is_empty() || text.len() > limit {
+        return Err(invalid(format!("`{name}` must have 1 to {limit} bytes")));
+    }
+    if key.is_some_and(|key| key.is_in(text)) {
+        return Err(invalid(format!("`{name}` holds the caller's key")));
+    }
+    Ok(Some(text.to_string()))
+}
--- /dev/null
+++ b/crates/daemon/src/reply/caller.rs
@@ -0,0 +1,114 @@
+//! One caller's connection, from its request to the end of its answer.
+
+use std::{
+    sync::Arc,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use godwitroad_base::RequestId;
+use godwitroad_router::{CallerError, CallerReply};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{CallerShell, error_response};
+use crate::{
+    core::{CallerItem, CoreInput},
+    telemetry::HopSpan,
+};
+
+/// The receiving end of an answer; dropping it before the end tells the core that the caller left.
+pub(super) struct CallerLink {
+    shell: Arc<CallerShell>,
+    connection: u64,
+    items: UnboundedReceiver<CallerItem>,
+    id: Option<RequestId>,
+    ended: bool,
+    arrived: Instant,
+    span: HopSpan,
+}
+
+impl CallerLink {
+    pub(super) fn new(
+        shell: Arc<CallerShell>,
+        connection: u64,
+        items: UnboundedReceiver<CallerItem>,
+        span: HopSpan,
+    ) -> CallerLink {
+        let arrived = Instant::now();
+        CallerLink { shell, connection, items, id: None, ended: false, arrived, span }
+    }
+
+    pub(super) fn shell(&self) -> &CallerShell {
+        &self.shell
+    }
+
+    pub(super) fn id(&self) -> Option<RequestId> {
+        self.id
+    }
+
+    /// Returns the next part of the answer, or `None` when the core let the connection go.
+    pub(super) async fn next(&mut self) -> Option<CallerReply> {
+        std::future::poll_fn(|context| self.poll_next(context)).await
+    }
+
+    pub(super) fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<CallerReply>> {
+        loop {
+            match self.items.poll_recv(context) {
+                Poll::Ready(Some(CallerItem::Accepted(id))) => {
+                    self.id = Some(id);
+                    self.span.bind(id);
+                }
+                Poll::Ready(Some(CallerItem::Reply(reply))) => {
+                    self.note(&reply);
+                    return Poll::Ready(Some(reply));
+                }
+                Poll::Ready(None) => {
+                    self.ended = true;
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    /// Counts the time to the first part of the answer.
+    pub(super) fn first_part(&self) {
+        self.shell.telemetry.time("caller.first_part_us", self.arrived.elapsed());
+    }
+
+    /// Adds the request's id to a response.
+    pub(super) fn insert_id(&self, response: &mut HttpResponseBuilder) {
+        if let Some(id) = self.id {
+            response.insert_header(("x-request-id", id.to_string()));
+        }
+    }
+
+    pub(super) fn error_response(&self, error: &CallerError) -> HttpResponse {
+        error_response(error, self.id)
+    }
+
+    fn note(&mut self, reply: &CallerReply) {
+        match reply {
+            CallerReply::End => {
+                self.ended = true;
+                self.shell.telemetry.count("caller.ended");
+            }
+            CallerReply::Failed(error) => {
+                self.ended = true;
+                self.shell.telemetry.caller_error(error.kind);
+                self.span.fail();
+            }
+            CallerReply::Header { .. } | CallerReply::Data(_) | CallerReply::Event { .. } => {}
+        }
+    }
+}
+
+impl Drop for CallerLink {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shell.telemetry.count("caller.left");
+            self.shell.core.send(CoreInput::Left { connection: self.connection });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/log.rs
@@ -0,0 +1,79 @@
+//! Log lines, which are written only when a state changes.
+
+use std::sync::Arc;
+
+use godwitroad_router::StateNotice;
+use spdlog::{
+    Level, LevelFilter, Logger,
+    formatter::{FullFormatter, JsonFormatter},
+    sink::{Sink, StdStreamSink},
+};
+
+use crate::settings::{DaemonSettings, LogFormat, LogLevel};
+
+/// The log of one daemon.
+#[derive(Debug)]
+pub(super) struct NodeLog {
+    logger: Arc<Logger>,
+}
+
+impl NodeLog {
+    /// Opens the log on the standard error stream.
+    pub(super) fn open(settings: &DaemonSettings) -> anyhow::Result<NodeLog> {
+        let builder = StdStreamSink::builder().stderr();
+        let sink: Arc<dyn Sink> = match settings.log.format {
+            LogFormat::Text => builder.formatter(FullFormatter::new()).build_arc()?,
+            LogFormat::Json => builder.formatter(JsonFormatter::new()).build_arc()?,
+        };
+        let level = match settings.log.level {
+            LogLevel::Error => Level::Error,
+            LogLevel::Warn => Level::Warn,
+            LogLevel::Info => Level::Info,
+            LogLevel::Debug => Level::Debug,
+        };
+        let logger = Logger::builder()
+            .name(settings.vm.as_str())
+            .level_filter(LevelFilter::MoreSevereEqual(level))
+            // Lines are rare and must survive a crash that follows them.
+            .flush_level_filter(LevelFilter::All)
+            .sink(sink)
+            .build_arc()?;
+        Ok(NodeLog { logger })
+    }
+
+    pub(super) fn info(&self, text: &str) {
+        spdlog::info!(logger: self.logger, "{text}");
+    }
+
+    pub(super) fn warn(&self, text: &str) {
+        spdlog::warn!(logger: self.logger, "{text}");
+    }
+
+    pub(super) fn flush(&self) {
+        self.logger.flush();
+    }
+
+    pub(super) fn notice(&self, notice: &StateNotice) {
+        match notice {
+            StateNotice::ConfigInForce { generation } => {
+                self.info(&format!("configuration generation {generation} is in force"));
+            }
+            StateNotice::Readiness { ready: true, reason } => {
+                self.info(&format!("ready: {reason}"));
+            }
+            StateNotice::Readiness { ready: false, reason } => {
+                self.warn(&format!("not ready: {reason}"));
+            }
+            StateNotice::TargetHealth { target, state } => {
+                self.warn(&format!("target {target} is {state}"));
+            }
+            StateNotice::StoreReachable { reachable: true } => self.info("the store is reachable"),
+            StateNotice::StoreReachable { reachable: false } => {
+                self.warn("the store is unreachable");
+            }
+            StateNotice::RosterEpoch { epoch, members } => {
+                self.info(&format!("roster epoch {epoch} has {members} members"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -0,0 +1,72 @@
+//! Counters and timers in the statsd format over UDP.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use cadence::{BufferedUdpMetricSink, Counted, QueuingMetricSink, StatsdClient, Timed};
+use godwitroad_router::ErrorKind;
+
+/// The beginning of every metric's name.
+const PREFIX: &str = "godwitroad";
+
+/// The metrics that may wait for the sending thread; more are dropped, because a metric must never hold up a request.
+const QUEUE_LIMIT: usize = 16_384;
+
+/// The metrics of one daemon.
+#[derive(Debug)]
+pub(super) struct NodeMetrics {
+    client: Option<StatsdClient>,
+}
+
+impl NodeMetrics {
+    /// Opens the client; without an address nothing is sent.
+    pub(super) fn open(address: Option<SocketAddr>) -> anyhow::Result<NodeMetrics> {
+        let Some(address) = address else { return Ok(NodeMetrics { client: None }) };
+        let local: SocketAddr =
+            if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0_u16; 8], 0).into() };
+        let socket = UdpSocket::bind(local)?;
+        socket.set_nonblocking(true)?;
+        let udp = BufferedUdpMetricSink::from(address, socket)?;
+        let queue = QueuingMetricSink::with_capacity(udp, QUEUE_LIMIT);
+        Ok(NodeMetrics { client: Some(StatsdClient::from_sink(PREFIX, queue)) })
+    }
+
+    pub(super) fn count(&self, name: &str, amount: u64) {
+        let Some(client) = &self.client else { return };
+        // A metric that can't be sent is lost; the request that it counts goes on.
+        let _ = client.count(name, i64::try_from(amount).unwrap_or(i64::MAX));
+    }
+
+    pub(super) fn time(&self, name: &str, span: Duration) {
+        let Some(client) = &self.client else { return };
+        let _ = client.time(name, u64::try_from(span.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    pub(super) fn caller_error(&self, kind: ErrorKind) {
+        if self.client.is_some() {
+            self.count(&format!("caller.errors.{}", kind_name(kind)), 1);
+        }
+    }
+}
+
+fn kind_name(kind: ErrorKind) -> &'static str {
+    match kind {
+        ErrorKind::KeyMissing => "key_missing",
+        ErrorKind::KeyInvalid => "key_invalid",
+        ErrorKind::KeyWithdrawn => "key_withdrawn",
+        ErrorKind::RouteUnknown => "route_unknown",
+        ErrorKind::ModelUnknown => "model_unknown",
+        ErrorKind::RequestInvalid => "request_invalid",
+        ErrorKind::RateExceeded => "rate_exceeded",
+        ErrorKind::Overloaded => "overloaded",
+        ErrorKind::TargetUnavailable => "target_unavailable",
+        ErrorKind::TargetFailed => "target_failed",
+        ErrorKind::ClaimUnavailable => "claim_unavailable",
+        ErrorKind::ClaimPending => "claim_pending",
+        ErrorKind::ClaimMismatch => "claim_mismatch",
+        ErrorKind::StreamLost => "stream_lost",
+        ErrorKind::NotReady => "not_ready",
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/callers.rs
@@ -0,0 +1,212 @@
+//! What callers get, through the whole daemon.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{
+    KEY, Step, TestTarget, answer, chat, daemon, document, event_head, get, head, post, token,
+};
+use yare::parameterized;
+
+fn engine(bytes: Vec<u8>) -> TestTarget {
+    TestTarget::start(move |_| vec![Step::Write(bytes.clone())])
+}
+
+/// Guards against events without numbers, a missing end, and fields that the router must set.
+#[test]
+fn a_stream_has_numbered_events_and_an_explicit_end() {
+    let target = engine(answer(&["a", "b", "c"]));
+    let daemon = daemon(&[target.address], &[]);
+    let response = post(
+        daemon.callers(),
+        "/v1/chat/completions",
+        "x-priority: batch\r\nx-deadline-ms: 9000\r\n",
+        &chat(true),
+    );
+    assert_eq!((response.status, response.complete), (200, true));
+    assert_eq!(response.text(), "abc");
+    let id = response.header("x-request-id").unwrap();
+    let expected: Vec<_> = [1, 2, 3, 3].iter().map(|number| format!("{id}-{number}")).collect();
+    assert_eq!(response.fields("id"), expected);
+    assert_eq!(response.fields("data").last(), Some(&"[DONE]"));
+    let seen = target.requests().into_iter().find(|seen| seen.head.starts_with("POST")).unwrap();
+    let body: Value = serde_json::from_str(&seen.body).unwrap();
+    assert_eq!((&body["stream"], &body["priority"]), (&json!(true), &json!(1)));
+    assert!(body["cache_salt"].as_str().unwrap().starts_with("account"));
+    assert_eq!(seen.header("x-request-id"), Some(id));
+    assert_eq!(seen.header("x-attempt"), Some("1"));
+    assert!(seen.header("x-deadline-ms").unwrap().parse::<u64>().unwrap() <= 9_000);
+    assert!(seen.header("traceparent").is_some());
+}
+
+/// Guards against an answer in one piece that differs from the stream.
+#[test]
+fn an_answer_in_one_piece_holds_the_whole_text() {
+    let target = engine(answer(&["one ", "two"]));
+    let daemon = daemon(&[target.address], &[]);
+    let response = post(daemon.callers(), "/v1/chat/completions", "", &chat(false));
+    let body: Value = serde_json::from_str(&response.body).unwrap();
+    assert_eq!(body["object"], "chat.completion");
+    assert_eq!(body["choices"][0]["message"]["content"], "one two");
+    assert_eq!(body["id"].as_str(), response.header("x-request-id"));
+}
+
+/// Guards against untyped errors, and against a wrong claim that a request ran.
+#[parameterized(
+    not_json = { "/v1/chat/completions", "", "{\"model\": ", 400, "request_invalid" },
+    no_model = { "/v1/chat/completions", "", "{\"messages\": []}", 400, "request_invalid" },
+    bad_prompt = { "/v1/completions", "", "{\"model\": \"m\", \"prompt\": 7}", 400, "request_invalid" },
+    bad_priority = { "/v1/completions", "x-priority: high\r\n", "{\"model\": \"m\", \"prompt\": \"\"}", 400, "request_invalid" },
+    unknown_model = { "/v1/completions", "", "{\"model\": \"z\", \"prompt\": \"\"}", 404, "model_unknown" },
+    unknown_route = { "/elsewhere", "", "", 404, "route_unknown" },
+    underscore = { "/plain", "x_request_id: 1\r\n", "", 400, "request_invalid" },
+    two_keys = { "/plain", "authorization: Bearer other\r\n", "", 400, "request_invalid" },
+)]
+fn a_refused_request_has_a_typed_error(
+    path: &str,
+    headers: &str,
+    body: &str,
+    status: u16,
+    kind: &str,
+) {
+    let target = engine(answer(&["a"]));
+    let daemon = daemon(&[target.address], &[]);
+    let response = post(daemon.callers(), path, headers, body);
+    assert_eq!(response.status, status, "{response:?}");
+    assert_eq!(
+        (&response.error()["type"], &response.error()["outcome"]),
+        (&json!(kind), &json!("not_run"))
+    );
+    assert!(target.requests().iter().all(|seen| !seen.head.starts_with("POST")));
+}
+
+/// Guards against limits that end a connection without an error that a caller can read.
+#[test]
+fn a_request_that_is_too_large_has_a_typed_error() {
+    let mut settings = support::settings();
+    settings.max_body_bytes = 1_000;
+    let options = support::options(settings, Some(document(&[], &[])));
+    let daemon = godwitroad_daemon::app::start(options).unwrap();
+    let large_body = post(daemon.callers(), "/plain", "", &"x".repeat(1_001));
+    assert_eq!(large_body.error()["type"], "request_invalid");
+    let many: String = (0..70).map(|number| format!("x-h{number}: 1\r\n")).collect();
+    assert_eq!(post(daemon.callers(), "/plain", &many, "").error()["type"], "request_invalid");
+}
+
+/// Guards against a key that is known to the daemon but missing from `/v1/models`, and against an open list.
+#[test]
+fn models_are_listed_for_a_valid_key() {
+    let daemon = daemon(&[], &[]);
+    let list = |authorization: &str| {
+        let request = format!(
+            "GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{authorization}\r\n"
+        );
+        support::exchange(daemon.callers(), request.as_bytes())
+    };
+    let models: Value =
+        serde_json::from_str(&list(&format!("authorization: Bearer {KEY}\r\n")).body).unwrap();
+    assert_eq!(models["data"][0]["id"], "m");
+    assert_eq!(list("authorization: Bearer wrong\r\n").error()["type"], "key_invalid");
+    assert_eq!(list("").error()["type"], "key_missing");
+}
+
+/// Guards against answers of a plain service that are changed, or cut without the caller noticing.
+#[test]
+fn a_plain_answer_passes_through_and_a_cut_one_is_seen() {
+    let whole = TestTarget::start(|_| {
+        vec![
+            Step::Write(head(201, "content-type: text/x\r\ncontent-length: 5\r\n")),
+            Step::Write(b"hello".to_vec()),
+        ]
+    });
+    let first = daemon(&[], &[whole.address]);
+    let response = post(
+        first.callers(),
+        "/plain/a?b=c",
+        "x-own: kept\r\nconnection: x-hop\r\nx-hop: 1\r\n",
+        "{}",
+    );
+    assert_eq!((response.status, response.body.as_str()), (201, "hello"));
+    assert_eq!(response.header("content-type"), Some("text/x"));
+    let seen = &whole.requests()[0];
+    assert!(seen.head.starts_with("POST /plain/a?b=c HTTP/1.1\n"));
+    assert_eq!((seen.header("x-own"), seen.header("x-hop")), (Some("kept"), None));
+    let cut = TestTarget::start(|_| {
+        vec![
+            Step::Write(head(200, "content-length: 50\r\n")),
+            Step::Write(b"half".to_vec()),
+            Step::Close,
+        ]
+    });
+    let second = daemon(&[], &[cut.address]);
+    let response = post(second.callers(), "/once", "", "{}");
+    assert!(!response.complete || response.status == 502, "{response:?}");
+}
+
+/// Guards against a request that is answered as complete when its engine died, and against a lost token.
+#[test]
+fn a_broken_stream_goes_on_at_another_engine() {
+    let dying = TestTarget::start(|seen| {
+        if !seen.head.starts_with("POST") {
+            return vec![Step::Close];
+        }
+        if seen.body.contains("resume") {
+            let mut bytes = event_head();
+            bytes.extend(token(2, "c"));
+            bytes.extend(support::done());
+            return vec![Step::Write(bytes)];
+        }
+        let mut bytes = event_head();
+        bytes.extend(token(0, "a"));
+        bytes.extend(token(1, "b"));
+        vec![Step::Write(bytes), Step::Close]
+    });
+    let other = TestTarget::start(|seen| {
+        if !seen.body.contains("resume") {
+            return vec![Step::Close];
+        }
+        let mut bytes = event_head();
+        bytes.extend(token(2, "c"));
+        bytes.extend(support::done());
+        vec![Step::Write(bytes)]
+    });
+    let daemon = daemon(&[dying.address, other.address], &[]);
+    let response = post(daemon.callers(), "/v1/chat/completions", "", &chat(true));
+    assert_eq!(response.text(), "abc", "{response:?}");
+    assert_eq!(response.fields("data").last(), Some(&"[DONE]"));
+}
+
+/// Guards against probes that keep a stopping daemon in the load balancer, and against requests cut by a stop.
+#[test]
+fn a_planned_stop_finishes_what_runs() {
+    let (release, hold) = std::sync::mpsc::channel();
+    let hold = std::sync::Mutex::new(Some(hold));
+    let target = TestTarget::start(move |seen| {
+        if !seen.head.starts_with("POST") {
+            return vec![Step::Close];
+        }
+        let mut start = event_head();
+        start.extend(token(0, "a"));
+        let mut rest = token(1, "b");
+        rest.extend(support::done());
+        vec![
+            Step::Write(start),
+            Step::Hold(hold.lock().unwrap().take().unwrap()),
+            Step::Write(rest),
+        ]
+    });
+    let daemon = daemon(&[target.address], &[]);
+    let callers = daemon.callers();
+    let caller = std::thread::spawn(move || post(callers, "/v1/chat/completions", "", &chat(true)));
+    while !target.requests().iter().any(|seen| seen.head.starts_with("POST")) {
+        std::thread::yield_now();
+    }
+    daemon.stop();
+    while get(daemon.operators(), "/readyz").status != 503 {
+        std::thread::yield_now();
+    }
+    assert_eq!(get(daemon.operators(), "/healthz").status, 200);
+    release.send(()).unwrap();
+    assert_eq!(caller.join().unwrap().text(), "ab");
+    daemon.wait().unwrap();
+}
--- /dev/null
+++ b/crates/daemon/tests/store.rs
@@ -0,0 +1,206 @@
+//! Calls to the store, against a small stand-in for its gateway.
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail the test by a panic")]
+
+mod support;
+
+use std::{net::TcpListener, sync::mpsc::Receiver};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use godwitroad_base::ClockSpan;
+use godwitroad_daemon::{app::AppHandle, settings::DaemonSettings};
+use godwitroad_router::{RouterAction, RouterEvent, VmState};
+use godwitroad_store::{
+    CallId, KeyVersion, LeaseId, StoreEntry, StoreFailure, StoreKey, StoreOutcome, StoreReply,
+    StoreRequest,
+};
+use serde_json::{Value, json};
+use support::{Step, TestTarget, fake, head, post_bytes, settings};
+use yare::parameterized;
+
+fn b64(text: &str) -> String {
+    BASE64_STANDARD.encode(text)
+}
+
+fn pair(key: &str, value: &str, version: u64) -> Value {
+    json!({"key": b64(key), "value": b64(value), "mod_revision": version.to_string(), "version": "1"})
+}
+
+fn entry(key: &str, value: &str, version: u64) -> StoreEntry {
+    StoreEntry { key: key.into(), version: KeyVersion(version), value: value.as_bytes().into() }
+}
+
+fn put(expected: Option<u64>) -> StoreRequest {
+    let (key, value) = ("k".into(), b"v".as_slice().into());
+    StoreRequest::Put { key, value, expected: expected.map(KeyVersion), lease: Some(LeaseId(5)) }
+}
+
+/// Starts a daemon that makes one call when a request comes.
+fn calling(addresses: Vec<String>, request: StoreRequest) -> (AppHandle, Receiver<RouterEvent>) {
+    let settings = DaemonSettings { store: addresses, ..settings() };
+    let (daemon, events) = fake(settings, Vec::new(), move |event| match event {
+        RouterEvent::Request(_) => {
+            vec![RouterAction::Store { call: CallId(3), request: request.clone() }]
+        }
+        _ => Vec::new(),
+    });
+    let callers = daemon.callers();
+    std::thread::spawn(move || support::exchange(callers, &post_bytes("/plain", "", "")));
+    (daemon, events)
+}
+
+fn outcome(events: &Receiver<RouterEvent>) -> StoreOutcome {
+    loop {
+        if let RouterEvent::Store { call, outcome } = events.recv().unwrap() {
+            assert_eq!(call, CallId(3));
+            return outcome;
+        }
+    }
+}
+
+fn answered(status: u16, answer: &Value, request: StoreRequest) -> (StoreOutcome, Value, String) {
+    let body = format!("{answer}\n");
+    let store = TestTarget::start(move |_| {
+        let head = head(status, &format!("content-length: {}\r\n", body.len()));
+        vec![Step::Write(head), Step::Write(body.clone().into())]
+    });
+    let (_daemon, events) = calling(vec![format!("http://{}", store.address)], request);
+    let outcome = outcome(&events);
+    let seen = &store.requests()[0];
+    let path = seen.head.split(' ').nth(1).unwrap().to_string();
+    (outcome, serde_json::from_str(&seen.body).unwrap(), path)
+}
+
+/// Guards against calls that the published gateway wouldn't understand, and against misread answers.
+#[test]
+fn calls_follow_the_gateway() {
+    let header = json!({"revision": "12"});
+    let (outcome, sent, path) = answered(
+        200,
+        &json!({"header": header, "kvs": [pair("k", "v", 4)], "count": "1"}),
+        StoreRequest::Get { key: "k".into() },
+    );
+    assert_eq!((path.as_str(), &sent["key"]), ("/v3/kv/range", &json!(b64("k"))));
+    assert_eq!(outcome, Ok(StoreReply::Value(Some(entry("k", "v", 4)))));
+
+    let (outcome, sent, _) =
+        answered(200, &json!({"header": header}), StoreRequest::List { prefix: "a/".into() });
+    assert_eq!(sent["range_end"], b64("a0"));
+    let newest = KeyVersion(12);
+    assert_eq!(outcome, Ok(StoreReply::Entries { entries: vec![], removed: vec![], newest }));
+
+    let (outcome, sent, path) =
+        answered(200, &json!({"header": header, "succeeded": true}), put(Some(0)));
+    assert_eq!((path.as_str(), &sent["compare"][0]["mod_revision"]), ("/v3/kv/txn", &json!("0")));
+    assert_eq!(sent["success"][0]["request_put"]["lease"], "5");
+    assert_eq!(outcome, Ok(StoreReply::Written(newest)));
+
+    let found = json!({"header": header, "responses": [{"response_range": {"kvs": [pair("k", "other", 9)]}}]});
+    assert_eq!(
+        answered(200, &found, put(Some(3))).0,
+        Ok(StoreReply::Conflict(Some(entry("k", "other", 9))))
+    );
+    let gone = json!({"header": header, "responses": [{"response_range": {}}]});
+    let delete = StoreRequest::Delete { key: "k".into(), expected: KeyVersion(3) };
+    assert_eq!(answered(200, &gone, delete).0, Ok(StoreReply::Conflict(None)));
+
+    let grant = StoreRequest::Grant { ttl: ClockSpan::from_ms(2_500) };
+    let (outcome, sent, _) = answered(200, &json!({"ID": "7", "TTL": "3"}), grant);
+    assert_eq!(sent["TTL"], "3");
+    assert_eq!(outcome, Ok(StoreReply::Lease { lease: LeaseId(7), ttl: ClockSpan::from_secs(3) }));
+    let keep = || StoreRequest::KeepAlive { lease: LeaseId(7) };
+    let renewed = answered(200, &json!({"result": {"ID": "7", "TTL": "3"}}), keep()).0;
+    assert_eq!(renewed, Ok(StoreReply::Lease { lease: LeaseId(7), ttl: ClockSpan::from_secs(3) }));
+    assert_eq!(answered(200, &json!({"result": {"ID": "7"}}), keep()).0, Ok(StoreReply::LeaseGone));
+}
+
+/// Guards against a write that is reported as unsent or refused though it may have taken effect.
+#[parameterized(
+    too_large = { head(400, "content-length: 2\r\n"), b"{}", StoreFailure::Rejected },
+    unavailable = { head(503, "content-length: 2\r\n"), b"{}", StoreFailure::Unknown },
+    lost_at_once = { Vec::new(), b"", StoreFailure::Unknown },
+    cut_answer = { head(200, "content-length: 90\r\n"), b"{\"header\"", StoreFailure::Unknown },
+    garbled = { head(200, "content-length: 3\r\n"), b"}{\n", StoreFailure::Unknown },
+    cut_refusal = { head(400, "content-length: 90\r\n"), b"{", StoreFailure::Unknown },
+)]
+fn a_failed_write_is_reported_honestly(
+    start: Vec<u8>,
+    body: &'static [u8],
+    expected: StoreFailure,
+) {
+    let store = TestTarget::start(move |_| {
+        vec![Step::Write(start.clone()), Step::Write(body.to_vec()), Step::Close]
+    });
+    let (_daemon, events) = calling(vec![format!("http://{}", store.address)], put(None));
+    assert_eq!(outcome(&events), Err(expected));
+}
+
+/// Guards against a call that is given up at the first dead address, and against "unknown" when none is reached.
+#[test]
+fn an_unreachable_address_is_passed_over() {
+    let closed =
+        || format!("http://{}", TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+    let (_daemon, events) = calling(vec![closed(), closed()], put(None));
+    assert_eq!(outcome(&events), Err(StoreFailure::NotSent));
+    let store = TestTarget::start(|_| vec![Step::Write(head(400, "content-length: 0\r\n"))]);
+    let (_daemon, events) = calling(vec![closed(), format!("http://{}", store.address)], put(None));
+    assert_eq!(outcome(&events), Err(StoreFailure::Rejected));
+}
+
+fn watched(lines: &[Value]) -> StoreOutcome {
+    let whole: String = lines.iter().map(|line| format!("{line}\n")).collect();
+    let store = TestTarget::start(move |_| {
+        let start = head(200, "transfer-encoding: chunked\r\n");
+        let bytes = whole.bytes().map(|byte| Step::Write(support::chunk(&[byte])));
+        std::iter::once(Step::Write(start)).chain(bytes).chain([Step::Close]).collect()
+    });
+    let request = StoreRequest::Watch { prefix: "a".into(), after: KeyVersion(4) };
+    let (_daemon, events) = calling(vec![format!("http://{}", store.address)], request);
+    let outcome = outcome(&events);
+    let sent: Value = serde_json::from_str(&store.requests()[0].body).unwrap();
+    assert_eq!(sent["create_request"]["start_revision"], "5");
+    outcome
+}
+
+/// Guards against a lost or doubled change, and against a watch that ends silently.
+#[test]
+fn a_watch_is_read_as_it_comes() {
+    let created = json!({"result": {"header": {"revision": "4"}, "created": true}});
+    let changes = json!({"result": {"header": {"revision": "9"}, "events": [
+        {"kv": pair("a1", "old", 7)}, {"kv": pair("a1", "new", 8)}, {"type": "DELETE", "kv": {"key": b64("a2"), "mod_revision": "9"}},
+    ]}});
+    let expected = StoreReply::Entries {
+        entries: vec![entry("a1", "new", 8)],
+        removed: vec![StoreKey::from("a2")],
+        newest: KeyVersion(9),
+    };
+    assert_eq!(watched(&[created.clone(), changes]), Ok(expected));
+    assert_eq!(
+        watched(&[
+            json!({"result": {"header": {"revision": "9"}, "compact_revision": "6", "canceled": true}})
+        ]),
+        Ok(StoreReply::Compacted)
+    );
+    assert_eq!(watched(&[created]), Err(StoreFailure::Unknown));
+    assert_eq!(watched(&[json!({"error": {"code": 14}})]), Err(StoreFailure::Unknown));
+}
+
+/// Guards against a VM list that is lost between the platform and the state.
+#[test]
+fn the_vm_list_reaches_the_state() {
+    let platform = TestTarget::start(|_| {
+        let body = r#"[{"vm": "vm-1", "state": "live"}, {"vm": "vm-2", "state": "leaving", "address": "127.0.0.1:9", "region": "r", "other": 1}]"#;
+        vec![
+            Step::Write(head(200, &format!("content-length: {}\r\n", body.len()))),
+            Step::Write(body.into()),
+        ]
+    });
+    let settings =
+        DaemonSettings { vm_list: Some(format!("http://{}/vms", platform.address)), ..settings() };
+    let (_daemon, events) = fake(settings, Vec::new(), |_| Vec::new());
+    let list = loop {
+        if let RouterEvent::VmList(list) = events.recv().unwrap() {
+            break list;
+        }
+    };
+    assert_eq!((list[1].vm.as_str(), list[1].state), ("vm-2", VmState::Leaving));
+}
--- /dev/null
+++ b/crates/daemon/tests/targets.rs
@@ -0,0 +1,406 @@
+//! What an attempt reports, seen by a small stand-in for the decision state.
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail the test by a panic")]
+
+mod support;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Mutex,
+        mpsc::{Receiver, channel},
+    },
+    time::Duration,
+};
+
+use godwitroad_base::{ClockSpan, RequestId};
+use godwitroad_config::PriorityClass;
+use godwitroad_daemon::{app::AppHandle, decision::PollTarget};
+use godwitroad_router::{
+    AttemptReport, CacheEvent, CallerError, CallerReply, DispatchOrder, ErrorKind, ResumePoint,
+    RouterAction, RouterEvent, RunOutcome,
+};
+use support::{
+    Step, TestTarget, answer, chat, done, event_head, fake, head, post_bytes, settings, token,
+};
+use yare::parameterized;
+
+const ID: RequestId = RequestId { node: 0xabc, serial: 7 };
+const PROBE: RequestId = RequestId { node: 0xabc, serial: 8 };
+
+fn failed(kind: ErrorKind) -> CallerReply {
+    let message = String::new();
+    CallerReply::Failed(CallerError {
+        kind,
+        outcome: RunOutcome::Unknown,
+        retry_after: None,
+        message,
+    })
+}
+
+fn order(address: SocketAddr, attempt: u32, resume: Option<ResumePoint>) -> DispatchOrder {
+    DispatchOrder {
+        id: ID,
+        attempt,
+        target: "t".into(),
+        address: address.to_string(),
+        cache_salt: "salt".to_string(),
+        priority: PriorityClass::Overnight,
+        deadline: ClockSpan::from_ms(500),
+        resume,
+    }
+}
+
+/// Starts a daemon that sends the first request to `address` and does what `react` says after that.
+fn dispatch(
+    address: SocketAddr,
+    mut react: impl FnMut(&RouterEvent) -> Vec<RouterAction> + Send + 'static,
+) -> (AppHandle, Receiver<RouterEvent>) {
+    let (daemon, events) = fake(settings(), Vec::new(), move |event| match event {
+        RouterEvent::Request(arrival) => vec![
+            RouterAction::Accepted { connection: arrival.connection, id: ID },
+            RouterAction::Dispatch(order(address, 1, None)),
+        ],
+        other => react(other),
+    });
+    let callers = daemon.callers();
+    std::thread::spawn(move || {
+        support::exchange(callers, &post_bytes("/v1/chat/completions", "", &chat(true)))
+    });
+    (daemon, events)
+}
+
+/// Returns the reports of the attempt up to its end.
+fn reports(events: &Receiver<RouterEvent>) -> Vec<AttemptReport> {
+    let mut reports = Vec::new();
+    loop {
+        if let RouterEvent::Attempt { report, .. } = events.recv().unwrap() {
+            let ends = matches!(report, AttemptReport::Ended | AttemptReport::Failed { .. });
+            reports.push(report);
+            if ends {
+                return reports;
+            }
+        }
+    }
+}
+
+fn failure(reports: &[AttemptReport]) -> Option<(bool, bool)> {
+    match reports.last() {
+        Some(AttemptReport::Failed { sent, refused }) => Some((*sent, *refused)),
+        _ => None,
+    }
+}
+
+fn tokens(reports: &[AttemptReport]) -> String {
+    let texts = reports.iter().filter_map(|report| match report {
+        AttemptReport::Tokens { text, .. } => Some(text.to_string()),
+        _ => None,
+    });
+    texts.collect()
+}
+
+fn crossed(header: &str) -> Vec<u8> {
+    let start =
+        format!("{header}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    [head(200, &start), token(0, "a"), done()].concat()
+}
+
+fn crossed_event() -> Vec<u8> {
+    let other = RequestId { serial: 8, ..ID };
+    let data = format!("data: {{\"id\": \"{other}\", \"token_index\": 0, \"choices\": []}}\n\n");
+    [event_head(), support::chunk(data.as_bytes()), done()].concat()
+}
+
+/// Guards against a false "not run", a cut answer that passes for a whole one, and another request's answer.
+#[parameterized(
+    dies_at_once = { Vec::new(), "", (true, false) },
+    dies_in_head = { b"HTTP/1.1 200 OK\r\ncont".to_vec(), "", (true, false) },
+    dies_in_stream = { [event_head(), token(0, "a")].concat(), "a", (true, false) },
+    dies_in_event = { [event_head(), token(0, "a"), token(1, "b")[..40].to_vec()].concat(), "a", (true, false) },
+    ends_without_done = { [event_head(), token(0, "a"), b"0\r\n\r\n".to_vec()].concat(), "a", (true, false) },
+    refuses = { head(503, "x-not-run: true\r\ncontent-length: 0\r\n"), "", (true, true) },
+    overloaded = { head(503, "content-length: 0\r\n"), "", (true, false) },
+    broken = { head(500, "content-length: 0\r\n"), "", (true, false) },
+    not_http = { b"\x00\x01\x02garbage\r\n\r\n".to_vec(), "", (true, false) },
+    not_json = { [event_head(), support::chunk(b"data: {\n\n")].concat(), "", (true, false) },
+    error_event = { [event_head(), token(0, "a"), support::chunk(b"event: error\ndata: {}\n\n")].concat(), "a", (true, false) },
+    other_request = { crossed("x-request-id: 00000000000000000000000000000001"), "", (true, false) },
+    other_attempt = { crossed("x-attempt: 2"), "", (true, false) },
+    other_event = { crossed_event(), "", (true, false) },
+)]
+fn a_failed_attempt_is_reported_as_what_it_is(bytes: Vec<u8>, text: &str, expected: (bool, bool)) {
+    let target = TestTarget::start(move |_| vec![Step::Write(bytes.clone()), Step::Close]);
+    let (_daemon, events) = dispatch(target.address, |_| Vec::new());
+    let reports = reports(&events);
+    assert_eq!(failure(&reports), Some(expected), "{reports:?}");
+    assert_eq!(tokens(&reports), text);
+}
+
+/// Guards against "sent" for a request that no target can have seen.
+#[test]
+fn a_refused_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let closed = listener.local_addr().unwrap();
+    drop(listener);
+    let (_daemon, events) = dispatch(closed, |_| Vec::new());
+    assert_eq!(failure(&reports(&events)), Some((false, false)));
+}
+
+/// Guards against an answer that depends on how the network cuts it.
+#[test]
+fn an_answer_in_single_bytes_is_the_same() {
+    let target = TestTarget::start(|_| {
+        answer(&["ä", "b", "c"]).into_iter().map(|byte| Step::Write(vec![byte])).collect()
+    });
+    let (_daemon, events) = dispatch(target.address, |_| Vec::new());
+    let reports = reports(&events);
+    assert_eq!(tokens(&reports), "äbc");
+    assert!(matches!(reports.last(), Some(AttemptReport::Ended)));
+}
+
+/// Guards against work that goes on after a cancel, and against reports of an attempt that was given up.
+#[test]
+fn a_cancel_closes_the_connection_and_reports_nothing() {
+    let (closed, seen_closed) = channel();
+    let target = TestTarget::start(move |_| {
+        let start = [event_head(), token(0, "a")].concat();
+        vec![
+            Step::Write(start),
+            Step::AwaitClose(closed.clone()),
+            Step::Write(token(1, "late")),
+            Step::Close,
+        ]
+    });
+    let (daemon, events) = dispatch(target.address, |event| match event {
+        RouterEvent::Attempt { report: AttemptReport::Tokens { .. }, .. } => {
+            vec![RouterAction::Cancel { id: ID, attempt: 1 }]
+        }
+        _ => Vec::new(),
+    });
+    seen_closed.recv().unwrap();
+    daemon.stop();
+    let mut reported = Vec::new();
+    loop {
+        match events.recv().unwrap() {
+            RouterEvent::Attempt { report, .. } => reported.push(report),
+            RouterEvent::Stop => break,
+            _ => {}
+        }
+    }
+    assert_eq!(tokens(&reported), "a");
+    assert_eq!(failure(&reported), None);
+}
+
+/// Guards against a second answer on a connection that is taken for the answer to the next request.
+#[test]
+fn a_target_that_answers_twice_loses_its_connection() {
+    let target =
+        TestTarget::start(|_| vec![Step::Write([answer(&["a"]), answer(&["stray"])].concat())]);
+    let address = target.address;
+    let (daemon, events) = dispatch(address, |_| Vec::new());
+    assert_eq!(tokens(&reports(&events)), "a");
+    let second = support::exchange;
+    let callers = daemon.callers();
+    std::thread::spawn(move || {
+        second(callers, &post_bytes("/v1/chat/completions", "", &chat(true)))
+    });
+    assert_eq!(tokens(&reports(&events)), "a");
+    let connections: Vec<_> = target.requests().iter().map(|seen| seen.connection).collect();
+    assert_eq!(connections, [0, 1]);
+}
+
+/// Guards against a resumed stream that begins again, and against lost overrides.
+#[test]
+fn a_resumed_attempt_carries_the_text_so_far() {
+    let target =
+        TestTarget::start(|_| vec![Step::Write([event_head(), token(2, "c"), done()].concat())]);
+    let address = target.address;
+    let (_daemon, events) = fake(settings(), Vec::new(), move |event| match event {
+        RouterEvent::Request(arrival) => vec![
+            RouterAction::Accepted { connection: arrival.connection, id: ID },
+            RouterAction::Dispatch(order(
+                address,
+                2,
+                Some(ResumePoint { tokens: 2, text: "ab".into() }),
+            )),
+        ],
+        _ => Vec::new(),
+    });
+    let callers = _daemon.callers();
+    std::thread::spawn(move || {
+        support::exchange(callers, &post_bytes("/v1/chat/completions", "", &chat(false)))
+    });
+    let reports = reports(&events);
+    assert!(matches!(&reports[1], AttemptReport::Tokens { first: 2, count: 1, .. }), "{reports:?}");
+    let body: serde_json::Value = serde_json::from_str(&target.requests()[0].body).unwrap();
+    assert_eq!(body["resume"], serde_json::json!({"tokens": 2, "text": "ab"}));
+    assert_eq!((&body["priority"], &body["stream"]), (&2.into(), &true.into()));
+    assert_eq!(target.requests()[0].header("x-attempt"), Some("2"));
+}
+
+/// Guards against a returning caller with another key who ends the stream of its owner.
+#[test]
+fn a_refused_return_leaves_the_stream_to_its_owner() {
+    let (release, hold) = channel();
+    let hold = Mutex::new(Some(hold));
+    let target = TestTarget::start(move |_| {
+        let start = [event_head(), token(0, "a")].concat();
+        vec![
+            Step::Write(start),
+            Step::Hold(hold.lock().unwrap().take().unwrap()),
+            Step::Write([token(1, "b"), done()].concat()),
+        ]
+    });
+    let address = target.address;
+    let (daemon, events) = fake(settings(), Vec::new(), move |event| {
+        let reply = |reply| vec![RouterAction::Reply { id: ID, reply }];
+        match event {
+            RouterEvent::Request(arrival) if arrival.last_event_id.is_some() => vec![
+                RouterAction::Accepted { connection: arrival.connection, id: ID },
+                RouterAction::Reply { id: ID, reply: failed(ErrorKind::StreamLost) },
+            ],
+            RouterEvent::Request(arrival) => vec![
+                RouterAction::Accepted { connection: arrival.connection, id: ID },
+                RouterAction::Dispatch(order(address, 1, None)),
+            ],
+            RouterEvent::Attempt { report: AttemptReport::Tokens { first, data, .. }, .. } => {
+                reply(CallerReply::Event { number: first + 1, data: data.clone() })
+            }
+            RouterEvent::Attempt { report: AttemptReport::Ended, .. } => reply(CallerReply::End),
+            _ => Vec::new(),
+        }
+    });
+    let callers = daemon.callers();
+    let owner =
+        std::thread::spawn(move || support::post(callers, "/v1/chat/completions", "", &chat(true)));
+    while !matches!(
+        events.recv().unwrap(),
+        RouterEvent::Attempt { report: AttemptReport::Tokens { .. }, .. }
+    ) {}
+    let returned = format!("last-event-id: {ID}-1\r\n");
+    assert_eq!(support::post(callers, "/v1/chat/completions", &returned, "").status, 410);
+    release.send(()).unwrap();
+    let response = owner.join().unwrap();
+    assert_eq!(response.text(), "ab");
+    assert_eq!(response.fields("data").last(), Some(&"[DONE]"));
+}
+
+/// Pauses the attempt when it starts; `/probe` runs a second one, and `/resume` ends the pause.
+fn react_with_pause(
+    event: &RouterEvent,
+    address: SocketAddr,
+    closed: SocketAddr,
+) -> Vec<RouterAction> {
+    match event {
+        RouterEvent::Request(arrival) if arrival.path == "/resume" => {
+            vec![RouterAction::Pause { id: ID, attempt: 1, paused: false }]
+        }
+        RouterEvent::Request(arrival) if arrival.path == "/probe" => vec![
+            RouterAction::Accepted { connection: arrival.connection, id: PROBE },
+            RouterAction::Dispatch(DispatchOrder {
+                id: PROBE,
+                cache_salt: String::new(),
+                ..order(closed, 1, None)
+            }),
+        ],
+        RouterEvent::Request(arrival) => vec![
+            RouterAction::Accepted { connection: arrival.connection, id: ID },
+            RouterAction::Dispatch(order(address, 1, None)),
+        ],
+        RouterEvent::Attempt { report: AttemptReport::Started { .. }, .. } => {
+            vec![RouterAction::Pause { id: ID, attempt: 1, paused: true }]
+        }
+        RouterEvent::Attempt { id, report: AttemptReport::Failed { .. }, .. } if *id == PROBE => {
+            vec![RouterAction::Reply { id: PROBE, reply: failed(ErrorKind::TargetFailed) }]
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Guards against a slow caller whose answer fills the memory, and against a pause that never ends.
+#[test]
+fn a_paused_attempt_reads_no_more_until_it_resumes() {
+    let (release, hold) = channel();
+    let hold = Mutex::new(Some(hold));
+    let target = TestTarget::start(move |_| {
+        let rest = [token(0, "a"), token(1, "b"), done()].concat();
+        vec![
+            Step::Write(event_head()),
+            Step::Hold(hold.lock().unwrap().take().unwrap()),
+            Step::Write(rest),
+        ]
+    });
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut one_thread = settings();
+    one_thread.target_threads = 1;
+    let address = target.address;
+    let (daemon, events) =
+        fake(one_thread, Vec::new(), move |event| react_with_pause(event, address, closed));
+    let callers = daemon.callers();
+    let send = move |path: &'static str| {
+        std::thread::spawn(move || support::exchange(callers, &post_bytes(path, "", &chat(true))))
+    };
+    send("/v1/chat/completions");
+    while !matches!(
+        events.recv().unwrap(),
+        RouterEvent::Attempt { report: AttemptReport::Started { .. }, .. }
+    ) {}
+    // A probe passes the thread of the attempt after the pause did.
+    send("/probe").join().unwrap();
+    release.send(()).unwrap();
+    for _ in 0..20 {
+        send("/probe").join().unwrap();
+    }
+    let early = events
+        .try_iter()
+        .filter(|event| matches!(event, RouterEvent::Attempt { id, .. } if *id == ID));
+    assert_eq!(early.count(), 0);
+    send("/resume");
+    let mut text = String::new();
+    loop {
+        match events.recv().unwrap() {
+            RouterEvent::Attempt {
+                id, report: AttemptReport::Tokens { text: more, .. }, ..
+            } if id == ID => text += &more,
+            RouterEvent::Attempt { id, report: AttemptReport::Ended, .. } if id == ID => break,
+            _ => {}
+        }
+    }
+    assert_eq!(text, "ab");
+}
+
+/// Guards against pollers that skip or repeat cache events, and against a lost load report.
+#[test]
+fn load_and_cache_events_are_polled() {
+    let target = TestTarget::start(|seen| {
+        let body = if seen.head.starts_with("GET /load") {
+            r#"{"incarnation": 3, "running": 2, "waiting": 1, "waiting_tokens": 9, "age_ms": 4}"#
+        } else if seen.head.starts_with("GET /cache/events?after=0 ") {
+            r#"{"incarnation": 3, "first": 5, "snapshot": true, "events": [{"stored": {"piece": 9, "parent": 0}}]}"#
+        } else if seen.head.starts_with("GET /cache/events?after=4 ") {
+            r#"{"incarnation": 3, "first": 5, "snapshot": false, "events": ["cleared", "cleared"]}"#
+        } else if seen.head.starts_with("GET /cache/events?after=6 ") {
+            return vec![Step::Hold(channel().1), Step::Close];
+        } else {
+            return vec![Step::Close];
+        };
+        vec![
+            Step::Write(head(200, &format!("content-length: {}\r\n", body.len()))),
+            Step::Write(body.into()),
+        ]
+    });
+    let polled = PollTarget { name: "t".into(), address: target.address.to_string(), cache: true };
+    let (_daemon, events) = fake(settings(), vec![polled], |_| Vec::new());
+    let (mut loads, mut batches) = (0, Vec::new());
+    while loads == 0 || batches.len() < 2 {
+        match events.recv_timeout(Duration::from_secs(60)).unwrap() {
+            RouterEvent::Load { report, .. } => {
+                assert_eq!((report.incarnation, report.waiting_tokens), (3, 9));
+                loads += 1;
+            }
+            RouterEvent::Cache { batch, .. } => batches.push(batch),
+            _ => {}
+        }
+    }
+    assert_eq!(batches[0].events, [CacheEvent::Stored { piece: 9, parent: 0 }]);
+    assert_eq!((batches[1].first, batches[1].events.len()), (5, 2));
+}
