Drive the facade with its store, membership and peers

Cause: the facade now names its peers, gives its readiness as a reason and runs its fleet parts when there is a store.

Change: the daemon starts the fleet parts when the settings name a store, tells peers its own address, opens links to the peers that the facade lists, and reports the facade's reason on /readyz. A configuration from a file is parsed and checked by the configuration crate. A peer message that has no JSON form is counted as dropped.

--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -17,10 +17,13 @@
 use anyhow::{Context as _, anyhow};
 use godwitroad_base::NodeId;
 use godwitroad_config::ConfigDocument;
-use godwitroad_router::{RouterSettings, RouterState};
+use godwitroad_router::{FleetSettings, RouterSettings};
 use tokio::sync::watch;
 
-use crate::{decision::DecisionState, settings::DaemonSettings};
+use crate::{
+    decision::{DecisionState, FacadeState},
+    settings::DaemonSettings,
+};
 
 /// The listeners of a daemon.
 #[derive(Debug)]
@@ -91,11 +94,17 @@
 /// Returns an error when a file, a socket or the telemetry can't be opened.
 pub fn start(options: AppOptions) -> anyhow::Result<AppHandle> {
     let settings = &options.settings;
-    let state = RouterState::new(RouterSettings {
+    let own_address = options.listeners.peers.local_addr()?;
+    let fleet = (!settings.store.is_empty()).then(|| FleetSettings {
+        address: settings.peer_address.unwrap_or(own_address).to_string(),
+        ..Default::default()
+    });
+    let state = FacadeState::new(RouterSettings {
         node: NodeId::new(settings.vm.clone(), options.incarnation),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
         seed: settings.seed,
+        fleet,
         ..Default::default()
     });
     start_with(options, Box::new(state))
@@ -139,11 +148,17 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the file can't be read or isn't a configuration.
+/// Returns an error when the file can't be read or isn't a configuration, and all mistakes of one that is.
 pub fn load_document(path: &Path) -> anyhow::Result<ConfigDocument> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("{} can't be read", path.display()))?;
-    serde_json::from_str(&text).with_context(|| format!("{} isn't a configuration", path.display()))
+    let bytes = std::fs::read(path).with_context(|| format!("{} can't be read", path.display()))?;
+    let document = godwitroad_config::parse(&bytes)
+        .with_context(|| format!("{} isn't a configuration", path.display()))?;
+    let mistakes = godwitroad_config::check(&document);
+    if mistakes.is_empty() {
+        return Ok(document);
+    }
+    let lines: Vec<String> = mistakes.iter().map(|mistake| format!("\n    {mistake}")).collect();
+    Err(anyhow!("{} has {} mistakes:{}", path.display(), lines.len(), lines.concat()))
 }
 
 impl AppHandle {
--- a/crates/daemon/src/app/ports.rs
+++ b/crates/daemon/src/app/ports.rs
@@ -1,10 +1,10 @@
 //! Where the core's actions go.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use godwitroad_base::{RequestId, VmName};
-use godwitroad_peers::PeerHub;
-use godwitroad_router::{DispatchOrder, PeerMessage, StateNotice};
+use godwitroad_base::{RegionName, RequestId, VmName};
+use godwitroad_peers::{PeerAddress, PeerHub};
+use godwitroad_router::{DispatchOrder, PeerMessage, PeerPlace, StateNotice};
 use godwitroad_store::{CallId, StoreFailure, StoreRequest};
 use tokio::sync::{mpsc::UnboundedSender, watch};
 
@@ -23,6 +23,8 @@
     pub(super) targets: Vec<UnboundedSender<TargetCommand>>,
     pub(super) polls: UnboundedSender<Vec<PollTarget>>,
     pub(super) store: Option<UnboundedSender<(CallId, StoreRequest)>>,
+    /// The peers that the settings name.
+    pub(super) known: Vec<PeerAddress>,
     pub(super) hub: Arc<PeerHub<RouterMessage>>,
     pub(super) core: CoreHandle,
     pub(super) telemetry: Arc<NodeTelemetry>,
@@ -55,6 +57,19 @@
         self.hub.send(&to, RouterMessage(message));
     }
 
+    fn peers(&mut self, places: Vec<(PeerPlace, Option<RegionName>)>) {
+        let mut peers: BTreeMap<VmName, PeerAddress> =
+            self.known.iter().map(|peer| (peer.vm.clone(), peer.clone())).collect();
+        for (place, region) in places {
+            // A place that is no IP address and port can't be reached; the state learns it from the silence.
+            let Ok(address) = place.address.parse() else { continue };
+            // Without a known region the bytes count as sent to another one, which is what is billed.
+            let region = region.unwrap_or_else(|| "".into());
+            peers.insert(place.vm.clone(), PeerAddress { vm: place.vm, region, address });
+        }
+        self.hub.set_peers(peers.into_values().collect());
+    }
+
     fn store(&mut self, call: CallId, request: StoreRequest) {
         let sent = self.store.as_ref().is_some_and(|store| store.send((call, request)).is_ok());
         if !sent {
--- a/crates/daemon/src/app/serve.rs
+++ b/crates/daemon/src/app/serve.rs
@@ -85,7 +85,7 @@
     if let Some(document) = document {
         core.event(RouterEvent::Configure { generation: 1, document });
     }
-    spawn_readers(&settings, &core, telemetry, &hub, slot);
+    spawn_readers(&settings, &core, telemetry, slot);
     telemetry.info("started");
     // The starter may have given up; the phase then says so.
     let _ = started.send(());
@@ -232,6 +232,7 @@
         targets,
         polls,
         store,
+        known: settings.peers.clone(),
         hub: hub.clone(),
         core: core.clone(),
         telemetry: telemetry.clone(),
@@ -243,16 +244,12 @@
     settings: &DaemonSettings,
     core: &CoreHandle,
     telemetry: &Arc<NodeTelemetry>,
-    hub: &Arc<PeerHub<RouterMessage>>,
     slot: Option<Arc<CertificateSlot>>,
 ) {
     if let Some(url) = settings.vm_list.clone() {
         let reader = VmReader {
             url,
             poll: settings.vm_list_poll,
-            own_region: settings.region.clone(),
-            known: settings.peers.clone(),
-            hub: hub.clone(),
             core: core.clone(),
             telemetry: telemetry.clone(),
         };
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,18 +7,18 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
         mpsc::{Receiver, RecvTimeoutError, Sender, channel},
     },
     time::{Duration, Instant},
 };
 
-use godwitroad_base::{ClockTime, ModelName, RequestId, VmName};
+use godwitroad_base::{ClockTime, ModelName, RegionName, RequestId, VmName};
 use godwitroad_config::KeyHash;
 use godwitroad_router::{
-    AttemptReport, CallerReply, DispatchOrder, PeerMessage, RequestArrival, RouterAction,
-    RouterEvent, StateNotice,
+    AttemptReport, CallerReply, DispatchOrder, PeerMessage, PeerPlace, RequestArrival,
+    RouterAction, RouterEvent, StateNotice,
 };
 use godwitroad_store::{CallId, StoreRequest};
 use serde_json::Value;
@@ -73,6 +73,7 @@
     fn cancel(&mut self, id: RequestId, attempt: u32);
     fn pause(&mut self, id: RequestId, attempt: u32, paused: bool);
     fn peer(&mut self, to: VmName, message: PeerMessage);
+    fn peers(&mut self, places: Vec<(PeerPlace, Option<RegionName>)>);
     fn store(&mut self, call: CallId, request: StoreRequest);
     fn poll(&mut self, targets: Vec<PollTarget>);
     fn notice(&mut self, notice: StateNotice);
@@ -83,7 +84,7 @@
 #[derive(Clone)]
 pub(crate) struct CoreHandle {
     inputs: Sender<CoreInput>,
-    ready: Arc<AtomicBool>,
+    unready: Arc<RwLock<Option<&'static str>>>,
     stopping: Arc<AtomicBool>,
 }
 
@@ -91,7 +92,8 @@
     /// Returns a handle and the queue that [`run`] reads.
     pub(crate) fn new() -> (CoreHandle, Receiver<CoreInput>) {
         let (inputs, queue) = channel();
-        (CoreHandle { inputs, ready: Arc::default(), stopping: Arc::default() }, queue)
+        let unready = Arc::new(RwLock::new(Some("starting")));
+        (CoreHandle { inputs, unready, stopping: Arc::default() }, queue)
     }
 
     /// Hands over an input; returns `false` when the core has ended.
@@ -111,12 +113,9 @@
     /// Returns why the daemon isn't ready, or `None` when it is.
     pub(crate) fn unready_reason(&self) -> Option<&'static str> {
         if self.stopping.load(Ordering::Relaxed) {
-            Some("stopping")
-        } else if self.ready.load(Ordering::Relaxed) {
-            None
-        } else {
-            Some("starting")
+            return Some("the router is stopping");
         }
+        *self.unready.read().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -135,6 +134,7 @@
         callers: CallerTable::default(),
         actions: Vec::new(),
         polled: Vec::new(),
+        unready: Some("starting"),
     };
     let tick = Duration::from_millis(TICK_MS);
     let mut next_tick = Instant::now() + tick;
@@ -163,6 +163,7 @@
     callers: CallerTable,
     actions: Vec<RouterAction>,
     polled: Vec<PollTarget>,
+    unready: Option<&'static str>,
 }
 
 impl CoreRunner {
@@ -207,7 +208,12 @@
         }
         self.actions = actions;
         self.callers.settle(ended);
-        self.core.handle.ready.store(self.core.state.is_ready(), Ordering::Relaxed);
+        let unready = self.core.state.readiness().err();
+        if unready != self.unready {
+            self.unready = unready;
+            let shared = &self.core.handle.unready;
+            *shared.write().unwrap_or_else(PoisonError::into_inner) = unready;
+        }
     }
 
     fn carry_out(&mut self, action: RouterAction) {
@@ -227,6 +233,15 @@
             RouterAction::Cancel { id, attempt } => ports.cancel(id, attempt),
             RouterAction::Pause { id, attempt, paused } => ports.pause(id, attempt, paused),
             RouterAction::Peer { to, message } => ports.peer(to, message),
+            RouterAction::Peers(places) => {
+                let state = &self.core.state;
+                let region = |place: &PeerPlace| state.region_of(place.zone.as_ref()?);
+                let places = places.into_iter().map(|place| {
+                    let region = region(&place);
+                    (place, region)
+                });
+                ports.peers(places.collect());
+            }
             RouterAction::Store { call, request } => ports.store(call, request),
             RouterAction::Notice(notice) => ports.notice(notice),
             RouterAction::Exit => ports.exit(),
--- a/crates/daemon/src/decision.rs
+++ b/crates/daemon/src/decision.rs
@@ -2,9 +2,9 @@
 //!
 //! The daemon drives `RouterState`; tests of adapters drive a small stand-in through the same trait.
 
-use godwitroad_base::{ClockTime, ModelName, TargetName};
-use godwitroad_config::{ConfigDocument, KeyHash, ServiceKind};
-use godwitroad_router::{RouterAction, RouterEvent, RouterState};
+use godwitroad_base::{ClockTime, ModelName, RegionName, TargetName, ZoneName};
+use godwitroad_config::{ConfigDocument, KeyHash, ServiceKind, TargetConfig};
+use godwitroad_router::{RouterAction, RouterEvent, RouterSettings, RouterState};
 use serde_json::{Value, json};
 
 /// A target whose load and cache events this router reads.
@@ -35,7 +35,16 @@
     fn handle(&mut self, now: ClockTime, event: RouterEvent, actions: &mut Vec<RouterAction>);
 
     /// Returns whether the router can serve.
-    fn is_ready(&self) -> bool;
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason while it can't.
+    fn readiness(&self) -> Result<(), &'static str>;
+
+    /// Returns the region of a zone, by which the bytes to its routers are counted.
+    fn region_of(&self, _zone: &ZoneName) -> Option<RegionName> {
+        None
+    }
 
     /// Returns the targets to poll.
     fn poll_targets(&self) -> Vec<PollTarget> {
@@ -53,21 +62,37 @@
     }
 }
 
-impl DecisionState for RouterState {
+/// The facade as a daemon drives it.
+#[derive(Debug)]
+pub struct FacadeState {
+    state: RouterState,
+    zone: ZoneName,
+}
+
+impl FacadeState {
+    /// Returns the state of a router that has just started.
+    pub fn new(settings: RouterSettings) -> FacadeState {
+        let zone = settings.zone.clone();
+        // The daemon's clock starts with its threads, right after the state.
+        FacadeState { state: RouterState::new(ClockTime::ZERO, settings), zone }
+    }
+}
+
+impl DecisionState for FacadeState {
     fn handle(&mut self, now: ClockTime, event: RouterEvent, actions: &mut Vec<RouterAction>) {
-        RouterState::handle(self, now, event, actions);
+        self.state.handle(now, event, actions);
     }
 
-    fn is_ready(&self) -> bool {
-        RouterState::is_ready(self)
+    fn readiness(&self) -> Result<(), &'static str> {
+        self.state.readiness()
     }
 
     fn poll_targets(&self) -> Vec<PollTarget> {
-        engines(self.config().1)
+        engines(self.state.config().1, &self.zone)
     }
 
     fn models(&self, key: Option<&KeyHash>) -> Option<Vec<ModelName>> {
-        let document = self.config().1;
+        let document = self.state.config().1;
         let key = key?;
         let known = document
             .accounts
@@ -77,29 +102,35 @@
         known.then(|| document.models.iter().map(|model| model.name.clone()).collect())
     }
 
+    fn region_of(&self, zone: &ZoneName) -> Option<RegionName> {
+        let regions = &self.state.config().1.regions;
+        let region = regions.iter().find(|region| region.zones.contains(zone));
+        region.map(|region| region.name.clone())
+    }
+
     fn admin(&self, query: &AdminQuery) -> Option<Value> {
         match query {
             AdminQuery::Status => Some(json!({
-                "generation": self.config().0,
-                "ready": RouterState::is_ready(self),
-                "requests": self.request_count(),
+                "generation": self.state.config().0,
+                "ready": self.state.is_ready(),
+                "reason": self.state.readiness().err(),
+                "requests": self.state.request_count(),
             })),
             AdminQuery::Targets | AdminQuery::Explain(_) => None,
         }
     }
 }
 
-/// Returns all engines of a configuration.
-fn engines(document: &ConfigDocument) -> Vec<PollTarget> {
-    document
-        .services
-        .iter()
-        .filter(|service| service.kind == ServiceKind::Engine)
-        .flat_map(|service| &service.targets)
-        .map(|target| PollTarget {
-            name: target.name.clone(),
-            address: target.address.clone(),
-            cache: true,
-        })
-        .collect()
+/// Returns all engines of a configuration, those of the own zone first, whose cache events are read too.
+fn engines(document: &ConfigDocument, own_zone: &ZoneName) -> Vec<PollTarget> {
+    let engines = document.services.iter().filter(|service| service.kind == ServiceKind::Engine);
+    let targets: Vec<_> = engines.flat_map(|service| &service.targets).collect();
+    let is_own = |target: &&&TargetConfig| target.zone == *own_zone;
+    let (own, other): (Vec<_>, Vec<_>) = targets.iter().partition(is_own);
+    let polled = |target: &TargetConfig| PollTarget {
+        name: target.name.clone(),
+        address: target.address.clone(),
+        cache: target.zone == *own_zone,
+    };
+    own.into_iter().chain(other).map(polled).collect()
 }
--- a/crates/daemon/src/peering.rs
+++ b/crates/daemon/src/peering.rs
@@ -19,10 +19,7 @@
 
 impl PeerPayload for RouterMessage {
     fn kind(&self) -> &'static str {
-        match &self.0 {
-            PeerMessage::Unknown => "unknown",
-            _ => "message",
-        }
+        self.0.kind()
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -32,6 +32,8 @@
     pub store: Vec<String>,
     /// The URL of the platform's VM list.
     pub vm_list: Option<String>,
+    /// The address that peers are told to use, if it isn't the one on which the daemon listens.
+    pub peer_address: Option<SocketAddr>,
     /// Peers that are known without the VM list.
     pub peers: Vec<PeerAddress>,
     /// The secret that all routers share.
@@ -182,6 +184,7 @@
             listen: ListenSettings { callers: any, operators: any, peers: any },
             store: Vec::new(),
             vm_list: None,
+            peer_address: None,
             peers: Vec::new(),
             peer_secret: PeerSecret::new(""),
             log: LogOptions::default(),
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -34,6 +34,7 @@
         listen: reader.object("listen", true, read_listen).unwrap_or(defaults.listen),
         store: reader.list("store", url),
         vm_list: reader.optional("vm_list", url),
+        peer_address: reader.optional("peer_address", parsed),
         peers: reader.list("peers", read_peer),
         peer_secret: reader.optional("peer_secret", secret).unwrap_or(defaults.peer_secret),
         log: reader.object("log", false, read_log).unwrap_or_default(),
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -68,5 +68,8 @@
         ErrorKind::ClaimMismatch => "claim_mismatch",
         ErrorKind::StreamLost => "stream_lost",
         ErrorKind::NotReady => "not_ready",
+        ErrorKind::ClaimUnknown => "claim_unknown",
+        ErrorKind::AnswerLost => "answer_lost",
+        ErrorKind::ZoneCutOff => "zone_cut_off",
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -343,8 +343,8 @@
         let _ = self.events.send(event);
     }
 
-    fn is_ready(&self) -> bool {
-        true
+    fn readiness(&self) -> Result<(), &'static str> {
+        Ok(())
     }
 
     fn poll_targets(&self) -> Vec<PollTarget> {
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -62,7 +62,7 @@
     async fn deliver(&self, client: PeerLinkClient) {
         loop {
             let messages = self.queue.take(self.settings.batch_limit).await;
-            let (batch, kinds) = encode(&messages);
+            let (batch, kinds) = self.encode(&messages);
             let mut context = context::current();
             let limit = Duration::from_millis(self.settings.answer_limit.as_ms());
             context.deadline = std::time::Instant::now() + limit;
@@ -83,6 +83,25 @@
         }
     }
 
+    /// Encodes messages and gives the kind and size of each.
+    fn encode(&self, messages: &[M]) -> (WireBatch, Vec<(&'static str, u64)>) {
+        let mut batch = WireBatch { messages: Vec::with_capacity(messages.len()) };
+        let mut kinds = Vec::with_capacity(messages.len());
+        for message in messages {
+            match serde_json::to_vec(message) {
+                Ok(bytes) => {
+                    kinds.push((message.kind(), bytes.len() as u64));
+                    batch.messages.push(bytes);
+                }
+                // A message without a JSON form (a map whose keys aren't text) can't be sent by any retry either.
+                Err(_) => {
+                    self.counters.change(message.kind(), self.scope(), |row| row.dropped += 1);
+                }
+            }
+        }
+        (batch, kinds)
+    }
+
     fn scope(&self) -> LinkScope {
         scope_of(&self.settings, &self.peer.region)
     }
@@ -92,16 +111,3 @@
 pub(crate) fn scope_of(settings: &PeerSettings, region: &godwitroad_base::RegionName) -> LinkScope {
     if *region == settings.region { LinkScope::OwnRegion } else { LinkScope::OtherRegion }
 }
-
-/// Encodes messages and gives the kind and size of each.
-fn encode<M: PeerPayload>(messages: &[M]) -> (WireBatch, Vec<(&'static str, u64)>) {
-    let mut batch = WireBatch { messages: Vec::with_capacity(messages.len()) };
-    let mut kinds = Vec::with_capacity(messages.len());
-    for message in messages {
-        // A message that has no JSON form (a map with keys that aren't text) can't be sent by any retry either.
-        let Ok(bytes) = serde_json::to_vec(message) else { continue };
-        kinds.push((message.kind(), bytes.len() as u64));
-        batch.messages.push(bytes);
-    }
-    (batch, kinds)
-}
