--- a/crates/daemon/src/intake/secret.rs
+++ b/crates/daemon/src/intake/secret.rs
@@ -9,6 +9,7 @@
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
 use godwitroad_config::KeyHash;
+use memchr::memmem;
 use serde_json::Value;
 
 use super::{Result, invalid};
@@ -37,8 +38,7 @@
 
     /// Returns whether `bytes` hold the key.
     pub fn is_in_bytes(&self, bytes: &[u8]) -> bool {
-        let key = self.0.as_bytes();
-        bytes.windows(key.len()).any(|window| window == key)
+        memmem::find(bytes, self.0.as_bytes()).is_some()
     }
 
     /// Refuses a path with the key in it, which can't be removed without changing what the path means.
@@ -101,7 +101,8 @@
         return Ok(if cleaned.len() == form.len() { body } else { cleaned.into() });
     }
     // Cutting bytes out of a format that isn't known could change what the rest means.
-    if key.is_in_bytes(&body) || key.is_in_bytes(&percent_decoded_bytes(&body)) {
+    let is_escaped = memchr::memchr(b'%', &body).is_some();
+    if key.is_in_bytes(&body) || (is_escaped && key.is_in_bytes(&percent_decoded_bytes(&body))) {
         return Err(invalid("the body holds the caller's key"));
     }
     Ok(body)
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -80,6 +80,40 @@
     assert!(target.requests().iter().all(|seen| !seen.head.starts_with("POST")));
 }
 
+/// Guards against a request that this daemon and a target could read as two different ones.
+#[parameterized(
+    two_lengths = { "content-length: 3\r\ncontent-length: 4\r\n\r\nabcd" },
+    same_length_twice = { "content-length: 3\r\ncontent-length: 3\r\n\r\nabc" },
+    length_and_chunked = { "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n" },
+    chunked_twice = { "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n" },
+    other_encoding = { "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
+    length_list = { "content-length: 3, 3\r\n\r\nabc" },
+    signed_length = { "content-length: +3\r\n\r\nabc" },
+    bad_chunk = { "transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n" },
+    space_in_name = { "content-length : 3\r\n\r\nabc" },
+    folded = { "x-a: 1\r\n folded: 2\r\ncontent-length: 0\r\n\r\n" },
+    upgrade = { "connection: upgrade\r\nupgrade: websocket\r\ncontent-length: 0\r\n\r\n" },
+    two_hosts = { "host: y\r\ncontent-length: 0\r\n\r\n" },
+)]
+fn an_ambiguous_request_reaches_no_target(rest: &str) {
+    let target = TestTarget::start(|_| vec![Step::Write(head(200, "content-length: 0\r\n"))]);
+    let daemon = daemon(&[], &[target.address]);
+    let start = format!("POST /plain HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n");
+    let request = format!("{start}connection: close\r\n{rest}");
+    let response = support::exchange(daemon.callers(), request.as_bytes());
+    assert_eq!(response.status, 400, "{response:?}");
+    assert_eq!(target.requests().len(), 0);
+}
+
+/// Guards against a request head without an end that fills the memory.
+#[test]
+fn an_endless_head_is_refused() {
+    let daemon = daemon(&[], &[]);
+    let request = format!("GET /plain HTTP/1.1\r\nx-long: {}", "x".repeat(1 << 20));
+    assert!((400..500).contains(&support::exchange(daemon.callers(), request.as_bytes()).status));
+    assert_eq!(get(daemon.callers(), "/healthz").status, 200);
+}
+
 /// Guards against limits that end a connection without an error that a caller can read.
 #[test]
 fn a_request_that_is_too_large_has_a_typed_error() {
