Let the decision state share its thread with the first attempts

Cause: on its way to the first token a request changed threads four times inside the daemon, and each change costs a wake-up.

Change: the state is now owned by one task on the thread that also runs the first group of attempts (`target_threads` is 1 by default). A daemon whose state panics ends instead of refusing everything.

--- a/crates/daemon/src/app/serve.rs
+++ b/crates/daemon/src/app/serve.rs
@@ -15,7 +15,7 @@
 use rustls::ClientConfig;
 use tokio::{
     runtime::Handle,
-    sync::{mpsc::unbounded_channel, watch},
+    sync::{mpsc::unbounded_channel, oneshot, watch},
     time::{sleep, timeout},
 };
 
@@ -79,9 +79,13 @@
     let ports = open_ports(&settings, &core, telemetry, &hub, target_tls, phase, &mut arbiters);
     let core_loop =
         CoreLoop { state, ports: Box::new(ports), clock: NodeClock::start(), handle: core.clone() };
-    let core_thread = std::thread::Builder::new()
-        .name("godwitroad-core".to_string())
-        .spawn(move || crate::core::run(core_loop, &queue))?;
+    let (core_ending, mut core_end) = oneshot::channel();
+    arbiters[0].spawn_fn(move || {
+        actix_rt::spawn(async move {
+            crate::core::run(core_loop, queue).await;
+            let _ = core_ending.send(());
+        });
+    });
     if let Some(document) = document {
         core.event(RouterEvent::Configure { generation: 1, document });
     }
@@ -89,20 +93,21 @@
     telemetry.info("started");
     // The starter may have given up; the phase then says so.
     let _ = started.send(());
-    await_end(&settings, &core, telemetry, phase).await;
-    let graceful = *phase.borrow() < AppPhase::Ended;
+    let core_failed = tokio::select! {
+        () = await_end(&settings, &core, telemetry, phase) => false,
+        // The core ends before it is told to only by a panic.
+        _ = &mut core_end => true,
+    };
+    let graceful = !core_failed && *phase.borrow() < AppPhase::Ended;
     caller_server.stop(graceful).await;
     operator_server.stop(graceful).await;
     core.send(CoreInput::Shutdown);
-    let joined = web::block(move || core_thread.join()).await;
+    let core_ended = !core_failed && core_end.await.is_ok();
     arbiters.iter().for_each(|arbiter| {
         arbiter.stop();
     });
     telemetry.info("ended");
-    match joined {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err(anyhow!("the thread of the decision state panicked")),
-    }
+    if core_ended { Ok(()) } else { Err(anyhow!("the decision state panicked")) }
 }
 
 fn serve_callers(
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,7 +1,9 @@
-//! The thread that owns the decision state.
+//! The task that owns the decision state.
 //!
-//! Events of all adapters meet in one queue. The thread applies them one by one and carries out the actions of each
-//! event before it takes the next, so that an adapter sees actions in the order in which they were decided.
+//! Events of all adapters meet in one queue. The task applies them one by one and carries out the actions of each
+//! event before it takes the next, so that an adapter sees actions in the order in which they were decided. It shares
+//! its thread with the first group of attempts: a request then changes threads twice instead of four times on its way
+//! to the first token.
 
 mod callers;
 
@@ -9,9 +11,8 @@
     sync::{
         Arc, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
-        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use godwitroad_base::{ClockTime, ModelName, RegionName, RequestId, VmName};
@@ -22,7 +23,13 @@
 };
 use godwitroad_store::{CallId, StoreRequest};
 use serde_json::Value;
-use tokio::sync::{mpsc::UnboundedSender, oneshot};
+use tokio::{
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        oneshot,
+    },
+    time::{MissedTickBehavior, interval},
+};
 
 use crate::{
     clock::NodeClock,
@@ -63,7 +70,7 @@
     Admin(AdminQuery, oneshot::Sender<Option<Value>>),
     /// A caller's question for the models.
     Models(Option<KeyHash>, oneshot::Sender<Option<Vec<ModelName>>>),
-    /// The thread must end.
+    /// The task must end.
     Shutdown,
 }
 
@@ -83,15 +90,15 @@
 /// The way into the core, for all adapters.
 #[derive(Clone)]
 pub(crate) struct CoreHandle {
-    inputs: Sender<CoreInput>,
+    inputs: UnboundedSender<CoreInput>,
     unready: Arc<RwLock<Option<&'static str>>>,
     stopping: Arc<AtomicBool>,
 }
 
 impl CoreHandle {
     /// Returns a handle and the queue that [`run`] reads.
-    pub(crate) fn new() -> (CoreHandle, Receiver<CoreInput>) {
-        let (inputs, queue) = channel();
+    pub(crate) fn new() -> (CoreHandle, UnboundedReceiver<CoreInput>) {
+        let (inputs, queue) = unbounded_channel();
         let unready = Arc::new(RwLock::new(Some("starting")));
         (CoreHandle { inputs, unready, stopping: Arc::default() }, queue)
     }
@@ -128,7 +135,7 @@
 }
 
 /// Runs the core until it is told to end.
-pub(crate) fn run(core: CoreLoop, queue: &Receiver<CoreInput>) {
+pub(crate) async fn run(core: CoreLoop, mut queue: UnboundedReceiver<CoreInput>) {
     let mut runner = CoreRunner {
         core,
         callers: CallerTable::default(),
@@ -136,23 +143,23 @@
         polled: Vec::new(),
         unready: Some("starting"),
     };
-    let tick = Duration::from_millis(TICK_MS);
-    let mut next_tick = Instant::now() + tick;
+    let mut clock = interval(Duration::from_millis(TICK_MS));
+    // After a pause of the process one tick stands for all that were missed.
+    clock.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut ticks = 0_u64;
     loop {
-        let wait = next_tick.saturating_duration_since(Instant::now());
-        match queue.recv_timeout(wait) {
-            Ok(CoreInput::Shutdown) | Err(RecvTimeoutError::Disconnected) => return,
-            Ok(input) => runner.take(input),
-            Err(RecvTimeoutError::Timeout) => {}
-        }
-        if Instant::now() >= next_tick {
-            runner.apply(RouterEvent::Tick);
-            // After a pause of the process one tick stands for all that were missed.
-            next_tick = Instant::now() + tick;
-            ticks += 1;
-            if ticks % POLL_LIST_TICKS == 1 {
-                runner.refresh();
+        tokio::select! {
+            biased;
+            _ = clock.tick() => {
+                runner.apply(RouterEvent::Tick);
+                ticks += 1;
+                if ticks % POLL_LIST_TICKS == 1 {
+                    runner.refresh();
+                }
+            }
+            input = queue.recv() => match input {
+                Some(CoreInput::Shutdown) | None => return,
+                Some(input) => runner.take(input),
             }
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -60,7 +60,7 @@
     pub max_body_bytes: usize,
     /// The number of threads that serve callers.
     pub caller_threads: usize,
-    /// The number of threads that talk to targets.
+    /// The number of threads that talk to targets; the first one also holds the decision state.
     pub target_threads: usize,
     /// The time between two reads of a target's load.
     pub load_poll: ClockSpan,
@@ -198,7 +198,7 @@
             stop_limit: ClockSpan::from_secs(120),
             max_body_bytes: 8 << 20,
             caller_threads: 2,
-            target_threads: 2,
+            target_threads: 1,
             load_poll: ClockSpan::from_ms(500),
             vm_list_poll: ClockSpan::from_secs(1),
         }
