Look for the caller's key with one prepared search

Cause: a body can hold many texts, and each was searched from scratch; a body in several parts grew its buffer step by step.

Change: the search is prepared once for a key, the buffer gets the announced size, and a body that announces too much is refused before it is read.

--- a/crates/daemon/src/intake/secret.rs
+++ b/crates/daemon/src/intake/secret.rs
@@ -9,7 +9,7 @@
 use actix_web::http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::Bytes;
 use godwitroad_config::KeyHash;
-use memchr::memmem;
+use memchr::memmem::Finder;
 use serde_json::Value;
 
 use super::{Result, invalid};
@@ -18,27 +18,32 @@
 const REPLACEMENT: &str = "[removed]";
 
 /// A caller's key, for as long as a request is read; its text never appears in output.
-pub struct CallerKey(String);
+pub struct CallerKey {
+    text: String,
+    /// Built once, as a body can hold many texts in which the key is looked for.
+    finder: Finder<'static>,
+}
 
 impl CallerKey {
     /// Returns the key holding `secret`, or `None` for an empty one.
     pub fn new(secret: &str) -> Option<CallerKey> {
-        (!secret.is_empty()).then(|| CallerKey(secret.to_string()))
+        let finder = || Finder::new(secret.as_bytes()).into_owned();
+        (!secret.is_empty()).then(|| CallerKey { text: secret.to_string(), finder: finder() })
     }
 
     /// Returns the hash of the key.
     pub fn hash(&self) -> KeyHash {
-        KeyHash::of(&self.0)
+        KeyHash::of(&self.text)
     }
 
     /// Returns whether `text` holds the key.
     pub fn is_in(&self, text: &str) -> bool {
-        text.contains(&self.0)
+        self.is_in_bytes(text.as_bytes())
     }
 
     /// Returns whether `bytes` hold the key.
     pub fn is_in_bytes(&self, bytes: &[u8]) -> bool {
-        memmem::find(bytes, self.0.as_bytes()).is_some()
+        self.finder.find(bytes).is_some()
     }
 
     /// Refuses a path with the key in it, which can't be removed without changing what the path means.
@@ -61,16 +66,16 @@
     /// Removes the key from a JSON value; returns `false` when the value itself is the key and must go.
     pub fn clean_json(&self, value: &mut Value) -> bool {
         match value {
-            Value::String(text) if *text == self.0 => return false,
+            Value::String(text) if *text == self.text => return false,
             Value::String(text) if self.is_in(text) => {
-                *text = text.replace(&self.0, REPLACEMENT);
+                *text = text.replace(&self.text, REPLACEMENT);
             }
             Value::Array(items) => items.retain_mut(|item| self.clean_json(item)),
             Value::Object(fields) => {
                 fields.retain(|name, field| !self.is_in(name) && self.clean_json(field));
             }
             // A key of digits could be written as a number.
-            Value::Number(number) => return number.to_string() != self.0,
+            Value::Number(number) => return number.to_string() != self.text,
             Value::String(_) | Value::Bool(_) | Value::Null => {}
         }
         true
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -12,7 +12,10 @@
 
 use actix_web::{
     HttpRequest, HttpResponse,
-    http::{StatusCode, header::CONTENT_TYPE},
+    http::{
+        StatusCode,
+        header::{CONTENT_LENGTH, CONTENT_TYPE},
+    },
     web,
 };
 use bytes::{Bytes, BytesMut};
@@ -99,7 +102,12 @@
         headers: request.headers(),
     };
     let key = intake::check_head(head)?;
-    let body = read_body(payload, shell.max_body_bytes).await?;
+    let announced = request.headers().get(CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+    if announced > shell.max_body_bytes {
+        return Err(too_large(shell.max_body_bytes));
+    }
+    let body = read_body(payload, announced, shell.max_body_bytes).await?;
     let (mut arrival, mut intake) = intake::read_request(head, key, body)?;
     let connection = shell.connections.fetch_add(1, Ordering::Relaxed);
     arrival.connection = connection;
@@ -115,7 +123,11 @@
     Ok((link, stream, engine))
 }
 
-async fn read_body(mut payload: web::Payload, limit: usize) -> intake::Result<Bytes> {
+async fn read_body(
+    mut payload: web::Payload,
+    announced: usize,
+    limit: usize,
+) -> intake::Result<Bytes> {
     let mut whole: Option<BytesMut> = None;
     let mut first: Option<Bytes> = None;
     let mut size = 0;
@@ -123,14 +135,15 @@
         let part = part.map_err(|_| intake::invalid("the body broke off or is malformed"))?;
         size += part.len();
         if size > limit {
-            return Err(intake::invalid(format!("the body has more than {limit} bytes")));
+            return Err(too_large(limit));
         }
         // Most bodies come in one part, which is kept as it is.
         match (&mut whole, first.take()) {
             (Some(whole), _) => whole.extend_from_slice(&part),
             (None, None) => first = Some(part),
             (None, Some(start)) => {
-                let mut joined = BytesMut::from(&start[..]);
+                let mut joined = BytesMut::with_capacity(announced.max(size));
+                joined.extend_from_slice(&start);
                 joined.extend_from_slice(&part);
                 whole = Some(joined);
             }
@@ -193,6 +206,10 @@
     response.streaming(ReplyStream::new(link, first))
 }
 
+fn too_large(limit: usize) -> CallerError {
+    intake::invalid(format!("the body has more than {limit} bytes"))
+}
+
 fn not_ready() -> CallerError {
     failure::plain_error(ErrorKind::NotReady, "the router is stopping")
 }
