--- a/crates/config/src/chunks.rs
+++ b/crates/config/src/chunks.rs
@@ -159,7 +159,16 @@
     if ChunkName::of(&text) != head.digest {
         return Err(JoinError::Digest(head.digest));
     }
-    Ok(crate::parse(&text)?)
+    read(&text)
+}
+
+/// Returns the document whose chunks, one after the other, are `text`.
+///
+/// # Errors
+///
+/// Returns an error when `text` isn't a document.
+pub fn read(text: &[u8]) -> std::result::Result<ConfigDocument, JoinError> {
+    Ok(crate::parse(text)?)
 }
 
 /// A part of the document's text that is never cut.
