Let the daemon ask the facade for targets, models and state

Cause: the daemon worked out by itself which targets to poll and what operators are told.

Change: the daemon polls the targets whose reader it is, reads a cache afresh when the index asks for it, and answers operators with the facade's state, targets and explanations.

Conclusion: no decision is left in the adapter.

--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -25,6 +25,10 @@
         entry("restart", "time until restarted routers hold and serve", restart::run),
         entry("rollout", "time and lost capacity of a rollout of weights", rollout::run),
         entry("routing", "hit rate and time to first token beside an oracle", routing::run),
-        entry("streams", "tokens decoded again after an engine's death, memory of a stream", streams::run),
+        entry(
+            "streams",
+            "tokens decoded again after an engine's death, memory of a stream",
+            streams::run,
+        ),
     ]
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -188,6 +188,10 @@
             }
             CoreInput::Event(event) => self.apply(event),
             CoreInput::Admin(query, answer) => {
+                if query == AdminQuery::Status {
+                    // The zones answer within milliseconds, for the operator's next question.
+                    self.apply(RouterEvent::AskProgress);
+                }
                 // The operator may have gone; nobody else wants the answer.
                 let _ = answer.send(self.core.state.admin(&query));
             }
@@ -249,6 +253,8 @@
                 });
                 ports.peers(places.collect());
             }
+            // The state lists the target as one to read afresh.
+            RouterAction::AskSnapshot { .. } => {}
             RouterAction::Store { call, request } => ports.store(call, request),
             RouterAction::Notice(notice) => ports.notice(notice),
             RouterAction::Exit => ports.exit(),
--- a/crates/daemon/src/decision.rs
+++ b/crates/daemon/src/decision.rs
@@ -2,10 +2,12 @@
 //!
 //! The daemon drives `RouterState`; tests of adapters drive a small stand-in through the same trait.
 
+use std::collections::BTreeMap;
+
 use godwitroad_base::{ClockTime, ModelName, RegionName, TargetName, ZoneName};
-use godwitroad_config::{ConfigDocument, KeyHash, ServiceKind, TargetConfig};
+use godwitroad_config::KeyHash;
 use godwitroad_router::{RouterAction, RouterEvent, RouterSettings, RouterState};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 /// A target whose load and cache events this router reads.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -16,6 +18,8 @@
     pub address: String,
     /// Whether this router also reads the target's cache events.
     pub cache: bool,
+    /// How often the whole cache had to be read again; a change starts the reading afresh.
+    pub resync: u64,
 }
 
 /// What operators can ask for.
@@ -66,21 +70,29 @@
 #[derive(Debug)]
 pub struct FacadeState {
     state: RouterState,
-    zone: ZoneName,
+    now: ClockTime,
+    /// How often the whole cache of a target had to be read again.
+    resyncs: BTreeMap<TargetName, u64>,
 }
 
 impl FacadeState {
     /// Returns the state of a router that has just started.
     pub fn new(settings: RouterSettings) -> FacadeState {
-        let zone = settings.zone.clone();
         // The daemon's clock starts with its threads, right after the state.
-        FacadeState { state: RouterState::new(ClockTime::ZERO, settings), zone }
+        let now = ClockTime::ZERO;
+        FacadeState { state: RouterState::new(now, settings), now, resyncs: BTreeMap::new() }
     }
 }
 
 impl DecisionState for FacadeState {
     fn handle(&mut self, now: ClockTime, event: RouterEvent, actions: &mut Vec<RouterAction>) {
+        self.now = now;
         self.state.handle(now, event, actions);
+        for action in actions.iter() {
+            if let RouterAction::AskSnapshot { target } = action {
+                *self.resyncs.entry(target.clone()).or_default() += 1;
+            }
+        }
     }
 
     fn readiness(&self) -> Result<(), &'static str> {
@@ -88,18 +100,19 @@
     }
 
     fn poll_targets(&self) -> Vec<PollTarget> {
-        engines(self.state.config().1, &self.zone)
+        let polls = self.state.polls().into_iter();
+        polls
+            .map(|poll| PollTarget {
+                resync: self.resyncs.get(&poll.target).copied().unwrap_or(0),
+                name: poll.target,
+                address: poll.address,
+                cache: true,
+            })
+            .collect()
     }
 
     fn models(&self, key: Option<&KeyHash>) -> Option<Vec<ModelName>> {
-        let document = self.state.config().1;
-        let key = key?;
-        let known = document
-            .accounts
-            .iter()
-            .flat_map(|account| &account.keys)
-            .fold(false, |known, config| config.hash.matches(key) | known);
-        known.then(|| document.models.iter().map(|model| model.name.clone()).collect())
+        self.state.models(key)
     }
 
     fn region_of(&self, zone: &ZoneName) -> Option<RegionName> {
@@ -110,27 +123,9 @@
 
     fn admin(&self, query: &AdminQuery) -> Option<Value> {
         match query {
-            AdminQuery::Status => Some(json!({
-                "generation": self.state.config().0,
-                "ready": self.state.is_ready(),
-                "reason": self.state.readiness().err(),
-                "requests": self.state.request_count(),
-            })),
-            AdminQuery::Targets | AdminQuery::Explain(_) => None,
+            AdminQuery::Status => Some(self.state.status(self.now)),
+            AdminQuery::Targets => Some(self.state.targets(self.now)),
+            AdminQuery::Explain(id) => self.state.explain(id),
         }
     }
 }
-
-/// Returns all engines of a configuration, those of the own zone first, whose cache events are read too.
-fn engines(document: &ConfigDocument, own_zone: &ZoneName) -> Vec<PollTarget> {
-    let engines = document.services.iter().filter(|service| service.kind == ServiceKind::Engine);
-    let targets: Vec<_> = engines.flat_map(|service| &service.targets).collect();
-    let is_own = |target: &&&TargetConfig| target.zone == *own_zone;
-    let (own, other): (Vec<_>, Vec<_>) = targets.iter().partition(is_own);
-    let polled = |target: &TargetConfig| PollTarget {
-        name: target.name.clone(),
-        address: target.address.clone(),
-        cache: target.zone == *own_zone,
-    };
-    own.into_iter().chain(other).map(polled).collect()
-}
--- a/crates/daemon/src/target/poll.rs
+++ b/crates/daemon/src/target/poll.rs
@@ -82,7 +82,8 @@
 }
 
 async fn poll_cache(shell: PollShell, target: PollTarget) {
-    let mut after = 0;
+    // No engine has sent as many events: it answers with its whole cache.
+    let mut after = u64::MAX;
     loop {
         let path = format!("/cache/events?after={after}");
         let Some(batch) = shell.get::<CacheBatch>(&target, &path, CACHE_LIMIT_MS).await else {
--- a/crates/daemon/tests/targets.rs
+++ b/crates/daemon/tests/targets.rs
@@ -388,7 +388,12 @@
             Step::Write(body.into()),
         ]
     });
-    let polled = PollTarget { name: "t".into(), address: target.address.to_string(), cache: true };
+    let polled = PollTarget {
+        name: "t".into(),
+        address: target.address.to_string(),
+        cache: true,
+        resync: 0,
+    };
     let (_daemon, events) = fake(settings(), vec![polled], |_| Vec::new());
     let (mut loads, mut batches) = (0, Vec::new());
     while loads == 0 || batches.len() < 2 {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -8,7 +8,7 @@
 use godwitroad_base::{
     ClockSpan, ClockTime, NodeId, RegionName, SeededRandom, ServiceName, ZoneName,
 };
-use godwitroad_config::{ConfigDocument, check, chunks};
+use godwitroad_config::{ConfigDocument, check, parse};
 use godwitroad_limits::{RateEvent, RateTable};
 use godwitroad_member::{MemberEvent, MemberReport};
 use godwitroad_prefix::PartEvent;
@@ -258,7 +258,7 @@
     }
 
     fn install(&mut self, context: &mut EventContext<'_>, generation: u64, document: &[u8]) {
-        let document = chunks::read(document).ok().filter(|document| check(document).is_empty());
+        let document = parse(document).ok().filter(|document| check(document).is_empty());
         let event = match document {
             Some(document) => {
                 self.configure(context, generation, Arc::new(document));
