--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod fixed;
 mod hangup;
+pub mod local;
 mod piece;
 mod plain;
 mod platform;
