Say when a repeated entry is answered with 409

Cause: a reader who pastes all printed lines at once sees the last one answered with 409 for a moment.

Change: the line's comment says so.

Conclusion: the call works when it is repeated.

--- a/crates/standin/src/local/calls.rs
+++ b/crates/standin/src/local/calls.rs
@@ -175,7 +175,7 @@
             ran_once(&entry),
         ),
         post(
-            "the same entry through the other router doesn't run again",
+            "the same entry through the other router doesn't run again (409 while the first is recorded)",
             format!("http://{second}/registry/entries"),
             once(),
             &entry,
