Confirm an end only from a fresh copy of the claim

Cause: an owner whose copy showed another request's open claim confirmed the end of a request without writing it, and the process then took a late grant for that request for one to release, so that the key ran again (history in a trial with pauses after conflicts). Change: any answer from an open claim that isn't a grant needs a copy as new as the question, and a process releases only requests that it knows to have refused. Two tests, both red on the earlier code. Conclusion: two independent faults of one history are repaired.

--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -45,8 +45,9 @@
     ) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             match reply {
-                // A late grant for an earlier process of this VM is none of ours to release: its request may have run.
-                ClaimReply::Granted if id.node == self.tag => self.orphan(now, id, hash),
+                // Only a request that is known to have been refused is released. Any other late grant is for one that
+                // ran, in this process or in an earlier one of this VM.
+                ClaimReply::Granted if self.refused.contains(&id) => self.orphan(now, id, hash),
                 ClaimReply::Done => self.take_release(now, id),
                 _ => {}
             }
--- a/crates/once/src/plan.rs
+++ b/crates/once/src/plan.rs
@@ -106,10 +106,10 @@
         match place {
             ClaimPlace::Found(number, record) => {
                 let (change, reply) = merge(Some(record), &waiter.entry);
-                let is_open = record.state == ClaimState::Claimed;
-                let is_exists = matches!(reply, ClaimReply::Exists(_));
+                // An open claim can have been released and the key claimed by the request that is asked about.
+                let is_open = record.state == ClaimState::Claimed && reply != ClaimReply::Granted;
                 let is_old = self.view.slices.get(number).is_none_or(|copy| copy.read_at < at);
-                (change == MergeChange::Keep && is_open && is_exists && is_old)
+                (change == MergeChange::Keep && is_open && is_old)
                     .then_some(PlanStep::Fetch(*number))
             }
             ClaimPlace::Absent if !matches!(waiter.entry.work, ClaimWork::Claim { .. }) => {
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -180,6 +180,8 @@
     pub(crate) timers: BTreeSet<(ClockTime, RequestId)>,
     /// Refused requests that may have a claim in the store.
     pub(crate) orphans: BTreeMap<RequestId, OrphanClaim>,
+    /// The last requests that certainly didn't run and won't.
+    pub(crate) refused: BTreeSet<RequestId>,
     pub(crate) shelf: BodyShelf,
     pub(crate) live: BTreeSet<u64>,
     members: Vec<VmName>,
@@ -197,6 +199,7 @@
             attempts: BTreeMap::new(),
             timers: BTreeSet::new(),
             orphans: BTreeMap::new(),
+            refused: BTreeSet::new(),
             shelf: BodyShelf::default(),
             live: BTreeSet::new(),
             members: Vec::new(),
@@ -383,6 +386,10 @@
 
     /// Remembers that a refused request may have a claim in the store, which must be removed.
     pub(crate) fn orphan(&mut self, now: ClockTime, id: RequestId, hash: ClaimHash) {
+        self.refused.insert(id);
+        if self.refused.len() > RELEASE_LIMIT {
+            self.refused.pop_first();
+        }
         if self.orphans.len() < RELEASE_LIMIT && !self.orphans.contains_key(&id) {
             self.orphans.insert(id, OrphanClaim { hash, since: now });
             self.timers.insert((now, id));
--- a/crates/once/tests/support/fixture.rs
+++ b/crates/once/tests/support/fixture.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Tells one table that these are the members of its zone.
+    pub(crate) fn tell_roster(&mut self, index: usize, members: &[usize]) {
+        let live = (0..self.incarnations.len()).map(|index| self.node(index)).collect();
+        let members = members.iter().copied().map(vm).collect();
+        self.drive(index, OnceEvent::Rosters { members, live });
+    }
+
     /// Lets time pass without a tick.
     pub(crate) fn pass(&mut self, span: ClockSpan) {
         self.now += span;
--- a/crates/once/tests/table.rs
+++ b/crates/once/tests/table.rs
@@ -4,10 +4,10 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{AccountName, ClockSpan, RequestId};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, RequestId, rendezvous};
 use godwitroad_once::{
-    ClaimHash, ClaimReply, ClaimVerdict, OnceAction, OnceEvent, OnceMessage, OnceSettings,
-    RequestDigest, RunEnd,
+    ClaimHash, ClaimReply, ClaimTable, ClaimVerdict, ClaimWork, OnceAction, OnceEvent, OnceMessage,
+    OnceSettings, RequestDigest, RunEnd,
 };
 use proptest::{
     prelude::*,
@@ -172,6 +172,63 @@
     assert_eq!(fixture.verdict(again), Some(&ClaimVerdict::Unknown));
 }
 
+/// Guards against an owner that confirms an end from an old copy, in which another request holds the key.
+#[test]
+fn end_is_not_confirmed_from_an_old_copy() {
+    let mut fixture = Fixture::new(2, OnceSettings::default());
+    let shard = u64::from(ClaimHash::new(&account(), "key-1").shard());
+    let owner = rendezvous::owner(shard, &["vm-0", "vm-1"]).expect("there are two VMs");
+    let other = 1 - owner;
+    let [first, second, third] = [other, other, owner].map(|index| fixture.next_id(index));
+    fixture.drive(other, claim(first, 1, 0));
+    fixture.tell_roster(other, &[other]);
+    fixture.drive(other, OnceEvent::Finish { id: first, end: RunEnd::NotRun });
+    fixture.drive(other, claim(second, 1, 0));
+    assert_eq!(fixture.verdict(second), Some(&ClaimVerdict::Run));
+    // The first request's release must be settled, so that it doesn't refresh the owner's copy.
+    (0..4).for_each(|_| fixture.drive(other, OnceEvent::Tick));
+    fixture.tell_roster(other, &[0, 1]);
+    let body: Arc<[u8]> = b"answer".to_vec().into();
+    fixture.drive(other, OnceEvent::Finish { id: second, end: RunEnd::Answered(body.clone()) });
+    fixture.drive(owner, claim(third, 1, 0));
+    let replay = ClaimVerdict::Replay { digest: RequestDigest::of(&body), body: Some(body) };
+    assert_eq!(fixture.verdict(third), Some(&replay));
+}
+
+/// Guards against a late grant by which a process releases the claim of a request that ran in it.
+#[test]
+fn late_grant_for_a_request_that_ran_is_not_released() {
+    let node = NodeId::new("vm-0", 1);
+    let mut table = ClaimTable::new(OnceSettings { node: node.clone(), ..Default::default() });
+    let id = RequestId { node: node.tag(), serial: 1 };
+    let hash = ClaimHash::new(&account(), "key-1");
+    let reply = |reply| OnceEvent::Peer {
+        from: "vm-1".into(),
+        message: OnceMessage::Reply { id, hash, reply },
+    };
+    // The owner is another VM, which confirms the end wrongly and then repeats its grant.
+    let rosters = OnceEvent::Rosters { members: vec!["vm-1".into()], live: vec![node] };
+    let end = RunEnd::Unknown;
+    let events = [
+        rosters,
+        claim(id, 1, 0),
+        reply(ClaimReply::Granted),
+        OnceEvent::Finish { id, end },
+        reply(ClaimReply::Done),
+        reply(ClaimReply::Granted),
+        OnceEvent::Tick,
+    ];
+    let mut actions = Vec::new();
+    for (ms, event) in (0..).zip(events) {
+        table.handle(ClockTime::from_ms(ms), event, &mut actions);
+    }
+    let is_release = |action: &OnceAction| {
+        matches!(action, OnceAction::Send { message: OnceMessage::Work(entry), .. }
+            if entry.work == ClaimWork::Release)
+    };
+    assert!(!actions.iter().any(is_release), "{actions:?}");
+}
+
 /// Guards against a claim that expires before its retention has passed, and against one that never expires.
 #[test]
 fn claims_last_for_their_retention() {
@@ -194,10 +251,10 @@
 /// Guards against a request that runs after its caller was told that it didn't.
 #[test]
 fn silent_store_refuses_and_never_runs() {
-    let mut table = godwitroad_once::ClaimTable::new(OnceSettings::default());
+    let mut table = ClaimTable::new(OnceSettings::default());
     let mut actions = Vec::new();
     let id = RequestId { node: 1, serial: 1 };
-    let at = godwitroad_base::ClockTime::from_ms;
+    let at = ClockTime::from_ms;
     table.handle(at(0), claim(id, 1, 0), &mut actions);
     for ms in (10..5_000).step_by(10) {
         table.handle(at(ms), OnceEvent::Tick, &mut actions);
