--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fairness;
 pub mod fleet;
 mod limits;
+pub mod once;
 pub mod registry;
 pub mod report;
 mod restart;
