--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -255,7 +255,12 @@
 
     /// Returns whether every shard that this process should hold is held.
     pub fn is_ready(&self) -> bool {
-        let owned = self.used.iter().filter(|shard| self.owns(**shard));
+        let me = &self.settings.node.vm;
+        let mine = |shard: &u16| {
+            let view = self.view.shards.get(usize::from(*shard));
+            view.is_some_and(|view| view.owner.as_ref() == Some(me))
+        };
+        let owned = self.used.iter().filter(|shard| !self.leaving && mine(shard));
         let mut held = owned.map(|shard| self.shards.get(shard).and_then(|it| it.held.as_ref()));
         held.all(|claim| claim.is_some())
     }
