Divide the larger files and shorten the back-off of roster reads

Cause: after a restart of all with the store down for 10 s, routers were ready 11.6 to 12.1 s (virtual) after their start, which is up to 4 s after the store came back, since the back-off had grown to as much.

--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -5,11 +5,14 @@
 
 mod fault;
 mod judge;
+mod life;
 mod node;
 mod sim;
+mod spec;
 mod store;
 
 pub use fault::{FaultKind, FleetFault};
 pub use judge::{AdmissionLog, FleetFaults, IdealBucket};
 pub use node::WrongVariant;
-pub use sim::{FleetArrival, FleetResult, FleetSim, FleetSpec, RequestEnd};
+pub use sim::FleetSim;
+pub use spec::{FleetArrival, FleetResult, FleetSpec, RequestEnd};
--- a/crates/bench/src/fleet/sim.rs
+++ b/crates/bench/src/fleet/sim.rs
@@ -5,121 +5,21 @@
     sync::Arc,
 };
 
-use godwitroad_base::{
-    AccountName, ClockSpan, Incarnation, NodeId, SeededRandom, VmName, ZoneName,
-};
-use godwitroad_limits::{RateCounters, RateEvent, RateTable, shard_of};
-use godwitroad_member::{MemberEvent, Roster, VmListing, VmState};
+use godwitroad_base::{Incarnation, NodeId, SeededRandom, VmName, ZoneName};
+use godwitroad_limits::{RateEvent, RateTable, shard_of};
+use godwitroad_member::{MemberEvent, Roster, VmListing};
 use godwitroad_store::{StoreFailure, StoreOutcome, StoreReply, StoreRequest};
 
 use super::{
-    fault::{FaultKind, FleetFault},
-    judge::{AdmissionLog, FleetFaults},
-    node::{NodeAction, NodeEvent, SimNode, WireMessage, WrongVariant},
+    fault::FaultKind,
+    node::{NodeAction, NodeEvent, SimNode, WireMessage},
+    spec::{FleetResult, FleetSpec, RequestEnd},
     store::MemoryStore,
 };
 
 /// The time after which a call without an answer ends as unknown.
 const LOST_ANSWER_MS: u64 = 1_000;
 
-/// What a simulated fleet consists of and goes through.
-#[derive(Clone, Debug)]
-pub struct FleetSpec {
-    /// The seed of everything.
-    pub seed: u64,
-    /// The number of VMs in each zone.
-    pub zones: Vec<usize>,
-    /// The limits at the start.
-    pub table: Arc<RateTable>,
-    /// Later generations of the limits with the times at which they are accepted.
-    pub changes: Vec<(u64, Arc<RateTable>)>,
-    /// The requests in the order of their times.
-    pub arrivals: Vec<FleetArrival>,
-    /// The faults.
-    pub faults: Vec<FleetFault>,
-    /// The simulated time in milliseconds.
-    pub length: u64,
-    /// The time between two ticks of a process.
-    pub tick: u64,
-    /// The longest wait of a request for tokens.
-    pub wait: ClockSpan,
-    /// The age of the platform's VM list.
-    pub list_lag: u64,
-    /// The largest error of a clock's speed, in parts per million.
-    pub drift_ppm: u64,
-    /// Whether the bytes of messages are counted.
-    pub count_bytes: bool,
-    /// The fault built into every process, if any.
-    pub wrong: Option<WrongVariant>,
-}
-
-impl Default for FleetSpec {
-    fn default() -> FleetSpec {
-        FleetSpec {
-            seed: 1,
-            zones: vec![3, 3, 3],
-            table: Arc::default(),
-            changes: Vec::new(),
-            arrivals: Vec::new(),
-            faults: Vec::new(),
-            length: 20_000,
-            tick: 10,
-            wait: ClockSpan::from_ms(500),
-            list_lag: 3_000,
-            drift_ppm: 500,
-            count_bytes: false,
-            wrong: None,
-        }
-    }
-}
-
-/// One request.
-#[derive(Clone, Debug)]
-pub struct FleetArrival {
-    /// The time in milliseconds.
-    pub at: u64,
-    /// The number of the VM to which the load balancer sends the request while it runs.
-    pub vm: usize,
-    /// The account.
-    pub account: AccountName,
-    /// The tokens to reserve.
-    pub tokens: u64,
-}
-
-/// How a request ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RequestEnd {
-    /// The request had no answer when the run ended, or its router stopped.
-    Open,
-    /// The tokens were admitted at this time.
-    Admitted(u64),
-    /// The request was refused at this time.
-    Refused(u64),
-}
-
-/// What a run shows.
-#[derive(Clone, Debug, Default)]
-pub struct FleetResult {
-    /// The admissions of each account.
-    pub logs: BTreeMap<AccountName, AdmissionLog>,
-    /// The end of each arrival, in the order of the arrivals.
-    pub ends: Vec<RequestEnd>,
-    /// What was violated.
-    pub faults: FleetFaults,
-    /// The messages between VMs.
-    pub messages: u64,
-    /// The messages of the limits alone.
-    pub rate_messages: u64,
-    /// The bytes of the limits' messages, written as JSON.
-    pub rate_bytes: u64,
-    /// The calls to the store that took effect.
-    pub store_calls: u64,
-    /// The times at which processes that had started held all that they should, with their starts.
-    pub ready: Vec<(usize, u64, u64)>,
-    /// The counters of the processes that ran at the end.
-    pub counters: Vec<RateCounters>,
-}
-
 #[derive(Debug)]
 enum SimEvent {
     Node {
@@ -154,20 +54,20 @@
 /// A simulated fleet.
 #[derive(Debug)]
 pub struct FleetSim {
-    spec: FleetSpec,
-    random: SeededRandom,
-    now: u64,
+    pub(super) spec: FleetSpec,
+    pub(super) random: SeededRandom,
+    pub(super) now: u64,
     queue: BTreeMap<(u64, u64), SimEvent>,
-    sequence: u64,
-    nodes: Vec<SimNode>,
-    names: BTreeMap<VmName, usize>,
-    store: MemoryStore,
-    result: FleetResult,
-    shards: BTreeSet<u16>,
-    lists: Vec<(u64, Vec<VmListing>)>,
-    tables: Vec<Arc<RateTable>>,
-    started: BTreeMap<usize, u64>,
-    roster_epochs: BTreeMap<ZoneName, u64>,
+    pub(super) sequence: u64,
+    pub(super) nodes: Vec<SimNode>,
+    pub(super) names: BTreeMap<VmName, usize>,
+    pub(super) store: MemoryStore,
+    pub(super) result: FleetResult,
+    pub(super) shards: BTreeSet<u16>,
+    pub(super) lists: Vec<(u64, Vec<VmListing>)>,
+    pub(super) tables: Vec<Arc<RateTable>>,
+    pub(super) started: BTreeMap<usize, u64>,
+    pub(super) roster_epochs: BTreeMap<ZoneName, u64>,
 }
 
 impl FleetSim {
@@ -305,13 +205,13 @@
         }
     }
 
-    fn schedule_tick(&mut self, index: usize) {
+    pub(super) fn schedule_tick(&mut self, index: usize) {
         let incarnation = self.nodes[index].id.incarnation.0;
         let at = self.now + 1 + self.random.below(2 * self.spec.tick - 1);
         self.push(at, SimEvent::Tick { index, incarnation });
     }
 
-    fn run_node(&mut self, index: usize, event: NodeEvent) {
+    pub(super) fn run_node(&mut self, index: usize, event: NodeEvent) {
         let node = &mut self.nodes[index];
         if !node.running {
             return;
@@ -501,84 +401,9 @@
             self.push(self.now + back, SimEvent::Node { index, incarnation, event });
         }
     }
-
-    fn fault_on(&mut self, fault: usize) {
-        match self.spec.faults[fault].kind {
-            FaultKind::Pause(vm) => self.nodes[vm].paused = true,
-            FaultKind::Restart(vm) => self.stop(vm),
-            FaultKind::RestartZone(zone) => {
-                let vms = (0..self.nodes.len()).filter(|vm| self.nodes[*vm].zone_index == zone);
-                vms.collect::<Vec<_>>().into_iter().for_each(|vm| self.stop(vm));
-            }
-            FaultKind::RestartAll => (0..self.nodes.len()).for_each(|vm| self.stop(vm)),
-            FaultKind::PlannedStop(vm) => {
-                self.run_node(vm, NodeEvent::Member(MemberEvent::Leave));
-            }
-            FaultKind::Lose(vm) => {
-                self.stop(vm);
-                self.nodes[vm].lost = true;
-                self.note_list();
-            }
-            _ => {}
-        }
-    }
-
-    fn fault_off(&mut self, fault: usize) {
-        match self.spec.faults[fault].kind {
-            FaultKind::Pause(vm) => self.resume(vm),
-            FaultKind::Restart(vm) => self.start(vm),
-            FaultKind::PlannedStop(vm) => {
-                self.stop(vm);
-                self.start(vm);
-            }
-            FaultKind::RestartZone(zone) => {
-                let vms = (0..self.nodes.len()).filter(|vm| self.nodes[*vm].zone_index == zone);
-                vms.collect::<Vec<_>>().into_iter().for_each(|vm| self.start(vm));
-            }
-            FaultKind::RestartAll => (0..self.nodes.len()).for_each(|vm| self.start(vm)),
-            _ => {}
-        }
-    }
-
-    fn resume(&mut self, vm: usize) {
-        self.nodes[vm].paused = false;
-        let backlog = std::mem::take(&mut self.nodes[vm].backlog);
-        for event in backlog {
-            self.run_node(vm, event);
-        }
-    }
-
-    fn stop(&mut self, vm: usize) {
-        self.nodes[vm].running = false;
-        self.nodes[vm].paused = false;
-        self.nodes[vm].backlog.clear();
-        self.started.remove(&vm);
-    }
-
-    fn start(&mut self, vm: usize) {
-        let old = &self.nodes[vm];
-        if old.running || old.lost {
-            return;
-        }
-        let id =
-            NodeId { vm: old.id.vm.clone(), incarnation: Incarnation(old.id.incarnation.0 + 1) };
-        let zone = (old.zone_index, old.zone.clone());
-        let clock = (self.random.below(1 << 40), speed(&self.spec, &mut self.random));
-        let table = Arc::clone(&self.tables[vm]);
-        let (wrong, now) = (self.spec.wrong, self.now);
-        self.nodes[vm] = SimNode::new(id, zone, &table, clock, wrong, now, &mut self.random);
-        self.started.insert(vm, now);
-        self.schedule_tick(vm);
-    }
-
-    fn note_list(&mut self) {
-        let live = self.nodes.iter().filter(|node| !node.lost);
-        let listing = |node: &SimNode| VmListing { vm: node.id.vm.clone(), state: VmState::Live };
-        self.lists.push((self.now, live.map(listing).collect()));
-    }
 }
 
-fn speed(spec: &FleetSpec, random: &mut SeededRandom) -> u64 {
+pub(super) fn speed(spec: &FleetSpec, random: &mut SeededRandom) -> u64 {
     1_000_000 - spec.drift_ppm + random.below(2 * spec.drift_ppm + 1)
 }
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -14,9 +14,11 @@
 mod plan;
 mod pledge;
 mod prepaid;
+mod reserve;
 mod settings;
 mod shard;
 mod share;
+mod share_port;
 mod spender;
 mod view;
 
@@ -29,6 +31,7 @@
 pub use node::{RateCounters, RateNode};
 pub use settings::{GRANT_TTL_MS, RateSettings, SHARE_SHARDS};
 pub use shard::{RateRow, Result, ShardClaim, ShardError, ShardValue, ShareRecord, shard_of};
-pub use share::{ShareAction, ShareEvent, ZoneShare};
+pub use share::ZoneShare;
+pub use share_port::{ShareAction, ShareEvent};
 pub use spender::{RateSpender, SpenderAction, SpenderCounters, SpenderEvent};
 pub use view::{HoldView, ShardView, shard_key};
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -9,7 +9,8 @@
     holder::{HolderAction, HolderCounters, HolderEvent, RateHolder},
     message::{RateAction, RateEvent, RateMessage},
     settings::RateSettings,
-    share::{ShareAction, ShareEvent, ZoneShare},
+    share::ZoneShare,
+    share_port::{ShareAction, ShareEvent},
     spender::{RateSpender, SpenderAction, SpenderCounters, SpenderEvent},
 };
 
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -9,7 +9,7 @@
     sync::Arc,
 };
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, SeededRandom, VmName, ZoneName};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, SeededRandom, ZoneName};
 use godwitroad_store::{
     CallId, KeyVersion, StoreEntry, StoreFailure, StoreOutcome, StoreReply, StoreRequest,
 };
@@ -20,116 +20,13 @@
     plan::{changed_value, usable_row, wanted_rows},
     settings::{RateSettings, SHARE_SHARDS},
     shard::{RateRow, ShardClaim, ShardValue, shard_of},
+    share_port::{ShareAction, ShareEvent},
     view::HoldView,
 };
 
 /// The shortest wait after a call that failed; a random part of the same size is added.
 const RETRY_MS: u64 = 100;
 
-/// An event that [`ZoneShare::handle`] takes.
-#[derive(Clone, Debug)]
-pub enum ShareEvent {
-    /// A generation of the configuration came into force.
-    Configure(Arc<RateTable>),
-    /// The ownership of shards changed.
-    View(Arc<HoldView>),
-    /// The term until which this process may hold shards.
-    Term(Option<ClockTime>),
-    /// The zones whose VMs are all gone by the platform's list and whose terms have run out, with their processes.
-    Gone(BTreeMap<ZoneName, Vec<NodeId>>),
-    /// A call to the store ended.
-    Store {
-        /// The call.
-        call: CallId,
-        /// What came of it.
-        outcome: StoreOutcome,
-    },
-    /// The last holder of a shard handed it over.
-    Received {
-        /// The shard.
-        shard: u16,
-    },
-    /// Answers [`ShareAction::Demand`].
-    Demand {
-        /// The shard.
-        shard: u16,
-        /// The tokens per second wanted by each active account.
-        demands: BTreeMap<AccountName, u64>,
-    },
-    /// Answers [`ShareAction::Lower`] with the rows in use from now on.
-    Lowered {
-        /// The shard.
-        shard: u16,
-        /// The rows.
-        rows: BTreeMap<AccountName, RateRow>,
-    },
-    /// A new claim is wanted, to void promises that can't be confirmed.
-    Renew {
-        /// The shard.
-        shard: u16,
-    },
-    /// The process leaves: all shards go to their successors.
-    HandOver,
-    /// Time passed.
-    Tick,
-}
-
-/// An action of a [`ZoneShare`].
-#[derive(Clone, Debug)]
-pub enum ShareAction {
-    /// Calls the store.
-    Store {
-        /// The call.
-        call: CallId,
-        /// The request.
-        request: StoreRequest,
-    },
-    /// The shard is held from now on.
-    Start {
-        /// The shard.
-        shard: u16,
-        /// The claim.
-        claim: ShardClaim,
-        /// The claim that it replaced.
-        previous: Option<ShardClaim>,
-        /// The zone's rows.
-        rows: BTreeMap<AccountName, RateRow>,
-    },
-    /// The shard is held under a new claim.
-    Renewed {
-        /// The shard.
-        shard: u16,
-        /// The claim.
-        claim: ShardClaim,
-    },
-    /// Rows changed and may be used.
-    Rows {
-        /// The shard.
-        shard: u16,
-        /// The rows.
-        rows: BTreeMap<AccountName, RateRow>,
-    },
-    /// Asks for the demand of a shard's accounts.
-    Demand {
-        /// The shard.
-        shard: u16,
-    },
-    /// Asks the holder to use at most these rows from now on.
-    Lower {
-        /// The shard.
-        shard: u16,
-        /// The rows.
-        rows: BTreeMap<AccountName, RateRow>,
-    },
-    /// The shard is held no more.
-    Stop {
-        /// The shard.
-        shard: u16,
-        /// The next holder.
-        to: Option<VmName>,
-    },
-}
-
 #[derive(Clone, Debug)]
 enum CallKind {
     Read,
@@ -193,7 +90,8 @@
     term: Option<ClockTime>,
     gone: BTreeMap<ZoneName, (Vec<NodeId>, ClockTime)>,
     shards: BTreeMap<u16, ShardWork>,
-    used: BTreeSet<u16>,
+    /// The limits by shard, so that no step walks over all accounts.
+    groups: BTreeMap<u16, RateTable>,
     serial: u64,
     leaving: bool,
 }
@@ -209,7 +107,7 @@
             term: None,
             gone: BTreeMap::new(),
             shards: BTreeMap::new(),
-            used: BTreeSet::new(),
+            groups: BTreeMap::new(),
             serial: 0,
             leaving: false,
         }
@@ -260,7 +158,7 @@
             let view = self.view.shards.get(usize::from(*shard));
             view.is_some_and(|view| view.owner.as_ref() == Some(me))
         };
-        let owned = self.used.iter().filter(|shard| !self.leaving && mine(shard));
+        let owned = self.groups.keys().filter(|shard| !self.leaving && mine(shard));
         let mut held = owned.map(|shard| self.shards.get(shard).and_then(|it| it.held.as_ref()));
         held.all(|claim| claim.is_some())
     }
@@ -274,7 +172,15 @@
         if table.generation < self.table.generation {
             return;
         }
-        self.used = table.accounts.keys().map(shard_of).collect();
+        self.groups.clear();
+        for (name, limit) in &table.accounts {
+            let group = self.groups.entry(shard_of(name)).or_insert_with(|| RateTable {
+                generation: table.generation,
+                zones: table.zones.clone(),
+                accounts: BTreeMap::new(),
+            });
+            group.accounts.insert(name.clone(), *limit);
+        }
         self.table = table;
         self.adjust(now);
         let shards: Vec<u16> = self.shards.keys().copied().collect();
@@ -312,7 +218,7 @@
     // Starts work on shards that this process now owns and ends it on those that it doesn't.
     fn adjust(&mut self, now: ClockTime) {
         for shard in 0..SHARE_SHARDS {
-            let wanted = self.owns(shard) && self.used.contains(&shard);
+            let wanted = self.owns(shard) && self.groups.contains_key(&shard);
             if wanted && !self.shards.contains_key(&shard) {
                 let next = now + self.settings.hand_over;
                 self.shards.insert(shard, ShardWork::new(next));
@@ -466,7 +372,8 @@
         };
         work.next = now + poll(&self.settings, &mut self.random);
         let zone = &self.settings.zone;
-        let rows = wanted_rows(&work.value, shard, zone, &self.table, demands);
+        let table = self.groups.get(&shard).unwrap_or(&self.table);
+        let rows = wanted_rows(&work.value, shard, zone, table, demands);
         if rows.is_empty() {
             self.write_rows(now, shard, &rows, actions);
         } else {
@@ -502,7 +409,8 @@
             now >= *until && claim.is_none_or(|claim| nodes.contains(&claim.node))
         });
         let gone: BTreeSet<ZoneName> = gone.map(|(zone, _)| zone.clone()).collect();
-        let mut value = changed_value(&work.value, shard, zone, &self.table, &rows, &gone);
+        let table = self.groups.get(&shard).unwrap_or(&self.table);
+        let mut value = changed_value(&work.value, shard, zone, table, &rows, &gone);
         if let Some((claim, _)) = &work.trying {
             value.claims.insert(zone.clone(), claim.clone());
         }
--- a/crates/member/src/work.rs
+++ b/crates/member/src/work.rs
@@ -18,7 +18,7 @@
 const RETRY_MS: u64 = 150;
 
 /// The longest wait after several calls that failed.
-const RETRY_MOST_MS: u64 = 2_000;
+const RETRY_MOST_MS: u64 = 1_000;
 
 /// The time between two reads of the rosters of all zones.
 const READ_ALL_MS: u64 = 5_000;
