--- a/crates/limits/tests/histories.rs
+++ b/crates/limits/tests/histories.rs
@@ -123,3 +123,39 @@
         assert_clean(spec);
     }
 }
+
+/// Guards against the limits of a lost zone that stay reserved for ever, or that come back while they can be spent.
+#[test]
+fn the_part_of_a_lost_zone_returns() {
+    let mut spec =
+        spec(11, vec![FleetFault { from: 9_000, until: 9_001, kind: FaultKind::Lose(5) }]);
+    // All requests go to the only VM of the third zone, which therefore has nearly the whole of each limit.
+    spec.arrivals.iter_mut().for_each(|arrival| arrival.vm = 5);
+    let first = spec.arrivals.clone();
+    let later =
+        first.iter().map(|arrival| FleetArrival { at: arrival.at + 17_000, ..arrival.clone() });
+    spec.arrivals.extend(later);
+    spec.arrivals.sort_by_key(|arrival| arrival.at);
+    spec.length = 2 * LENGTH;
+    let result = assert_clean(spec);
+    for (name, limit) in &table(1, 4).accounts {
+        let late =
+            result.logs[name].admitted.iter().filter(|(at, _)| (28_000..36_000).contains(at));
+        let used: u64 = late.map(|(_, tokens)| tokens).sum();
+        assert!(used * 10 >= limit.tokens_per_second * 8 * 8, "{name}: {used} tokens in 8 s");
+    }
+}
+
+/// Guards against state for accounts that nobody uses.
+#[test]
+fn only_active_accounts_have_state() {
+    let base = table(1, 4);
+    let idle =
+        (0..5_000).map(|index| (AccountName::new(format!("idle-{index}")), RateConfig::default()));
+    let accounts = base.accounts.clone().into_iter().chain(idle).collect();
+    let table = Arc::new(RateTable { accounts, ..(*base).clone() });
+    let result = assert_clean(FleetSpec { table, length: 8_000, ..spec(3, Vec::new()) });
+    for counters in &result.counters {
+        assert!(counters.spent_accounts <= 3 && counters.held_accounts <= 3, "{counters:?}");
+    }
+}
