Keep the promised reserve when a row shrinks

Cause: a row could shrink to the granted tokens alone, so that a backup that took over might have issued its reserve beside them. Change: a row shrinks at most to the granted tokens and the reserve. Conclusion: found by reading; no history had shown it. The tests pass.

--- a/crates/limits/src/holder.rs
+++ b/crates/limits/src/holder.rs
@@ -283,7 +283,11 @@
             if let Some(account) = held.account(now, name) {
                 account.pinned = true;
                 account.bucket.advance(now);
-                let least = account.bucket.least_burst(current.rate);
+                // A backup may start with the reserve while the granted tokens are still out.
+                let least = match account.bucket.least_burst(current.rate) {
+                    0 => 0,
+                    least => least + account.pledges.floor(),
+                };
                 row.burst = row.burst.max(least).min(current.burst);
                 account.bucket.set_row(now, row);
             }
