Repair lost messages without later ones and let a reader take its own new partitions

Cause: new tests of a zone with lost messages and a lost owner failed. Load estimates keep the inverse of the rate.

--- a/crates/pick/src/choice.rs
+++ b/crates/pick/src/choice.rs
@@ -244,7 +244,7 @@
             target: place.target,
             distance: place.distance,
             queue_ms: load.queue_wait_ms(now, place.target),
-            prefill_ms: missing * 1_000.0 / load.prefill_rate(place.target),
+            prefill_ms: missing * load.token_ms(place.target),
             network_ms,
             usable_pieces,
             confirmed_pieces,
--- a/crates/pick/src/load.rs
+++ b/crates/pick/src/load.rs
@@ -90,6 +90,8 @@
     /// Requests that ended since the report was taken.
     ended: VecDeque<ClockTime>,
     prefill_rate: Option<f64>,
+    /// The inverse of the rate, because a choice would otherwise divide several times for each target.
+    token_ms: Option<f64>,
     service_ms: Option<f64>,
 }
 
@@ -110,13 +112,15 @@
 #[derive(Clone, Debug)]
 pub struct LoadView {
     settings: LoadSettings,
+    token_ms: f64,
     targets: Vec<TargetLoad>,
 }
 
 impl LoadView {
     /// Returns a view without any report.
     pub fn new(settings: LoadSettings) -> LoadView {
-        LoadView { settings, targets: Vec::new() }
+        let token_ms = 1_000.0 / settings.prefill_rate.max(1.0);
+        LoadView { settings, token_ms, targets: Vec::new() }
     }
 
     /// Sets the number of requests that `target` runs at once.
@@ -197,7 +201,9 @@
     pub fn note_prefill(&mut self, target: TargetId, tokens: u64, span: ClockSpan) {
         if span > ClockSpan::ZERO && tokens > 0 {
             let rate = tokens as f64 * 1_000.0 / span.as_ms() as f64;
-            smooth(&mut self.entry(target).prefill_rate, rate);
+            let load = self.entry(target);
+            smooth(&mut load.prefill_rate, rate);
+            load.token_ms = load.prefill_rate.map(|rate| 1_000.0 / rate.max(1.0));
         }
     }
 
@@ -207,6 +213,12 @@
         known.unwrap_or(self.settings.prefill_rate).max(1.0)
     }
 
+    /// Returns the milliseconds that `target` takes for one prompt token.
+    pub(crate) fn token_ms(&self, target: TargetId) -> f64 {
+        let known = self.targets.get(target.index()).and_then(|load| load.token_ms);
+        known.unwrap_or(self.token_ms)
+    }
+
     /// Returns the estimated prompt tokens that wait at `target`.
     pub fn queued_tokens(&self, now: ClockTime, target: TargetId) -> u64 {
         let Some(load) = self.targets.get(target.index()) else { return 0 };
@@ -226,13 +238,17 @@
 
     /// Returns the estimated time that a request sent now waits before its prompt is computed.
     pub fn queue_wait_ms(&self, now: ClockTime, target: TargetId) -> f64 {
-        let queued = self.queued_tokens(now, target) as f64;
-        let prefill = queued * 1_000.0 / self.prefill_rate(target);
-        let Some(load) = self.targets.get(target.index()) else { return prefill };
+        let Some(load) = self.targets.get(target.index()) else { return 0.0 };
+        let token_ms = load.token_ms.unwrap_or(self.token_ms);
+        let passed = now.since(load.counted).as_ms() as f64;
+        let prefill = (load.queued * token_ms - passed).max(0.0);
         if load.slots == 0 {
             return prefill;
         }
         let over = (self.occupied(now, target) + 1).saturating_sub(load.slots);
+        if over == 0 {
+            return prefill;
+        }
         let service = load.service_ms.unwrap_or(self.settings.service_span.as_ms() as f64);
         // With all slots taken, one of them becomes free each service time divided by the slots.
         prefill.max(f64::from(over) * service / f64::from(load.slots))
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -236,6 +236,7 @@
 #[derive(Clone, Debug, Default)]
 struct PeerState {
     sent: u64,
+    sent_at: ClockTime,
     expected: Option<u64>,
     /// The targets whose entries came from this peer.
     targets: BTreeSet<TargetTag>,
@@ -376,9 +377,13 @@
         for vm in self.members.clone() {
             let gained: Vec<bool> =
                 (0..PARTS).map(|part| self.holds(&vm, part) && !held_before(&vm, part)).collect();
-            if vm != self.vm && gained.contains(&true) {
+            if gained.contains(&true) {
                 let targets = self.read_entries(false, |part| gained[usize::from(part)]);
-                self.send_entries(&vm, targets, actions);
+                if vm == self.vm {
+                    self.apply_entries(now, &vm, &targets);
+                } else {
+                    self.send_entries(now, &vm, targets, actions);
+                }
             }
         }
         let joined = self.members.contains(&self.vm) && !before.contains(&self.vm);
@@ -548,10 +553,31 @@
         if now.since(self.last_forward) >= self.settings.forward_window {
             self.forward(now, actions);
         }
+        self.repair(now, actions);
         self.index.sweep(now, SWEEP_SLOTS);
         self.settle_read_back(now, actions);
     }
 
+    /// Repeats unanswered requests for snapshots, and shows each receiver the number of the last message.
+    fn repair(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
+        let retry = self.settings.feed.snapshot_retry;
+        let mut quiet = Vec::new();
+        for (vm, peer) in &mut self.peers {
+            if peer.asked.is_some_and(|asked| now.since(asked) >= retry) {
+                peer.asked = Some(now);
+                let message = PartMessage::AskSnapshot;
+                actions.push(PartAction::Send { to: vm.clone(), message });
+            }
+            if peer.sent > 0 && now.since(peer.sent_at) >= retry {
+                quiet.push(vm.clone());
+            }
+        }
+        for vm in quiet {
+            // Without a later message, the loss of the last one would never be seen.
+            self.send_batch(now, &vm, EntryBatch::default(), actions);
+        }
+    }
+
     /// Sends the collected changes to the holders of their partitions.
     fn forward(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
         self.last_forward = now;
@@ -587,13 +613,14 @@
             if vm == self.vm {
                 self.apply_entries(now, &vm, &targets);
             } else {
-                self.send_entries(&vm, targets, actions);
+                self.send_entries(now, &vm, targets, actions);
             }
         }
     }
 
     fn send_entries(
         &mut self,
+        now: ClockTime,
         to: &VmName,
         targets: Vec<TargetEntries>,
         actions: &mut Vec<PartAction>,
@@ -601,10 +628,20 @@
         if targets.is_empty() {
             return;
         }
-        let batch = EntryBatch { targets }.encode();
+        self.send_batch(now, to, EntryBatch { targets }, actions);
+    }
+
+    fn send_batch(
+        &mut self,
+        now: ClockTime,
+        to: &VmName,
+        batch: EntryBatch,
+        actions: &mut Vec<PartAction>,
+    ) {
         let peer = self.peers.entry(to.clone()).or_default();
-        let message = PartMessage::Entries { sequence: peer.sent, batch };
+        let message = PartMessage::Entries { sequence: peer.sent, batch: batch.encode() };
         peer.sent += 1;
+        peer.sent_at = now;
         self.counters.entry_bytes += message.bytes() as u64;
         actions.push(PartAction::Send { to: to.clone(), message });
     }
