--- a/crates/pick/src/choice.rs
+++ b/crates/pick/src/choice.rs
@@ -297,6 +297,9 @@
         link: &LinkMeter,
         explain: &mut ChoiceExplain,
     ) {
+        if self.estimates.iter().all(|estimate| estimate.distance != Distance::Remote) {
+            return;
+        }
         let near = |estimate: &&TargetEstimate| estimate.distance != Distance::Remote;
         let costs = self.estimates.iter().filter(near).map(TargetEstimate::cost_ms);
         let Some(nearest) = costs.reduce(f64::min) else { return };
--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -122,26 +122,36 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct TargetState {
     name: Option<TargetName>,
     incarnation: Option<Incarnation>,
-    epoch: u32,
+}
+
+/// The epochs of a target, kept small because a lookup reads them for each holder of a piece.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetEpochs {
+    epoch: u8,
     /// The number of epochs before the current one whose entries are unconfirmed rather than dead.
-    kept: u32,
+    kept: u8,
     /// The number of epochs before the current one in the same incarnation.
-    lived: u32,
+    lived: u8,
     /// The number of epochs before the current one of which entries may still be in the table.
-    present: u32,
+    present: u8,
 }
 
-impl TargetState {
-    fn begin_epoch(&mut self) {
-        self.epoch = (self.epoch + 1) % EPOCHS;
+impl TargetEpochs {
+    fn begin(&mut self) {
+        self.epoch = (self.epoch + 1) % EPOCHS as u8;
         self.kept += 1;
         self.lived += 1;
         self.present += 1;
     }
+
+    /// Returns the number of epochs since the one of `entry`.
+    fn age(self, entry: u32) -> u32 {
+        (u32::from(self.epoch) + EPOCHS - epoch_of(entry)) % EPOCHS
+    }
 }
 
 /// Whether an entry counts.
@@ -158,6 +168,7 @@
     settings: IndexSettings,
     table: EntryTable,
     targets: Vec<TargetState>,
+    epochs: Vec<TargetEpochs>,
     names: BTreeMap<TargetName, TargetId>,
     counters: IndexCounters,
     evict_hand: usize,
@@ -171,6 +182,7 @@
             settings,
             table: EntryTable::new(settings.max_entries),
             targets: Vec::new(),
+            epochs: Vec::new(),
             names: BTreeMap::new(),
             counters: IndexCounters::default(),
             evict_hand: 0,
@@ -191,14 +203,8 @@
         let place = free.unwrap_or(self.targets.len());
         assert!(place < MAX_TARGETS, "more than {MAX_TARGETS} targets in one index");
         if free.is_none() {
-            self.targets.push(TargetState {
-                name: None,
-                incarnation: None,
-                epoch: 0,
-                kept: 0,
-                lived: 0,
-                present: 0,
-            });
+            self.targets.push(TargetState::default());
+            self.epochs.push(TargetEpochs::default());
         }
         let id = TargetId(place as u16);
         self.targets[place].name = Some(name.clone());
@@ -340,15 +346,15 @@
     /// Marks all entries of `target` as unconfirmed, because an eviction may have been missed.
     pub fn mark_unconfirmed(&mut self, target: TargetId) {
         self.counters.gaps += 1;
-        self.targets[target.index()].begin_epoch();
+        self.epochs[target.index()].begin();
         self.guard_epochs(target);
     }
 
     /// Begins a snapshot: entries of `target` die unless they are provisional or stored again.
     pub fn replace(&mut self, target: TargetId) {
         self.counters.snapshots += 1;
-        let state = &mut self.targets[target.index()];
-        state.begin_epoch();
+        let state = &mut self.epochs[target.index()];
+        state.begin();
         state.kept = 0;
         self.guard_epochs(target);
     }
@@ -374,7 +380,7 @@
             let mut usable = u64::MAX >> (GROUP_TARGETS - states.len());
             let mut confirmed = usable;
             for (depth, piece) in pieces.clone().enumerate() {
-                let (held, firm) = self.holders(now, entry_key(piece, group), base);
+                let (held, firm) = self.holders(now, entry_key(piece, group), base, usable);
                 settle(usable & !held, base, depth, &mut matches.usable);
                 settle(confirmed & !firm, base, depth, &mut matches.confirmed);
                 usable &= held;
@@ -409,10 +415,14 @@
         }
     }
 
-    fn holders(&self, now: ClockTime, key: u64, base: usize) -> (u64, u64) {
+    /// Returns which of the targets in `wanted` hold the piece of `key`, and which do so for certain.
+    fn holders(&self, now: ClockTime, key: u64, base: usize, wanted: u64) -> (u64, u64) {
         let (mut held, mut firm) = (0, 0);
         self.table.for_each(key, |state| {
             let bit = 1u64 << (target_of(state).index() - base);
+            if wanted & bit == 0 {
+                return;
+            }
             match self.standing(now, state) {
                 EntryStanding::Confirmed => {
                     held |= bit;
@@ -426,23 +436,22 @@
     }
 
     fn standing(&self, now: ClockTime, state: u32) -> EntryStanding {
-        let target = &self.targets[target_of(state).index()];
-        let age = (target.epoch + EPOCHS - epoch_of(state)) % EPOCHS;
+        let target = self.epochs[target_of(state).index()];
+        let age = target.age(state);
+        if age == 0 && state & PROVISIONAL == 0 {
+            return EntryStanding::Confirmed;
+        }
         if state & PROVISIONAL != 0 {
             let units = stamp(now).wrapping_sub(state) & STAMP_MASK;
             let span = ClockSpan::from_ms(u64::from(units) << STAMP_SHIFT);
             let expired = span > self.settings.provisional_span;
-            return if age > target.lived || expired {
+            return if age > u32::from(target.lived) || expired {
                 EntryStanding::Dead
             } else {
                 EntryStanding::Unconfirmed
             };
         }
-        match age {
-            0 => EntryStanding::Confirmed,
-            age if age <= target.kept => EntryStanding::Unconfirmed,
-            _ => EntryStanding::Dead,
-        }
+        if age <= u32::from(target.kept) { EntryStanding::Unconfirmed } else { EntryStanding::Dead }
     }
 
     fn find(&self, target: TargetId, piece: u64) -> Option<usize> {
@@ -451,7 +460,7 @@
     }
 
     fn put(&mut self, now: ClockTime, target: TargetId, piece: u64, flag: u32) {
-        let epoch = self.targets[target.index()].epoch;
+        let epoch = u32::from(self.epochs[target.index()].epoch);
         let state = u32::from(target.0) << TARGET_SHIFT | epoch << EPOCH_SHIFT | flag | stamp(now);
         if let Some(slot) = self.find(target, piece) {
             self.table.set_state(slot, state);
@@ -487,8 +496,8 @@
     }
 
     fn end_incarnation(&mut self, target: TargetId) {
-        let state = &mut self.targets[target.index()];
-        state.begin_epoch();
+        let state = &mut self.epochs[target.index()];
+        state.begin();
         state.kept = 0;
         state.lived = 0;
         self.guard_epochs(target);
@@ -496,7 +505,7 @@
 
     /// Rewrites all entries before the epoch numbers of `target` repeat, because a dead entry would live again.
     fn guard_epochs(&mut self, target: TargetId) {
-        if self.targets[target.index()].present < EPOCH_LIMIT {
+        if u32::from(self.epochs[target.index()].present) < EPOCH_LIMIT {
             return;
         }
         let mut slot = 0;
@@ -511,7 +520,7 @@
                 None => slot += 1,
             }
         }
-        for state in &mut self.targets {
+        for state in &mut self.epochs {
             state.kept = state.kept.min(1);
             state.lived = state.lived.min(1);
             state.present = state.present.min(1);
@@ -520,13 +529,13 @@
 
     /// Returns `entry` in the current epoch or the one before it, or `None` when it is dead.
     fn rebased(&self, entry: u32) -> Option<u32> {
-        let state = &self.targets[target_of(entry).index()];
-        let age = (state.epoch + EPOCHS - epoch_of(entry)) % EPOCHS;
-        let bound = if entry & PROVISIONAL != 0 { state.lived } else { state.kept };
+        let state = self.epochs[target_of(entry).index()];
+        let age = state.age(entry);
+        let bound = u32::from(if entry & PROVISIONAL != 0 { state.lived } else { state.kept });
         if age == 0 {
             return Some(entry);
         }
-        let epoch = (state.epoch + EPOCHS - 1) % EPOCHS;
+        let epoch = (u32::from(state.epoch) + EPOCHS - 1) % EPOCHS;
         let rest = entry & !((EPOCHS - 1) << EPOCH_SHIFT);
         (age <= bound).then_some(rest | epoch << EPOCH_SHIFT)
     }
--- a/crates/prefix/src/table.rs
+++ b/crates/prefix/src/table.rs
@@ -75,16 +75,20 @@
 
     /// Calls `visit` with the state of each entry under `key`.
     pub(crate) fn for_each(&self, key: u64, mut visit: impl FnMut(u32)) {
-        let mut slot = self.home(key);
-        loop {
-            let found = self.keys[slot];
-            if found == EMPTY {
-                return;
-            }
-            if found == key {
-                visit(self.states[slot]);
+        let home = self.home(key);
+        // Slices spare the check of each position; a run seldom reaches the end of the table.
+        let mut scan = |keys: &[u64], states: &[u32]| {
+            for (&found, &state) in keys.iter().zip(states) {
+                if found == key {
+                    visit(state);
+                } else if found == EMPTY {
+                    return true;
+                }
             }
-            slot = self.after(slot);
+            false
+        };
+        if !scan(&self.keys[home..], &self.states[home..]) {
+            scan(&self.keys[..home], &self.states[..home]);
         }
     }
 
