Test the choice of target

Cause: the choice, health, budgets and load view had no tests. Change: 9 tests, among them property tests of the link and retry budgets.

--- /dev/null
+++ b/crates/pick/tests/choice.rs
@@ -0,0 +1,200 @@
+//! Guards against choices that all routers make at once, that ignore health or that overrun a budget.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{ClockSpan, ClockTime, SeededRandom};
+use godwitroad_pick::{
+    ChoiceRequest, ChoiceSettings, ChosenTarget, Distance, HealthSettings, HealthState,
+    HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView, RetryBudget,
+    RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+};
+use godwitroad_prefix::{PrefixMatches, TargetId};
+use proptest::prelude::*;
+
+struct ChoiceWorld {
+    choice: TargetChoice,
+    matches: PrefixMatches,
+    load: LoadView,
+    health: TargetHealth,
+    hot: HotPrefixes,
+    link: LinkMeter,
+    random: SeededRandom,
+    places: Vec<TargetPlace>,
+}
+
+impl ChoiceWorld {
+    fn new(seed: u64, distances: &[Distance]) -> ChoiceWorld {
+        let mut matches = PrefixMatches::default();
+        matches.reset(distances.len());
+        let place = |(place, &distance): (usize, &Distance)| TargetPlace {
+            target: TargetId(place as u16),
+            distance,
+        };
+        let link = LinkSettings { bytes_per_second: 1_000, burst: ClockSpan::from_secs(10) };
+        ChoiceWorld {
+            choice: TargetChoice::new(ChoiceSettings::default()),
+            matches,
+            load: LoadView::new(LoadSettings::default()),
+            health: TargetHealth::new(HealthSettings::default()),
+            hot: HotPrefixes::new(HotSettings::default()),
+            link: LinkMeter::new(ClockTime::ZERO, link),
+            random: SeededRandom::new(seed),
+            places: distances.iter().enumerate().map(place).collect(),
+        }
+    }
+
+    fn choose(&mut self, now: u64, excluded: &[TargetId]) -> Option<ChosenTarget> {
+        let request = ChoiceRequest {
+            first: Some(7),
+            pieces: 5,
+            tokens: 10_400,
+            bytes: 4_000,
+            routers: 1,
+            excluded,
+        };
+        let now = ClockTime::from_ms(now);
+        self.choice.choose(
+            now,
+            &request,
+            &self.places,
+            &self.matches,
+            &self.load,
+            &self.health,
+            &self.hot,
+            &self.link,
+            &mut self.random,
+        )
+    }
+}
+
+fn queue(tokens: u64) -> TargetReport {
+    TargetReport { waiting_tokens: tokens, ..Default::default() }
+}
+
+#[test]
+fn routers_with_the_same_view_do_not_make_the_same_choice() {
+    let mut counts = BTreeMap::new();
+    for seed in 0..160 {
+        let mut world = ChoiceWorld::new(seed, &[Distance::Zone; 8]);
+        let chosen = world.choose(0, &[]).unwrap();
+        *counts.entry(chosen.target).or_insert(0) += 1;
+    }
+    assert!(counts.len() == 8 && counts.values().all(|&count| count < 50), "{counts:?}");
+}
+
+#[test]
+fn a_cached_prefix_wins_until_its_queue_costs_more() {
+    let mut world = ChoiceWorld::new(1, &[Distance::Zone; 3]);
+    world.matches.set(TargetId(1), 5, 5);
+    let chosen = world.choose(0, &[]).unwrap();
+    assert_eq!((chosen.target, chosen.missing_tokens), (TargetId(1), 400));
+    assert_eq!(chosen.explain.chosen.confirmed_pieces, 5);
+    world.load.report(ClockTime::ZERO, TargetId(1), queue(40_000));
+    assert_ne!(world.choose(0, &[]).unwrap().target, TargetId(1));
+}
+
+#[test]
+fn dispatches_since_the_report_count() {
+    let mut load = LoadView::new(LoadSettings { prefill_rate: 1_000.0, ..Default::default() });
+    let target = TargetId(0);
+    load.report(ClockTime::from_ms(1_000), target, queue(500));
+    load.note_dispatch(ClockTime::from_ms(1_100), target, 2_000, Some(1));
+    load.note_dispatch(ClockTime::from_ms(1_200), target, 1_000, None);
+    assert_eq!(load.queued_tokens(ClockTime::from_ms(1_500), target), 3_000);
+    // A report taken at 1,150 ms includes the first dispatch and not the second.
+    let late = TargetReport { age: ClockSpan::from_ms(450), ..queue(2_350) };
+    load.report(ClockTime::from_ms(1_600), target, late);
+    assert_eq!(load.queued_tokens(ClockTime::from_ms(1_600), target), 2_900);
+    // A report that arrives after a newer one changes nothing.
+    load.report(
+        ClockTime::from_ms(1_600),
+        target,
+        TargetReport { age: ClockSpan::from_ms(600), ..queue(0) },
+    );
+    assert_eq!(load.queued_tokens(ClockTime::from_ms(1_600), target), 2_900);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_and_the_last_one_is_no_exception() {
+    let mut world = ChoiceWorld::new(1, &[Distance::Zone; 2]);
+    world.matches.set(TargetId(0), 5, 5);
+    world.health.set_leaving(ClockTime::ZERO, TargetId(0), true);
+    for _ in 0..100 {
+        assert_eq!(world.choose(0, &[]).unwrap().target, TargetId(1));
+    }
+    world.health.note_success(ClockTime::ZERO, TargetId(0));
+    world.health.restart(ClockTime::ZERO, TargetId(0));
+    assert!(world.choose(0, &[TargetId(1)]).is_none());
+}
+
+#[test]
+fn a_failing_target_returns_gradually() {
+    let mut health = TargetHealth::new(HealthSettings::default());
+    let target = TargetId(0);
+    let at = ClockTime::from_ms;
+    assert!(!health.note_failure(at(0), target) && health.note_failure(at(0), target));
+    assert_eq!(health.state(at(499), target), HealthState::Probation { until: at(500) });
+    let shares: Vec<f64> =
+        [0, 500, 1_000, 2_000, 3_500].map(|ms| health.share(at(ms), target)).to_vec();
+    assert!(shares[0] == 0.0 && shares[4] == 1.0, "{shares:?}");
+    assert!(shares.windows(2).all(|pair| pair[0] < pair[1]), "{shares:?}");
+    // A failure during the return starts a longer probation at once.
+    assert!(health.note_failure(at(1_000), target));
+    assert_eq!(health.state(at(1_000), target), HealthState::Probation { until: at(2_000) });
+}
+
+#[test]
+fn a_hot_prefix_gets_more_targets_and_gives_them_back() {
+    let mut hot = HotPrefixes::new(HotSettings::default());
+    assert_eq!(hot.wanted(ClockTime::ZERO, 7), 1);
+    for turn in 0..200 {
+        hot.note(ClockTime::from_ms(turn * 50), 7, 100.0, 1);
+    }
+    // 100 ms of work each 50 ms fill two targets; at half a target each, four are wanted.
+    let wanted = hot.wanted(ClockTime::from_ms(10_000), 7);
+    assert!((3..=5).contains(&wanted), "{wanted}");
+    assert_eq!(hot.wanted(ClockTime::from_ms(30_000), 7), 1);
+}
+
+#[test]
+fn the_link_is_crossed_only_when_waiting_costs_more_and_the_budget_allows_it() {
+    let mut world = ChoiceWorld::new(1, &[Distance::Zone, Distance::Remote]);
+    assert_eq!(world.choose(0, &[]).unwrap().target, TargetId(0));
+    world.load.report(ClockTime::ZERO, TargetId(0), queue(100_000));
+    assert_eq!(world.choose(0, &[]).unwrap().target, TargetId(1));
+    assert!(world.link.take(ClockTime::ZERO, 8_000));
+    let chosen = world.choose(0, &[]).unwrap();
+    assert!(chosen.target == TargetId(0) && chosen.explain.link_refused);
+}
+
+proptest! {
+    #[test]
+    fn the_link_never_carries_more_than_its_budget(
+        sends in prop::collection::vec((0..500u64, 1..5_000u64), 1..100),
+    ) {
+        let settings = LinkSettings { bytes_per_second: 2_000, burst: ClockSpan::from_secs(2) };
+        let mut link = LinkMeter::new(ClockTime::ZERO, settings);
+        let mut now = 0;
+        for (gap, bytes) in sends {
+            now += gap;
+            let allowed = link.allows(ClockTime::from_ms(now), bytes);
+            prop_assert_eq!(link.take(ClockTime::from_ms(now), bytes), allowed);
+            prop_assert!(link.bytes() <= 4_000 + 2 * now);
+        }
+    }
+
+    #[test]
+    fn retries_stay_within_a_tenth_of_the_requests(steps in prop::collection::vec(any::<bool>(), 1..500)) {
+        let mut budget = RetryBudget::new(RetrySettings::default());
+        let (mut requests, mut retries) = (0, 0);
+        for is_request in steps {
+            if is_request {
+                budget.note_request();
+                requests += 1;
+            } else if budget.take() {
+                retries += 1;
+            }
+            prop_assert!(f64::from(retries) <= 10.0 + 0.1 * f64::from(requests) + 1e-6);
+        }
+    }
+}
