--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod fairness;
 pub mod index;
+pub mod plot;
 pub mod registry;
 pub mod report;
 pub mod routing;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,11 @@
 //! Runs one experiment and prints its rows.
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use godwitroad_bench::{
+    plot,
     registry::experiments,
     report::{BenchReport, BenchRow},
 };
@@ -21,6 +22,9 @@
     /// print one JSON object
     #[argh(switch)]
     json: bool,
+    /// write the rows that share a unit as bars to this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -45,6 +49,9 @@
         .find(|experiment| experiment.name == args.name)
         .with_context(|| format!("no experiment is named `{}`; see `bench list`", args.name))?;
     let rows = (experiment.run)(args.seed)?;
+    if let Some(path) = &args.plot {
+        plot::draw(path, experiment.name, &rows)?;
+    }
     if args.json {
         let report = BenchReport { experiment: experiment.name, seed: args.seed, rows };
         println!("{}", serde_json::to_string_pretty(&report)?);
--- a/crates/bench/src/routing/mod.rs
+++ b/crates/bench/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod node;
 pub(crate) mod result;
 mod world;
+mod zone;
 
 use anyhow::Result;
 
--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -1,27 +1,23 @@
 //! The event loop of the simulation.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-};
+use std::{cmp::Reverse, collections::BinaryHeap};
 
 use godwitroad_base::{ClockSpan, ClockTime, Incarnation, SeededRandom, TargetName, VmName};
 use godwitroad_pick::{Distance, TargetPlace, TargetReport};
-use godwitroad_prefix::{FeedBatch, PartAction, PartEvent, PieceHash, PrefixMatches, TargetId};
+use godwitroad_prefix::{FeedBatch, PartEvent, PieceHash, PrefixMatches, TargetId};
 
 use super::{
     engine::FakeEngine,
     load::{FirmShape, PIECE_TOKENS, WorkRequest},
     node::{NodeMessage, PolicyKind, RouterNode, prefix_hash},
     result::RunResult,
+    zone::PUBLISH_US,
 };
 
 /// The slots of a worker.
 const SLOTS: usize = 32;
 
-const PUBLISH_US: u64 = 50_000;
 const REPORT_US: u64 = 250_000;
-const TICK_US: u64 = 10_000;
 const DOWN_US: u64 = 500_000;
 
 /// The faults of one scenario.
@@ -38,7 +34,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum SimEvent {
+pub(super) enum SimEvent {
     Arrive(usize),
     AtEngine { engine: usize, request: usize, attempt: u32 },
     Computed { engine: usize, incarnation: Incarnation },
@@ -58,39 +54,39 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct RequestState {
-    router: usize,
-    attempt: u32,
-    excluded: Vec<TargetId>,
+pub(super) struct RequestState {
+    pub(super) router: usize,
+    pub(super) attempt: u32,
+    pub(super) excluded: Vec<TargetId>,
     /// The most leading pieces that any worker of the region held at dispatch.
-    best: usize,
-    network_us: u64,
+    pub(super) best: usize,
+    pub(super) network_us: u64,
 }
 
 /// One run of one policy.
 #[derive(Debug)]
 pub(super) struct World<'a> {
-    firm: &'a FirmShape,
-    requests: &'a [WorkRequest],
-    plan: &'a FaultPlan,
-    policy: PolicyKind,
-    random: SeededRandom,
-    now: u64,
-    heap: BinaryHeap<Reverse<(u64, usize)>>,
-    events: Vec<Option<SimEvent>>,
-    engines: Vec<FakeEngine>,
-    down_until: Vec<u64>,
-    engine_zones: Vec<usize>,
-    router_zones: Vec<usize>,
-    names: Vec<TargetName>,
-    vms: Vec<VmName>,
-    nodes: Vec<Option<RouterNode>>,
-    states: Vec<RequestState>,
-    result: RunResult,
-    end: u64,
+    pub(super) firm: &'a FirmShape,
+    pub(super) requests: &'a [WorkRequest],
+    pub(super) plan: &'a FaultPlan,
+    pub(super) policy: PolicyKind,
+    pub(super) random: SeededRandom,
+    pub(super) now: u64,
+    pub(super) heap: BinaryHeap<Reverse<(u64, usize)>>,
+    pub(super) events: Vec<Option<SimEvent>>,
+    pub(super) engines: Vec<FakeEngine>,
+    pub(super) down_until: Vec<u64>,
+    pub(super) engine_zones: Vec<usize>,
+    pub(super) router_zones: Vec<usize>,
+    pub(super) names: Vec<TargetName>,
+    pub(super) vms: Vec<VmName>,
+    pub(super) nodes: Vec<Option<RouterNode>>,
+    pub(super) states: Vec<RequestState>,
+    pub(super) result: RunResult,
+    pub(super) end: u64,
 }
 
-fn region(zone: usize) -> usize {
+pub(super) fn region(zone: usize) -> usize {
     usize::from(zone == 2)
 }
 
@@ -174,12 +170,12 @@
         self.push(0, SimEvent::Tick);
     }
 
-    fn push(&mut self, at: u64, event: SimEvent) {
+    pub(super) fn push(&mut self, at: u64, event: SimEvent) {
         self.heap.push(Reverse((at, self.events.len())));
         self.events.push(Some(event));
     }
 
-    fn clock(&self) -> ClockTime {
+    pub(super) fn clock(&self) -> ClockTime {
         ClockTime::from_ms(self.now / 1_000)
     }
 
@@ -220,7 +216,7 @@
         }
     }
 
-    fn arrive(&mut self, request: usize) {
+    pub(super) fn arrive(&mut self, request: usize) {
         let work = &self.requests[request];
         let wanted = usize::from(work.is_remote);
         let is_open = |router: &usize| {
@@ -285,7 +281,7 @@
         (matches, reports, self.down_until.iter().map(|&until| until <= self.now).collect())
     }
 
-    fn places(&self, router: usize) -> Vec<TargetPlace> {
+    pub(super) fn places(&self, router: usize) -> Vec<TargetPlace> {
         let zone = self.router_zones[router];
         let place = |(engine, &other): (usize, &usize)| TargetPlace {
             target: TargetId(engine as u16),
@@ -300,7 +296,7 @@
         self.engine_zones.iter().enumerate().map(place).collect()
     }
 
-    fn dispatch(&mut self, request: usize, target: Option<TargetId>) {
+    pub(super) fn dispatch(&mut self, request: usize, target: Option<TargetId>) {
         let Some(target) = target else {
             // Every worker failed this request once: all are tried again a little later.
             self.states[request].excluded.clear();
@@ -413,29 +409,6 @@
         }
     }
 
-    fn publish(&mut self, engine: usize) {
-        self.push(self.now + PUBLISH_US, SimEvent::Publish(engine));
-        if self.policy != PolicyKind::Product {
-            return;
-        }
-        let Some(batch) = self.engines[engine].publish() else { return };
-        for router in 0..self.vms.len() {
-            if self.reads(router, engine) && !self.random.chance(self.plan.lost) {
-                let copies = 1 + usize::from(self.random.chance(self.plan.twice));
-                for _ in 0..copies {
-                    let at = self.now + 10_000 + self.random.below(150_000);
-                    self.push(at, SimEvent::Cache { router, engine, batch: batch.clone() });
-                }
-            }
-        }
-    }
-
-    fn reads(&self, router: usize, engine: usize) -> bool {
-        let is_near = region(self.router_zones[router]) == region(self.engine_zones[engine]);
-        let node = self.nodes[router].as_ref().filter(|_| is_near);
-        node.is_some_and(|node| node.part.reader_of(&self.names[engine]) == Some(&self.vms[router]))
-    }
-
     fn report(&mut self, engine: usize) {
         self.push(self.now + REPORT_US, SimEvent::Report(engine));
         let report = self.engines[engine].report(self.now);
@@ -444,155 +417,6 @@
             self.push(at, SimEvent::Load { router, engine, taken: self.now, report });
         }
     }
-
-    fn tick(&mut self) {
-        self.push(self.now + TICK_US, SimEvent::Tick);
-        if self.policy != PolicyKind::Product {
-            return;
-        }
-        for router in 0..self.vms.len() {
-            self.tell_part(router, PartEvent::Tick);
-            self.send_hints(router);
-        }
-    }
-
-    fn send_hints(&mut self, router: usize) {
-        let now = self.clock();
-        let Some(message) = self.nodes[router].as_mut().and_then(|node| node.take_hints(now))
-        else {
-            return;
-        };
-        for to in (0..self.vms.len()).filter(|&to| to != router) {
-            self.send(router, to, message.clone());
-        }
-    }
-
-    fn send(&mut self, from: usize, to: usize, message: NodeMessage) {
-        let zones = (self.router_zones[from], self.router_zones[to]);
-        let distance = if zones.0 == zones.1 {
-            0
-        } else {
-            1 + usize::from(region(zones.0) != region(zones.1))
-        };
-        if distance == 2 {
-            self.result.link_bytes += message.bytes();
-        }
-        let delay = self.firm.network_us[distance];
-        self.push(self.now + delay, SimEvent::Peer { from, to, message });
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, message: NodeMessage) {
-        let now = self.clock();
-        let vm = self.vms[from].clone();
-        let mut actions = Vec::new();
-        if let Some(node) = &mut self.nodes[to] {
-            node.take_message(now, vm, message, &mut actions);
-        }
-        self.carry_out(to, actions);
-    }
-
-    fn start_router(&mut self, router: usize) {
-        let seed = self.random.next_u64();
-        let mut node =
-            RouterNode::new(self.clock(), &self.vms[router], &self.names, self.policy, seed);
-        node.is_ready = self.policy != PolicyKind::Product;
-        self.nodes[router] = Some(node);
-    }
-
-    fn set_members(&mut self) {
-        if self.policy != PolicyKind::Product {
-            return;
-        }
-        let read_before: BTreeMap<(usize, usize), bool> =
-            self.pairs(|world, router, engine| world.reads(router, engine));
-        for router in 0..self.vms.len() {
-            let home = region(self.router_zones[router]);
-            let far = self.live_in(1 - home);
-            self.tell_part(router, PartEvent::FarMembers(vec![far]));
-            let members = self.live_in(home);
-            self.tell_part(router, PartEvent::Members(members));
-        }
-        for ((router, engine), before) in read_before {
-            let reads = self.reads(router, engine);
-            if reads && !before {
-                self.push(self.now + 2_000, SimEvent::Snapshot { router, engine });
-            } else if before && !reads {
-                let target = self.names[engine].clone();
-                self.tell_part(router, PartEvent::Unread(target));
-            }
-        }
-    }
-
-    fn live_in(&self, home: usize) -> Vec<VmName> {
-        (0..self.vms.len())
-            .filter(|&other| region(self.router_zones[other]) == home)
-            .filter(|&other| self.nodes[other].is_some())
-            .map(|other| self.vms[other].clone())
-            .collect()
-    }
-
-    fn pairs<T>(&self, of: impl Fn(&Self, usize, usize) -> T) -> BTreeMap<(usize, usize), T> {
-        let engines = 0..self.engines.len();
-        let routers = 0..self.vms.len();
-        let pairs = routers.flat_map(|router| engines.clone().map(move |engine| (router, engine)));
-        pairs.map(|pair| (pair, of(self, pair.0, pair.1))).collect()
-    }
-
-    fn tell_part(&mut self, router: usize, event: PartEvent) {
-        let now = self.clock();
-        let mut actions = Vec::new();
-        match (&mut self.nodes[router], event) {
-            (Some(node), event) => node.part.handle(now, event, &mut actions),
-            (None, PartEvent::Lookup { token, .. }) => return self.arrive(token as usize),
-            (None, _) => {}
-        }
-        self.carry_out(router, actions);
-    }
-
-    fn carry_out(&mut self, router: usize, actions: Vec<PartAction>) {
-        for action in actions {
-            match action {
-                PartAction::Send { to, message } => {
-                    if let Some(to) = self.vms.iter().position(|vm| *vm == to) {
-                        self.send(router, to, NodeMessage::Part(message));
-                    }
-                }
-                PartAction::Found { token, matches, .. } => {
-                    self.found(router, token as usize, &matches);
-                }
-                PartAction::AskSnapshot(target) => {
-                    if let Some(engine) = self.names.iter().position(|name| *name == target) {
-                        let at = self.now + 5_000 + self.random.below(20_000);
-                        self.push(at, SimEvent::Snapshot { router, engine });
-                    }
-                }
-                PartAction::Ready => {
-                    if let Some(node) = &mut self.nodes[router] {
-                        node.is_ready = true;
-                    }
-                }
-                PartAction::HandedOver => {}
-            }
-        }
-    }
-
-    fn found(&mut self, router: usize, request: usize, matches: &PrefixMatches) {
-        let places = self.places(router);
-        let now = self.clock();
-        let home = region(self.router_zones[router]);
-        let routers = self.router_zones.iter().filter(|&&zone| region(zone) == home).count();
-        let excluded = self.states[request].excluded.clone();
-        let work = &self.requests[request];
-        let Some(node) = &mut self.nodes[router] else { return };
-        let target = node.choose(now, work, &places, matches, routers, &excluded);
-        if let Some(target) = target {
-            let name = &self.names[target.index()];
-            let network = ClockSpan::from_ms(1);
-            node.note_dispatch(now, target, name, request, &work.chain, network);
-            self.send_hints(router);
-        }
-        self.dispatch(request, target);
-    }
 }
 
 fn facts(requests: &[WorkRequest], request: usize) -> (Vec<PieceHash>, u64) {
--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -10,150 +10,30 @@
 
 use crate::{
     chain::{PieceChain, PieceHash},
+    epoch::{
+        EPOCH_LIMIT, EPOCH_SHIFT, EPOCHS, PROVISIONAL, STAMP_MASK, STAMP_SHIFT, TARGET_SHIFT,
+        TargetEpochs, group_of, stamp, target_of,
+    },
     feed::{CacheChange, FeedAction},
+    matches::{IndexCounters, IndexSettings, PrefixMatches, TargetId},
     table::{EntryTable, GROUP_TARGETS, entry_key},
 };
 
 /// The number of targets that an index can hold; their number takes 12 bits of an entry.
 const MAX_TARGETS: usize = 1 << 12;
 
-/// The number of epochs that an entry can tell apart; the epoch takes 6 bits.
-const EPOCHS: u32 = 1 << 6;
-
-/// The number of live epochs of one target at which its entries are rewritten, before numbers repeat.
-const EPOCH_LIMIT: u32 = EPOCHS - 8;
-
-/// The length of a unit of an entry's age as a power of two of milliseconds; 13 bits of it last 17 minutes.
-const STAMP_SHIFT: u32 = 7;
-const STAMP_MASK: u32 = (1 << 13) - 1;
-const PROVISIONAL: u32 = 1 << 13;
-const EPOCH_SHIFT: u32 = 14;
-const TARGET_SHIFT: u32 = 20;
-
 /// The leading pieces whose slots a lookup fetches together.
 const FETCH_PIECES: usize = 16;
 
 /// The number of entries among which eviction looks for the oldest.
 const EVICT_SAMPLE: usize = 16;
 
-/// The position of a target in an index; valid in that index only.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetId(pub u16);
-
-impl TargetId {
-    /// Returns the position for indexing vectors.
-    pub fn index(self) -> usize {
-        usize::from(self.0)
-    }
-}
-
-/// The settings of an index.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct IndexSettings {
-    /// The number of entries held at most; 18.5 bytes each are set aside.
-    pub max_entries: usize,
-    /// The time for which a dispatch counts as cached without an event that says so.
-    pub provisional_span: ClockSpan,
-}
-
-impl Default for IndexSettings {
-    fn default() -> IndexSettings {
-        IndexSettings { max_entries: 1 << 18, provisional_span: ClockSpan::from_secs(3) }
-    }
-}
-
-/// What an index has done so far.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct IndexCounters {
-    /// Pieces stored, including repeated ones.
-    pub stored: u64,
-    /// Entries removed because the engine evicted the piece.
-    pub evicted: u64,
-    /// Entries removed to stay within the memory bound.
-    pub displaced: u64,
-    /// Epochs begun by a gap.
-    pub gaps: u64,
-    /// Epochs begun by a snapshot.
-    pub snapshots: u64,
-    /// Epochs begun by a restart of a target.
-    pub restarts: u64,
-}
-
-/// The longest usable prefix at each target.
-#[derive(Clone, Debug, Default)]
-pub struct PrefixMatches {
-    usable: Vec<u16>,
-    confirmed: Vec<u16>,
-}
-
-impl PrefixMatches {
-    /// Returns the number of leading pieces that `target` holds as far as is known.
-    pub fn usable(&self, target: TargetId) -> usize {
-        self.usable.get(target.index()).copied().map_or(0, usize::from)
-    }
-
-    /// Returns the number of leading pieces that events confirm at `target`.
-    pub fn confirmed(&self, target: TargetId) -> usize {
-        self.confirmed.get(target.index()).copied().map_or(0, usize::from)
-    }
-
-    /// Empties the matches and makes room for `targets` targets.
-    pub fn reset(&mut self, targets: usize) {
-        self.usable.clear();
-        self.usable.resize(targets, 0);
-        self.confirmed.clear();
-        self.confirmed.resize(targets, 0);
-    }
-
-    /// Sets the match of a target, as a lookup at another router reported it.
-    pub fn set(&mut self, target: TargetId, usable: usize, confirmed: usize) {
-        let clamp = |pieces: usize| pieces.min(usize::from(u16::MAX)) as u16;
-        if let Some(place) = self.usable.get_mut(target.index()) {
-            *place = clamp(usable);
-            self.confirmed[target.index()] = clamp(confirmed);
-        }
-    }
-
-    /// Raises the match of a target to at least `usable` pieces.
-    pub fn raise(&mut self, target: TargetId, usable: usize) {
-        if usable > self.usable(target) {
-            self.set(target, usable, self.confirmed(target));
-        }
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct TargetState {
     name: Option<TargetName>,
     incarnation: Option<Incarnation>,
 }
 
-/// The epochs of a target, kept small because a lookup reads them for each holder of a piece.
-#[derive(Clone, Copy, Debug, Default)]
-struct TargetEpochs {
-    epoch: u8,
-    /// The number of epochs before the current one whose entries are unconfirmed rather than dead.
-    kept: u8,
-    /// The number of epochs before the current one in the same incarnation.
-    lived: u8,
-    /// The number of epochs before the current one of which entries may still be in the table.
-    present: u8,
-}
-
-impl TargetEpochs {
-    fn begin(&mut self) {
-        self.epoch = (self.epoch + 1) % EPOCHS as u8;
-        self.kept += 1;
-        self.lived += 1;
-        self.present += 1;
-    }
-
-    /// Returns the number of epochs since the one of `entry`.
-    fn age(self, entry: u32) -> u32 {
-        (u32::from(self.epoch) + EPOCHS - epoch_of(entry)) % EPOCHS
-    }
-}
-
 /// Whether an entry counts.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum EntryStanding {
@@ -557,19 +437,3 @@
         ended &= ended - 1;
     }
 }
-
-fn stamp(now: ClockTime) -> u32 {
-    (now.as_ms() >> STAMP_SHIFT) as u32 & STAMP_MASK
-}
-
-fn target_of(state: u32) -> TargetId {
-    TargetId((state >> TARGET_SHIFT) as u16)
-}
-
-fn epoch_of(state: u32) -> u32 {
-    state >> EPOCH_SHIFT & (EPOCHS - 1)
-}
-
-fn group_of(target: TargetId) -> usize {
-    target.index() / GROUP_TARGETS
-}
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -5,8 +5,12 @@
 //! events in order, [`PrefixIndex`] holds the entries and [`IndexPart`] divides them over the routers of a zone.
 
 mod chain;
+mod epoch;
 mod feed;
 mod index;
+mod lookup;
+mod matches;
+mod message;
 mod part;
 mod reader;
 mod table;
@@ -14,9 +18,10 @@
 
 pub use chain::{ChainSalt, PIECE_BYTES, PieceChain, PieceHash};
 pub use feed::{CacheChange, EventFeed, FeedAction, FeedBatch, FeedSettings};
-pub use index::{IndexCounters, IndexSettings, PrefixIndex, PrefixMatches, TargetId};
-pub use part::{
-    IndexPart, LookupSource, PartAction, PartCounters, PartEvent, PartMessage, PartSettings,
-    TargetMatch,
+pub use index::PrefixIndex;
+pub use matches::{IndexCounters, IndexSettings, PrefixMatches, TargetId};
+pub use message::{
+    LookupSource, PartAction, PartCounters, PartEvent, PartMessage, PartSettings, TargetMatch,
 };
+pub use part::IndexPart;
 pub use wire::{EntryBatch, EntryOp, Error, Result, TargetEntries, TargetTag};
--- /dev/null
+++ b/crates/prefix/src/lookup.rs
@@ -0,0 +1,98 @@
+//! Lookups in a router's part of the index and at other routers.
+//!
+//! A lookup takes at most one hop and always ends: the router asked may be gone, and the request can't wait for
+//! that to be known.
+
+use godwitroad_base::ClockTime;
+
+use crate::{
+    chain::PieceChain,
+    matches::PrefixMatches,
+    message::{LookupSource, PartAction, PartMessage, TargetMatch},
+    part::{IndexPart, WaitingLookup},
+    reader::part_of,
+};
+
+impl IndexPart {
+    pub(crate) fn begin_lookup(
+        &mut self,
+        now: ClockTime,
+        token: u64,
+        chain: PieceChain,
+        actions: &mut Vec<PartAction>,
+    ) {
+        let order = chain.first().and_then(|first| {
+            let part = part_of(first.short());
+            self.holders.get(usize::from(part)).cloned()
+        });
+        let mut order = order.unwrap_or_default();
+        order.retain(|&place| place < self.own_members.len());
+        let is_local =
+            order.is_empty() || order.iter().any(|&place| self.members[place] == self.vm);
+        if is_local {
+            self.counters.local += 1;
+            return self.answer(now, token, &chain, LookupSource::Local, actions);
+        }
+        let trusted = |place: &&usize| {
+            self.suspects.get(&self.members[**place]).is_none_or(|&until| now >= until)
+        };
+        let Some(&place) = order.iter().find(trusted) else {
+            self.counters.fallback += 1;
+            return self.answer(now, token, &chain, LookupSource::Fallback, actions);
+        };
+        let holder = self.members[place].clone();
+        let pieces = chain.pieces().iter().map(|piece| piece.short()).collect();
+        let message = PartMessage::Lookup { token, pieces };
+        self.counters.lookup_bytes += message.bytes() as u64;
+        actions.push(PartAction::Send { to: holder.clone(), message });
+        let until = now + self.settings.lookup_wait;
+        self.waiting.insert(token, WaitingLookup { chain, holder, until });
+    }
+
+    pub(crate) fn answer(
+        &self,
+        now: ClockTime,
+        token: u64,
+        chain: &PieceChain,
+        source: LookupSource,
+        actions: &mut Vec<PartAction>,
+    ) {
+        let mut matches = PrefixMatches::default();
+        self.index.lookup(now, chain, &mut matches);
+        actions.push(PartAction::Found { token, matches, source });
+    }
+
+    pub(crate) fn matches(&self, now: ClockTime, pieces: &[u64]) -> Vec<TargetMatch> {
+        let mut matches = PrefixMatches::default();
+        self.index.lookup_short(now, pieces.iter().copied(), &mut matches);
+        self.tags
+            .iter()
+            .filter(|&(_, &id)| matches.usable(id) > 0)
+            .map(|(&tag, &id)| TargetMatch {
+                tag,
+                usable: matches.usable(id) as u16,
+                confirmed: matches.confirmed(id) as u16,
+            })
+            .collect()
+    }
+
+    pub(crate) fn take_reply(
+        &mut self,
+        token: u64,
+        list: &[TargetMatch],
+        actions: &mut Vec<PartAction>,
+    ) {
+        // A reply after the time-out finds no lookup and is dropped: the request has gone already.
+        let Some(lookup) = self.waiting.remove(&token) else { return };
+        self.suspects.remove(&lookup.holder);
+        self.counters.remote += 1;
+        let mut matches = PrefixMatches::default();
+        matches.reset(self.index.target_slots());
+        for item in list {
+            if let Some(&id) = self.tags.get(&item.tag) {
+                matches.set(id, item.usable.into(), item.confirmed.into());
+            }
+        }
+        actions.push(PartAction::Found { token, matches, source: LookupSource::Remote });
+    }
+}
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -6,231 +6,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use godwitroad_base::{ClockSpan, ClockTime, Incarnation, TargetName, VmName, rendezvous};
-use serde::{Deserialize, Serialize};
+use godwitroad_base::{ClockTime, Incarnation, TargetName, VmName, rendezvous};
 
 use crate::{
     chain::PieceChain,
-    feed::{FeedBatch, FeedSettings},
-    index::{IndexSettings, PrefixIndex, PrefixMatches, TargetId},
+    feed::FeedBatch,
+    index::PrefixIndex,
+    matches::TargetId,
+    message::{LookupSource, PartAction, PartCounters, PartEvent, PartMessage, PartSettings},
     reader::{EngineReader, PARTS, part_of},
     wire::{EntryBatch, EntryOp, TargetEntries, TargetTag},
 };
 
-/// The settings of a router's part of the index.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PartSettings {
-    /// The number of routers that hold each partition.
-    pub copies: usize,
-    /// The number of routers of each far index that hold a partition; zero at sizes at which regions keep apart.
-    ///
-    /// Any other value should equal `copies`, because a second copy answers lookups itself.
-    pub far_copies: usize,
-    /// The time for which changes are collected before they are forwarded.
-    pub forward_window: ClockSpan,
-    /// The time for which a lookup waits for the owner.
-    pub lookup_wait: ClockSpan,
-    /// The time for which an owner that did not answer is passed over.
-    pub suspect_span: ClockSpan,
-    /// The time for which a started router waits for its peers' entries.
-    pub read_back_wait: ClockSpan,
-    /// The settings of the index.
-    pub index: IndexSettings,
-    /// The settings of the engines' event feeds.
-    pub feed: FeedSettings,
-}
-
-impl Default for PartSettings {
-    fn default() -> PartSettings {
-        PartSettings {
-            copies: 2,
-            far_copies: 2,
-            forward_window: ClockSpan::from_ms(20),
-            lookup_wait: ClockSpan::from_ms(10),
-            suspect_span: ClockSpan::from_ms(500),
-            read_back_wait: ClockSpan::from_secs(2),
-            index: IndexSettings::default(),
-            feed: FeedSettings::default(),
-        }
-    }
-}
-
-/// An event for a router's part of the index.
 #[derive(Clone, Debug)]
-pub enum PartEvent {
-    /// The targets of the zone's services, from the configuration.
-    Targets(Vec<TargetName>),
-    /// The serving routers of the zone, from the roster; they include this one while it serves.
-    Members(Vec<VmName>),
-    /// The serving routers of other zones or regions whose requests may come to this router's engines, one list
-    /// for each index of theirs.
-    FarMembers(Vec<Vec<VmName>>),
-    /// Cache events of an engine that this router reads.
-    Cache {
-        /// The engine.
-        target: TargetName,
-        /// The events.
-        batch: FeedBatch,
-    },
-    /// This router no longer reads an engine.
-    Unread(TargetName),
-    /// The cached prefix of a prompt is wanted.
-    Lookup {
-        /// The caller's number, echoed in [`PartAction::Found`].
-        token: u64,
-        /// The prompt.
-        chain: PieceChain,
-    },
-    /// A request was dispatched.
-    Dispatched {
-        /// The target.
-        target: TargetName,
-        /// The prompt.
-        chain: PieceChain,
-    },
-    /// A peer sent a message.
-    Message {
-        /// The sender.
-        from: VmName,
-        /// The message.
-        message: PartMessage,
-    },
-    /// The router will stop: hand everything over.
-    Stop,
-    /// Time passed.
-    Tick,
-}
-
-/// What a router's part of the index asks for.
-#[derive(Clone, Debug)]
-pub enum PartAction {
-    /// Send a message to a peer.
-    Send {
-        /// The receiver.
-        to: VmName,
-        /// The message.
-        message: PartMessage,
-    },
-    /// A lookup has its answer.
-    Found {
-        /// The number of the lookup.
-        token: u64,
-        /// The longest usable prefixes.
-        matches: PrefixMatches,
-        /// Where the answer comes from.
-        source: LookupSource,
-    },
-    /// Read a snapshot of the engine's cache.
-    AskSnapshot(TargetName),
-    /// The entries of the peers have arrived, or the time for them is over.
-    Ready,
-    /// The entries are handed over.
-    HandedOver,
-}
-
-/// Where the answer to a lookup comes from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LookupSource {
-    /// This router holds the partition.
-    Local,
-    /// Another router holds it and answered.
-    Remote,
-    /// The holder did not answer in time; only this router's own knowledge is used.
-    Fallback,
-}
-
-/// A message between the parts of the index.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum PartMessage {
-    /// Changed entries.
-    Entries {
-        /// The number of the message among those from this sender to this receiver.
-        sequence: u64,
-        /// The encoded [`EntryBatch`].
-        batch: Vec<u8>,
-    },
-    /// Everything that the sender reads from engines, as far as the receiver holds it.
-    Snapshot {
-        /// The number that the next [`PartMessage::Entries`] carries.
-        sequence: u64,
-        /// The encoded [`EntryBatch`].
-        batch: Vec<u8>,
-    },
-    /// Entries from a router that stops.
-    HandOver {
-        /// The encoded [`EntryBatch`].
-        batch: Vec<u8>,
-    },
-    /// The sender wants a [`PartMessage::Snapshot`].
-    AskSnapshot,
-    /// A lookup.
-    Lookup {
-        /// The number of the lookup at the sender.
-        token: u64,
-        /// The pieces in their short form.
-        pieces: Vec<u64>,
-    },
-    /// The answer to a lookup; targets that hold nothing are left out.
-    Reply {
-        /// The number of the lookup.
-        token: u64,
-        /// The matches.
-        matches: Vec<TargetMatch>,
-    },
-}
-
-impl PartMessage {
-    /// Returns the length of the message on the wire, without the transport's frame.
-    pub fn bytes(&self) -> usize {
-        match self {
-            PartMessage::Entries { batch, .. } | PartMessage::Snapshot { batch, .. } => {
-                16 + batch.len()
-            }
-            PartMessage::HandOver { batch } => 8 + batch.len(),
-            PartMessage::AskSnapshot => 1,
-            PartMessage::Lookup { pieces, .. } => 16 + 8 * pieces.len(),
-            PartMessage::Reply { matches, .. } => 16 + 12 * matches.len(),
-        }
-    }
-}
-
-/// The longest usable prefix at one target.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TargetMatch {
-    /// The target.
-    pub tag: TargetTag,
-    /// The number of leading pieces held as far as is known.
-    pub usable: u16,
-    /// The number of leading pieces that events confirm.
-    pub confirmed: u16,
-}
-
-/// What a router's part of the index has done so far.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct PartCounters {
-    /// Lookups answered from this router's own entries.
-    pub local: u64,
-    /// Lookups answered by another router.
-    pub remote: u64,
-    /// Lookups whose holder did not answer in time.
-    pub fallback: u64,
-    /// Bytes of forwarded entries.
-    pub entry_bytes: u64,
-    /// Bytes of snapshots and hand-overs.
-    pub snapshot_bytes: u64,
-    /// Bytes of lookups and replies.
-    pub lookup_bytes: u64,
-    /// Lost messages found by their numbers.
-    pub lost: u64,
-    /// Messages that could not be decoded.
-    pub malformed: u64,
-}
-
-#[derive(Clone, Debug)]
-struct WaitingLookup {
-    chain: PieceChain,
-    holder: VmName,
-    until: ClockTime,
+pub(crate) struct WaitingLookup {
+    pub(crate) chain: PieceChain,
+    pub(crate) holder: VmName,
+    pub(crate) until: ClockTime,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -246,25 +38,25 @@
 /// One router's part of the index of its zone.
 #[derive(Clone, Debug)]
 pub struct IndexPart {
-    settings: PartSettings,
-    vm: VmName,
-    index: PrefixIndex,
-    tags: BTreeMap<TargetTag, TargetId>,
+    pub(crate) settings: PartSettings,
+    pub(crate) vm: VmName,
+    pub(crate) index: PrefixIndex,
+    pub(crate) tags: BTreeMap<TargetTag, TargetId>,
     /// The members of all indexes, those of this router's own first.
-    members: Vec<VmName>,
-    own_members: Vec<VmName>,
+    pub(crate) members: Vec<VmName>,
+    pub(crate) own_members: Vec<VmName>,
     far_members: Vec<Vec<VmName>>,
     /// The holders of each partition, as positions in `members`, owner first.
-    holders: Vec<Vec<usize>>,
+    pub(crate) holders: Vec<Vec<usize>>,
     readers: BTreeMap<TargetName, EngineReader>,
     peers: BTreeMap<VmName, PeerState>,
-    suspects: BTreeMap<VmName, ClockTime>,
-    waiting: BTreeMap<u64, WaitingLookup>,
+    pub(crate) suspects: BTreeMap<VmName, ClockTime>,
+    pub(crate) waiting: BTreeMap<u64, WaitingLookup>,
     hints: BTreeMap<(VmName, TargetTag), BTreeSet<u64>>,
     read_back: Option<(BTreeSet<VmName>, ClockTime)>,
     ready: bool,
     last_forward: ClockTime,
-    counters: PartCounters,
+    pub(crate) counters: PartCounters,
 }
 
 impl IndexPart {
@@ -469,8 +261,8 @@
         let Some(first) = chain.first() else { return };
         self.index.note_dispatch(now, id, chain.pieces());
         let tag = TargetTag::of(target.as_str());
-        let order = &self.holders.get(usize::from(part_of(first.short())));
-        for &place in order.into_iter().flat_map(|order| order.iter()) {
+        let order = self.holders.get(usize::from(part_of(first.short())));
+        for &place in order.into_iter().flatten() {
             let vm = &self.members[place];
             if *vm != self.vm {
                 let hints = self.hints.entry((vm.clone(), tag)).or_default();
@@ -479,54 +271,6 @@
         }
     }
 
-    fn begin_lookup(
-        &mut self,
-        now: ClockTime,
-        token: u64,
-        chain: PieceChain,
-        actions: &mut Vec<PartAction>,
-    ) {
-        let order = chain.first().and_then(|first| {
-            let part = part_of(first.short());
-            self.holders.get(usize::from(part)).cloned()
-        });
-        let mut order = order.unwrap_or_default();
-        order.retain(|&place| place < self.own_members.len());
-        let is_local =
-            order.is_empty() || order.iter().any(|&place| self.members[place] == self.vm);
-        if is_local {
-            self.counters.local += 1;
-            return self.answer(now, token, &chain, LookupSource::Local, actions);
-        }
-        let trusted = |place: &&usize| {
-            self.suspects.get(&self.members[**place]).is_none_or(|&until| now >= until)
-        };
-        let Some(&place) = order.iter().find(trusted) else {
-            self.counters.fallback += 1;
-            return self.answer(now, token, &chain, LookupSource::Fallback, actions);
-        };
-        let holder = self.members[place].clone();
-        let pieces = chain.pieces().iter().map(|piece| piece.short()).collect();
-        let message = PartMessage::Lookup { token, pieces };
-        self.counters.lookup_bytes += message.bytes() as u64;
-        actions.push(PartAction::Send { to: holder.clone(), message });
-        let until = now + self.settings.lookup_wait;
-        self.waiting.insert(token, WaitingLookup { chain, holder, until });
-    }
-
-    fn answer(
-        &self,
-        now: ClockTime,
-        token: u64,
-        chain: &PieceChain,
-        source: LookupSource,
-        actions: &mut Vec<PartAction>,
-    ) {
-        let mut matches = PrefixMatches::default();
-        self.index.lookup(now, chain, &mut matches);
-        actions.push(PartAction::Found { token, matches, source });
-    }
-
     fn tick(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
         let overdue: Vec<u64> = self
             .waiting
@@ -748,35 +492,6 @@
         }
     }
 
-    fn matches(&self, now: ClockTime, pieces: &[u64]) -> Vec<TargetMatch> {
-        let mut matches = PrefixMatches::default();
-        self.index.lookup_short(now, pieces.iter().copied(), &mut matches);
-        self.tags
-            .iter()
-            .filter(|&(_, &id)| matches.usable(id) > 0)
-            .map(|(&tag, &id)| TargetMatch {
-                tag,
-                usable: matches.usable(id) as u16,
-                confirmed: matches.confirmed(id) as u16,
-            })
-            .collect()
-    }
-
-    fn take_reply(&mut self, token: u64, list: &[TargetMatch], actions: &mut Vec<PartAction>) {
-        // A reply after the time-out finds no lookup and is dropped: the request has gone already.
-        let Some(lookup) = self.waiting.remove(&token) else { return };
-        self.suspects.remove(&lookup.holder);
-        self.counters.remote += 1;
-        let mut matches = PrefixMatches::default();
-        matches.reset(self.index.target_slots());
-        for item in list {
-            if let Some(&id) = self.tags.get(&item.tag) {
-                matches.set(id, item.usable.into(), item.confirmed.into());
-            }
-        }
-        actions.push(PartAction::Found { token, matches, source: LookupSource::Remote });
-    }
-
     /// Sends this router's entries to the routers that hold the partitions without it.
     fn hand_over(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
         self.forward(now, actions);
--- a/crates/prefix/tests/part.rs
+++ b/crates/prefix/tests/part.rs
@@ -86,8 +86,8 @@
     }
 
     fn reader(&self) -> VmName {
-        let part = self.parts.values().next().unwrap();
-        part.reader_of(&engine()).unwrap().clone()
+        let part = self.parts.values().next().expect("a zone has routers");
+        part.reader_of(&engine()).expect("a member reads each engine").clone()
     }
 
     fn publish(&mut self, first: u64, incarnation: u64, changes: Vec<CacheChange>) {
