--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod fairness;
 pub mod fleet;
+pub mod index;
 mod limits;
 pub mod once;
 pub mod registry;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::{config, fairness, limits, once, report::BenchRow, restart, rollout, routing, streams};
+use crate::{config, fairness, index, limits, once, report::BenchRow, restart, rollout, routing, streams};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +21,7 @@
     vec![
         entry("config", "time and cost of a change of the configuration", config::run),
         entry("fairness", "what one account's excess does to the others", fairness::run),
+        entry("index", "decision time, bytes an entry and events a second", index::run),
         entry("limits", "over-admission and wrongful refusals", limits::run),
         entry("once", "store calls and doubled runs of claimed requests", once::run),
         entry("restart", "time until restarted routers hold and serve", restart::run),
--- a/crates/pick/src/choice.rs
+++ b/crates/pick/src/choice.rs
@@ -244,7 +244,7 @@
             target: place.target,
             distance: place.distance,
             queue_ms: load.queue_wait_ms(now, place.target),
-            prefill_ms: missing * 1_000.0 / load.prefill_rate(place.target),
+            prefill_ms: missing * load.token_ms(place.target),
             network_ms,
             usable_pieces,
             confirmed_pieces,
@@ -297,6 +297,9 @@
         link: &LinkMeter,
         explain: &mut ChoiceExplain,
     ) {
+        if self.estimates.iter().all(|estimate| estimate.distance != Distance::Remote) {
+            return;
+        }
         let near = |estimate: &&TargetEstimate| estimate.distance != Distance::Remote;
         let costs = self.estimates.iter().filter(near).map(TargetEstimate::cost_ms);
         let Some(nearest) = costs.reduce(f64::min) else { return };
@@ -311,11 +314,17 @@
 
     fn others(&self, chosen: TargetId) -> Vec<TargetEstimate> {
         let mut others: Vec<TargetEstimate> = Vec::with_capacity(EXPLAIN_OTHERS + 1);
-        for estimate in self.estimates.iter().filter(|estimate| estimate.target != chosen) {
-            let place = others.partition_point(|other| other.cost_ms() <= estimate.cost_ms());
-            if place < EXPLAIN_OTHERS {
-                others.insert(place, *estimate);
-                others.truncate(EXPLAIN_OTHERS);
+        let mut bound = f64::INFINITY;
+        for estimate in &self.estimates {
+            let cost = estimate.cost_ms();
+            if cost >= bound || estimate.target == chosen {
+                continue;
+            }
+            let place = others.partition_point(|other| other.cost_ms() <= cost);
+            others.insert(place, *estimate);
+            others.truncate(EXPLAIN_OTHERS);
+            if others.len() == EXPLAIN_OTHERS {
+                bound = others[EXPLAIN_OTHERS - 1].cost_ms();
             }
         }
         others
--- a/crates/pick/src/load.rs
+++ b/crates/pick/src/load.rs
@@ -84,23 +84,43 @@
     taken: ClockTime,
     report: TargetReport,
     sent: VecDeque<SentWork>,
+    /// The prompt tokens that wait at `counted`, from the report and the dispatches since.
+    queued: f64,
+    counted: ClockTime,
     /// Requests that ended since the report was taken.
     ended: VecDeque<ClockTime>,
     prefill_rate: Option<f64>,
+    /// The inverse of the rate, because a choice would otherwise divide several times for each target.
+    token_ms: Option<f64>,
     service_ms: Option<f64>,
 }
 
+impl TargetLoad {
+    /// Adds work in the order in which it arrives, because a target can't have computed work before that.
+    fn add(&mut self, sent: &SentWork, rate: f64) {
+        self.queued = self.queued_at(sent.at, rate) + sent.tokens as f64;
+        self.counted = self.counted.max(sent.at);
+    }
+
+    fn queued_at(&self, now: ClockTime, rate: f64) -> f64 {
+        let passed = now.since(self.counted).as_ms() as f64;
+        (self.queued - rate * passed / 1_000.0).max(0.0)
+    }
+}
+
 /// The load of all targets.
 #[derive(Clone, Debug)]
 pub struct LoadView {
     settings: LoadSettings,
+    token_ms: f64,
     targets: Vec<TargetLoad>,
 }
 
 impl LoadView {
     /// Returns a view without any report.
     pub fn new(settings: LoadSettings) -> LoadView {
-        LoadView { settings, targets: Vec::new() }
+        let token_ms = 1_000.0 / settings.prefill_rate.max(1.0);
+        LoadView { settings, token_ms, targets: Vec::new() }
     }
 
     /// Sets the number of requests that `target` runs at once.
@@ -111,6 +131,7 @@
     /// Takes a report.
     pub fn report(&mut self, now: ClockTime, target: TargetId, report: TargetReport) {
         let taken = now - report.age;
+        let rate = self.prefill_rate(target);
         let load = self.entry(target);
         if taken < load.taken {
             return;
@@ -119,6 +140,11 @@
         load.report = report;
         load.sent.retain(|sent| sent.at > taken);
         load.ended.retain(|&ended| ended > taken);
+        load.queued = report.waiting_tokens as f64;
+        load.counted = taken;
+        let sent = std::mem::take(&mut load.sent);
+        sent.iter().for_each(|sent| load.add(sent, rate));
+        load.sent = sent;
     }
 
     /// Forgets what is known of a target that restarted.
@@ -126,6 +152,8 @@
         let load = self.entry(target);
         load.taken = now;
         load.report = TargetReport::default();
+        load.queued = 0.0;
+        load.counted = now;
         load.sent.clear();
         load.ended.clear();
     }
@@ -143,11 +171,16 @@
         tokens: u64,
         request: Option<u64>,
     ) {
+        let span = self.settings.report_span;
+        let rate = self.prefill_rate(target);
         let load = self.entry(target);
-        if load.sent.len() == MAX_DISPATCHES {
+        let is_old = |sent: &SentWork| at.since(sent.at) > span;
+        while load.sent.len() == MAX_DISPATCHES || load.sent.front().is_some_and(is_old) {
             load.sent.pop_front();
         }
-        load.sent.push_back(SentWork { at, tokens, request });
+        let sent = SentWork { at, tokens, request };
+        load.add(&sent, rate);
+        load.sent.push_back(sent);
     }
 
     /// Counts the end of one of this router's requests.
@@ -168,7 +201,9 @@
     pub fn note_prefill(&mut self, target: TargetId, tokens: u64, span: ClockSpan) {
         if span > ClockSpan::ZERO && tokens > 0 {
             let rate = tokens as f64 * 1_000.0 / span.as_ms() as f64;
-            smooth(&mut self.entry(target).prefill_rate, rate);
+            let load = self.entry(target);
+            smooth(&mut load.prefill_rate, rate);
+            load.token_ms = load.prefill_rate.map(|rate| 1_000.0 / rate.max(1.0));
         }
     }
 
@@ -178,52 +213,47 @@
         known.unwrap_or(self.settings.prefill_rate).max(1.0)
     }
 
+    /// Returns the milliseconds that `target` takes for one prompt token.
+    pub(crate) fn token_ms(&self, target: TargetId) -> f64 {
+        let known = self.targets.get(target.index()).and_then(|load| load.token_ms);
+        known.unwrap_or(self.token_ms)
+    }
+
     /// Returns the estimated prompt tokens that wait at `target`.
     pub fn queued_tokens(&self, now: ClockTime, target: TargetId) -> u64 {
         let Some(load) = self.targets.get(target.index()) else { return 0 };
-        let rate = self.prefill_rate(target) / 1_000.0;
-        let mut clock = load.taken;
-        let mut queued = load.report.waiting_tokens as f64;
-        // The work is replayed in order, because a target can't have computed work before it arrived.
-        for sent in self.recent(now, load) {
-            queued = (queued - rate * sent.at.since(clock).as_ms() as f64).max(0.0);
-            queued += sent.tokens as f64;
-            clock = sent.at;
-        }
-        (queued - rate * now.since(clock).as_ms() as f64).max(0.0) as u64
+        load.queued_at(now, self.prefill_rate(target)) as u64
     }
 
     /// Returns the estimated number of requests that `target` runs or holds.
     pub fn occupied(&self, now: ClockTime, target: TargetId) -> u32 {
         let Some(load) = self.targets.get(target.index()) else { return 0 };
+        let span = self.settings.report_span;
+        let is_old = |sent: &&SentWork| now.since(sent.at) > span;
+        let old = load.sent.iter().take_while(is_old).count();
+        let sent = (load.sent.len() - old) as u32;
         let reported = load.report.running + load.report.waiting;
-        let sent = self.recent(now, load).count() as u32;
         (reported + sent).saturating_sub(load.ended.len() as u32)
     }
 
     /// Returns the estimated time that a request sent now waits before its prompt is computed.
     pub fn queue_wait_ms(&self, now: ClockTime, target: TargetId) -> f64 {
-        let queued = self.queued_tokens(now, target) as f64;
-        let prefill = queued * 1_000.0 / self.prefill_rate(target);
-        let Some(load) = self.targets.get(target.index()) else { return prefill };
+        let Some(load) = self.targets.get(target.index()) else { return 0.0 };
+        let token_ms = load.token_ms.unwrap_or(self.token_ms);
+        let passed = now.since(load.counted).as_ms() as f64;
+        let prefill = (load.queued * token_ms - passed).max(0.0);
         if load.slots == 0 {
             return prefill;
         }
         let over = (self.occupied(now, target) + 1).saturating_sub(load.slots);
+        if over == 0 {
+            return prefill;
+        }
         let service = load.service_ms.unwrap_or(self.settings.service_span.as_ms() as f64);
         // With all slots taken, one of them becomes free each service time divided by the slots.
         prefill.max(f64::from(over) * service / f64::from(load.slots))
     }
 
-    fn recent<'a>(
-        &'a self,
-        now: ClockTime,
-        load: &'a TargetLoad,
-    ) -> impl Iterator<Item = &'a SentWork> {
-        let span = self.settings.report_span;
-        load.sent.iter().filter(move |sent| now.since(sent.at) <= span)
-    }
-
     fn entry(&mut self, target: TargetId) -> &mut TargetLoad {
         if self.targets.len() <= target.index() {
             self.targets.resize_with(target.index() + 1, TargetLoad::default);
--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -10,135 +10,28 @@
 
 use crate::{
     chain::{PieceChain, PieceHash},
+    epoch::{
+        EPOCH_LIMIT, EPOCH_SHIFT, EPOCHS, PROVISIONAL, STAMP_MASK, STAMP_SHIFT, TARGET_SHIFT,
+        TargetEpochs, group_of, stamp, target_of,
+    },
     feed::{CacheChange, FeedAction},
+    matches::{IndexCounters, IndexSettings, PrefixMatches, TargetId},
     table::{EntryTable, GROUP_TARGETS, entry_key},
 };
 
 /// The number of targets that an index can hold; their number takes 12 bits of an entry.
 const MAX_TARGETS: usize = 1 << 12;
 
-/// The number of epochs that an entry can tell apart; the epoch takes 6 bits.
-const EPOCHS: u32 = 1 << 6;
-
-/// The number of live epochs of one target at which its entries are rewritten, before numbers repeat.
-const EPOCH_LIMIT: u32 = EPOCHS - 8;
-
-/// The length of a unit of an entry's age as a power of two of milliseconds; 13 bits of it last 17 minutes.
-const STAMP_SHIFT: u32 = 7;
-const STAMP_MASK: u32 = (1 << 13) - 1;
-const PROVISIONAL: u32 = 1 << 13;
-const EPOCH_SHIFT: u32 = 14;
-const TARGET_SHIFT: u32 = 20;
+/// The leading pieces whose slots a lookup fetches together.
+const FETCH_PIECES: usize = 16;
 
 /// The number of entries among which eviction looks for the oldest.
 const EVICT_SAMPLE: usize = 16;
 
-/// The position of a target in an index; valid in that index only.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetId(pub u16);
-
-impl TargetId {
-    /// Returns the position for indexing vectors.
-    pub fn index(self) -> usize {
-        usize::from(self.0)
-    }
-}
-
-/// The settings of an index.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct IndexSettings {
-    /// The number of entries held at most; 16 bytes each are set aside.
-    pub max_entries: usize,
-    /// The time for which a dispatch counts as cached without an event that says so.
-    pub provisional_span: ClockSpan,
-}
-
-impl Default for IndexSettings {
-    fn default() -> IndexSettings {
-        IndexSettings { max_entries: 1 << 18, provisional_span: ClockSpan::from_secs(3) }
-    }
-}
-
-/// What an index has done so far.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct IndexCounters {
-    /// Pieces stored, including repeated ones.
-    pub stored: u64,
-    /// Entries removed because the engine evicted the piece.
-    pub evicted: u64,
-    /// Entries removed to stay within the memory bound.
-    pub displaced: u64,
-    /// Epochs begun by a gap.
-    pub gaps: u64,
-    /// Epochs begun by a snapshot.
-    pub snapshots: u64,
-    /// Epochs begun by a restart of a target.
-    pub restarts: u64,
-}
-
-/// The longest usable prefix at each target.
 #[derive(Clone, Debug, Default)]
-pub struct PrefixMatches {
-    usable: Vec<u16>,
-    confirmed: Vec<u16>,
-}
-
-impl PrefixMatches {
-    /// Returns the number of leading pieces that `target` holds as far as is known.
-    pub fn usable(&self, target: TargetId) -> usize {
-        self.usable.get(target.index()).copied().map_or(0, usize::from)
-    }
-
-    /// Returns the number of leading pieces that events confirm at `target`.
-    pub fn confirmed(&self, target: TargetId) -> usize {
-        self.confirmed.get(target.index()).copied().map_or(0, usize::from)
-    }
-
-    /// Empties the matches and makes room for `targets` targets.
-    pub fn reset(&mut self, targets: usize) {
-        self.usable.clear();
-        self.usable.resize(targets, 0);
-        self.confirmed.clear();
-        self.confirmed.resize(targets, 0);
-    }
-
-    /// Sets the match of a target, as a lookup at another router reported it.
-    pub fn set(&mut self, target: TargetId, usable: usize, confirmed: usize) {
-        let clamp = |pieces: usize| pieces.min(usize::from(u16::MAX)) as u16;
-        if let Some(place) = self.usable.get_mut(target.index()) {
-            *place = clamp(usable);
-            self.confirmed[target.index()] = clamp(confirmed);
-        }
-    }
-
-    /// Raises the match of a target to at least `usable` pieces.
-    pub fn raise(&mut self, target: TargetId, usable: usize) {
-        if usable > self.usable(target) {
-            self.set(target, usable, self.confirmed(target));
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
 struct TargetState {
     name: Option<TargetName>,
     incarnation: Option<Incarnation>,
-    epoch: u32,
-    /// The number of epochs before the current one whose entries are unconfirmed rather than dead.
-    kept: u32,
-    /// The number of epochs before the current one in the same incarnation.
-    lived: u32,
-    /// The number of epochs before the current one of which entries may still be in the table.
-    present: u32,
-}
-
-impl TargetState {
-    fn begin_epoch(&mut self) {
-        self.epoch = (self.epoch + 1) % EPOCHS;
-        self.kept += 1;
-        self.lived += 1;
-        self.present += 1;
-    }
 }
 
 /// Whether an entry counts.
@@ -155,6 +48,7 @@
     settings: IndexSettings,
     table: EntryTable,
     targets: Vec<TargetState>,
+    epochs: Vec<TargetEpochs>,
     names: BTreeMap<TargetName, TargetId>,
     counters: IndexCounters,
     evict_hand: usize,
@@ -168,6 +62,7 @@
             settings,
             table: EntryTable::new(settings.max_entries),
             targets: Vec::new(),
+            epochs: Vec::new(),
             names: BTreeMap::new(),
             counters: IndexCounters::default(),
             evict_hand: 0,
@@ -188,14 +83,8 @@
         let place = free.unwrap_or(self.targets.len());
         assert!(place < MAX_TARGETS, "more than {MAX_TARGETS} targets in one index");
         if free.is_none() {
-            self.targets.push(TargetState {
-                name: None,
-                incarnation: None,
-                epoch: 0,
-                kept: 0,
-                lived: 0,
-                present: 0,
-            });
+            self.targets.push(TargetState::default());
+            self.epochs.push(TargetEpochs::default());
         }
         let id = TargetId(place as u16);
         self.targets[place].name = Some(name.clone());
@@ -337,15 +226,15 @@
     /// Marks all entries of `target` as unconfirmed, because an eviction may have been missed.
     pub fn mark_unconfirmed(&mut self, target: TargetId) {
         self.counters.gaps += 1;
-        self.targets[target.index()].begin_epoch();
+        self.epochs[target.index()].begin();
         self.guard_epochs(target);
     }
 
     /// Begins a snapshot: entries of `target` die unless they are provisional or stored again.
     pub fn replace(&mut self, target: TargetId) {
         self.counters.snapshots += 1;
-        let state = &mut self.targets[target.index()];
-        state.begin_epoch();
+        let state = &mut self.epochs[target.index()];
+        state.begin();
         state.kept = 0;
         self.guard_epochs(target);
     }
@@ -363,12 +252,15 @@
         matches: &mut PrefixMatches,
     ) {
         matches.reset(self.targets.len());
+        let groups = self.targets.len().div_ceil(GROUP_TARGETS);
+        let keys = |piece: u64| (0..groups).map(move |group| entry_key(piece, group));
+        self.table.fetch(pieces.clone().take(FETCH_PIECES).flat_map(keys));
         for (group, states) in self.targets.chunks(GROUP_TARGETS).enumerate() {
             let base = group * GROUP_TARGETS;
             let mut usable = u64::MAX >> (GROUP_TARGETS - states.len());
             let mut confirmed = usable;
             for (depth, piece) in pieces.clone().enumerate() {
-                let (held, firm) = self.holders(now, entry_key(piece, group), base);
+                let (held, firm) = self.holders(now, entry_key(piece, group), base, usable);
                 settle(usable & !held, base, depth, &mut matches.usable);
                 settle(confirmed & !firm, base, depth, &mut matches.confirmed);
                 usable &= held;
@@ -403,10 +295,14 @@
         }
     }
 
-    fn holders(&self, now: ClockTime, key: u64, base: usize) -> (u64, u64) {
+    /// Returns which of the targets in `wanted` hold the piece of `key`, and which do so for certain.
+    fn holders(&self, now: ClockTime, key: u64, base: usize, wanted: u64) -> (u64, u64) {
         let (mut held, mut firm) = (0, 0);
         self.table.for_each(key, |state| {
             let bit = 1u64 << (target_of(state).index() - base);
+            if wanted & bit == 0 {
+                return;
+            }
             match self.standing(now, state) {
                 EntryStanding::Confirmed => {
                     held |= bit;
@@ -420,23 +316,22 @@
     }
 
     fn standing(&self, now: ClockTime, state: u32) -> EntryStanding {
-        let target = &self.targets[target_of(state).index()];
-        let age = (target.epoch + EPOCHS - epoch_of(state)) % EPOCHS;
+        let target = self.epochs[target_of(state).index()];
+        let age = target.age(state);
+        if age == 0 && state & PROVISIONAL == 0 {
+            return EntryStanding::Confirmed;
+        }
         if state & PROVISIONAL != 0 {
             let units = stamp(now).wrapping_sub(state) & STAMP_MASK;
             let span = ClockSpan::from_ms(u64::from(units) << STAMP_SHIFT);
             let expired = span > self.settings.provisional_span;
-            return if age > target.lived || expired {
+            return if age > u32::from(target.lived) || expired {
                 EntryStanding::Dead
             } else {
                 EntryStanding::Unconfirmed
             };
         }
-        match age {
-            0 => EntryStanding::Confirmed,
-            age if age <= target.kept => EntryStanding::Unconfirmed,
-            _ => EntryStanding::Dead,
-        }
+        if age <= u32::from(target.kept) { EntryStanding::Unconfirmed } else { EntryStanding::Dead }
     }
 
     fn find(&self, target: TargetId, piece: u64) -> Option<usize> {
@@ -445,7 +340,7 @@
     }
 
     fn put(&mut self, now: ClockTime, target: TargetId, piece: u64, flag: u32) {
-        let epoch = self.targets[target.index()].epoch;
+        let epoch = u32::from(self.epochs[target.index()].epoch);
         let state = u32::from(target.0) << TARGET_SHIFT | epoch << EPOCH_SHIFT | flag | stamp(now);
         if let Some(slot) = self.find(target, piece) {
             self.table.set_state(slot, state);
@@ -481,8 +376,8 @@
     }
 
     fn end_incarnation(&mut self, target: TargetId) {
-        let state = &mut self.targets[target.index()];
-        state.begin_epoch();
+        let state = &mut self.epochs[target.index()];
+        state.begin();
         state.kept = 0;
         state.lived = 0;
         self.guard_epochs(target);
@@ -490,7 +385,7 @@
 
     /// Rewrites all entries before the epoch numbers of `target` repeat, because a dead entry would live again.
     fn guard_epochs(&mut self, target: TargetId) {
-        if self.targets[target.index()].present < EPOCH_LIMIT {
+        if u32::from(self.epochs[target.index()].present) < EPOCH_LIMIT {
             return;
         }
         let mut slot = 0;
@@ -505,7 +400,7 @@
                 None => slot += 1,
             }
         }
-        for state in &mut self.targets {
+        for state in &mut self.epochs {
             state.kept = state.kept.min(1);
             state.lived = state.lived.min(1);
             state.present = state.present.min(1);
@@ -514,13 +409,13 @@
 
     /// Returns `entry` in the current epoch or the one before it, or `None` when it is dead.
     fn rebased(&self, entry: u32) -> Option<u32> {
-        let state = &self.targets[target_of(entry).index()];
-        let age = (state.epoch + EPOCHS - epoch_of(entry)) % EPOCHS;
-        let bound = if entry & PROVISIONAL != 0 { state.lived } else { state.kept };
+        let state = self.epochs[target_of(entry).index()];
+        let age = state.age(entry);
+        let bound = u32::from(if entry & PROVISIONAL != 0 { state.lived } else { state.kept });
         if age == 0 {
             return Some(entry);
         }
-        let epoch = (state.epoch + EPOCHS - 1) % EPOCHS;
+        let epoch = (u32::from(state.epoch) + EPOCHS - 1) % EPOCHS;
         let rest = entry & !((EPOCHS - 1) << EPOCH_SHIFT);
         (age <= bound).then_some(rest | epoch << EPOCH_SHIFT)
     }
@@ -542,19 +437,3 @@
         ended &= ended - 1;
     }
 }
-
-fn stamp(now: ClockTime) -> u32 {
-    (now.as_ms() >> STAMP_SHIFT) as u32 & STAMP_MASK
-}
-
-fn target_of(state: u32) -> TargetId {
-    TargetId((state >> TARGET_SHIFT) as u16)
-}
-
-fn epoch_of(state: u32) -> u32 {
-    state >> EPOCH_SHIFT & (EPOCHS - 1)
-}
-
-fn group_of(target: TargetId) -> usize {
-    target.index() / GROUP_TARGETS
-}
