Bound batches between routers and install signal handlers first

Cause: a batch of large messages could exceed the largest frame and would have broken its link again and again. JSON wrote byte strings as lists of numbers on links that are billed by volume.

Change: batches are split below the largest frame, and a message above it is counted as dropped; messages travel as CBOR. The binary installs its signal handlers before it starts the daemon.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,10 @@
 use std::{
     path::PathBuf,
     process::ExitCode,
-    sync::Arc,
+    sync::{
+        Arc,
+        mpsc::{Receiver, Sender, channel},
+    },
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -47,19 +50,26 @@
     // A later start has a later time; the platform gives no other number that grows.
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).context("the clock is unset")?;
     let incarnation = u64::try_from(incarnation.as_millis()).context("the clock is unset")?;
+    let (installed, installing) = channel();
+    let (handles, stoppers) = channel();
+    std::thread::spawn(move || await_signals(&installed, &stoppers));
+    // A signal during the start must lead to a planned stop too, so that the handlers come first.
+    installing.recv().context("the signal handlers can't be installed")?;
     let handle =
         Arc::new(app::start(AppOptions { settings, listeners, incarnation, document: None })?);
-    let stopper = handle.clone();
-    std::thread::spawn(move || await_signals(&stopper));
+    // The thread waits for the handle for as long as the process lives.
+    let _ = handles.send(handle.clone());
     handle.wait()
 }
 
 /// Turns the first signal into a planned stop and the second into an immediate end.
-fn await_signals(handle: &AppHandle) {
+fn await_signals(installed: &Sender<()>, handles: &Receiver<Arc<AppHandle>>) {
     actix_rt::System::new().block_on(async {
         let terminate = signal(SignalKind::terminate());
         let interrupt = signal(SignalKind::interrupt());
         let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else { return };
+        let _ = installed.send(());
+        let Ok(handle) = handles.recv() else { return };
         for ends in [false, true] {
             tokio::select! {
                 _ = terminate.recv() => {}
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -19,6 +19,20 @@
     wire::{PeerLinkClient, PeerPayload, WireBatch},
 };
 
+/// The bytes of a frame that the call around a batch may take.
+const FRAME_RESERVE_BYTES: usize = 1_024;
+
+/// The bytes that the length of a message takes in a frame.
+const MESSAGE_RESERVE_BYTES: usize = 8;
+
+/// A batch as it is sent, with the kind and size of each message.
+#[derive(Default)]
+struct EncodedBatch {
+    wire: WireBatch,
+    kinds: Vec<(&'static str, u64)>,
+    size: usize,
+}
+
 /// Everything that the task of one link holds.
 pub(crate) struct LinkParts<M> {
     pub(crate) settings: Arc<PeerSettings>,
@@ -62,44 +76,64 @@
     async fn deliver(&self, client: PeerLinkClient) {
         loop {
             let messages = self.queue.take(self.settings.batch_limit).await;
-            let (batch, kinds) = self.encode(&messages);
-            let mut context = context::current();
-            let limit = Duration::from_millis(self.settings.answer_limit.as_ms());
-            context.deadline = std::time::Instant::now() + limit;
-            let confirmed = client.deliver(context, batch).await.is_ok();
-            for (kind, bytes) in kinds {
-                self.counters.change(kind, self.scope(), |row| {
-                    if confirmed {
-                        row.sent += 1;
-                        row.sent_bytes += bytes;
-                    } else {
-                        row.unconfirmed += 1;
-                    }
-                });
-            }
-            if !confirmed {
-                return;
+            let mut batches = self.encode(&messages).into_iter();
+            while let Some(batch) = batches.next() {
+                let confirmed = self.deliver_batch(&client, batch).await;
+                if !confirmed {
+                    batches.for_each(|batch| self.count(&batch.kinds, false));
+                    return;
+                }
             }
         }
     }
 
-    /// Encodes messages and gives the kind and size of each.
-    fn encode(&self, messages: &[M]) -> (WireBatch, Vec<(&'static str, u64)>) {
-        let mut batch = WireBatch { messages: Vec::with_capacity(messages.len()) };
-        let mut kinds = Vec::with_capacity(messages.len());
-        for message in messages {
-            match serde_json::to_vec(message) {
-                Ok(bytes) => {
-                    kinds.push((message.kind(), bytes.len() as u64));
-                    batch.messages.push(bytes);
-                }
-                // A message without a JSON form (a map whose keys aren't text) can't be sent by any retry either.
-                Err(_) => {
-                    self.counters.change(message.kind(), self.scope(), |row| row.dropped += 1);
+    async fn deliver_batch(&self, client: &PeerLinkClient, batch: EncodedBatch) -> bool {
+        let mut context = context::current();
+        let limit = Duration::from_millis(self.settings.answer_limit.as_ms());
+        context.deadline = std::time::Instant::now() + limit;
+        let confirmed = client.deliver(context, batch.wire).await.is_ok();
+        self.count(&batch.kinds, confirmed);
+        confirmed
+    }
+
+    fn count(&self, kinds: &[(&'static str, u64)], confirmed: bool) {
+        for &(kind, bytes) in kinds {
+            self.counters.change(kind, self.scope(), |row| {
+                if confirmed {
+                    row.sent += 1;
+                    row.sent_bytes += bytes;
+                } else {
+                    row.unconfirmed += 1;
                 }
+            });
+        }
+    }
+
+    /// Encodes messages into batches that stay below the largest frame.
+    fn encode(&self, messages: &[M]) -> Vec<EncodedBatch> {
+        let limit = self.settings.frame_limit_bytes.saturating_sub(FRAME_RESERVE_BYTES);
+        let mut batches = Vec::new();
+        let mut current = EncodedBatch::default();
+        for message in messages {
+            let mut bytes = Vec::new();
+            let written = ciborium::into_writer(message, &mut bytes).is_ok();
+            let size = bytes.len() + MESSAGE_RESERVE_BYTES;
+            // A message that can't be written or is larger than any frame can't be sent by any retry either.
+            if !written || size > limit {
+                self.counters.change(message.kind(), self.scope(), |row| row.dropped += 1);
+                continue;
             }
+            if current.size + size > limit {
+                batches.push(std::mem::take(&mut current));
+            }
+            current.size += size;
+            current.kinds.push((message.kind(), bytes.len() as u64));
+            current.wire.messages.push(bytes);
+        }
+        if !current.kinds.is_empty() {
+            batches.push(current);
         }
-        (batch, kinds)
+        batches
     }
 
     fn scope(&self) -> LinkScope {
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -140,7 +140,7 @@
     async fn deliver(self, _: context::Context, batch: WireBatch) {
         for bytes in batch.messages {
             let size = bytes.len() as u64;
-            let message = serde_json::from_slice::<M>(&bytes);
+            let message = ciborium::from_reader::<M, _>(&bytes[..]);
             let kind = message.as_ref().map_or("unreadable", PeerPayload::kind);
             self.counters.change(kind, self.scope, |row| {
                 row.received += 1;
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -1,7 +1,8 @@
 //! The tarpc service and the shapes that it carries.
 //!
-//! A message travels as JSON inside the bincode frame. JSON describes itself, so that a release can skip a field or
-//! a kind that it doesn't know, which bincode alone can't; the frame around it stays cheap to read.
+//! A message travels as CBOR inside the bincode frame. CBOR describes itself, so that a release can skip a field or
+//! a kind that it doesn't know, which bincode alone can't. JSON would do so too, but writes a byte string as a list of
+//! decimal numbers, at up to four times its size, and can't write a map whose keys aren't text.
 
 use godwitroad_base::NodeId;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -26,7 +27,7 @@
     pub message: M,
 }
 
-/// The messages of one delivery, each encoded as JSON.
+/// The messages of one delivery, each encoded as CBOR.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub(crate) struct WireBatch {
     pub(crate) messages: Vec<Vec<u8>>,
--- a/crates/peers/tests/links.rs
+++ b/crates/peers/tests/links.rs
@@ -203,6 +203,40 @@
     assert_eq!(hub.counters().snapshot()[0].2.dropped, 8);
 }
 
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct LargeMessage(String);
+
+impl PeerPayload for LargeMessage {
+    fn kind(&self) -> &'static str {
+        "large"
+    }
+}
+
+/// Guards against a batch above the largest frame, which would break the link again and again.
+#[tokio::test]
+async fn large_messages_are_split_over_frames() {
+    let small = |vm| PeerSettings { frame_limit_bytes: 64 << 10, ..settings(vm, SECRET, (1, 1)) };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut received) = mpsc::unbounded_channel();
+    let server = PeerServer::<LargeMessage>::new(small("vm-b"), Arc::default(), move |envelope| {
+        sender.send(envelope).unwrap();
+    });
+    tokio::spawn(server.run(listener));
+    let hub = PeerHub::new(small("vm-a"), Handle::current());
+    hub.set_peers(vec![PeerAddress { vm: "vm-b".into(), region: "region-a".into(), address }]);
+    hub.send(&"vm-b".into(), LargeMessage("x".repeat(64 << 10)));
+    let messages: Vec<_> = (0..50).map(|number| LargeMessage(format!("{number:040000}"))).collect();
+    for message in &messages {
+        hub.send(&"vm-b".into(), message.clone());
+    }
+    for message in messages {
+        assert_eq!(received.recv().await.unwrap().message, message);
+    }
+    assert_eq!(hub.counters().snapshot()[0].2.dropped, 1);
+    assert_eq!(hub.counters().snapshot()[0].2.unconfirmed, 0);
+}
+
 proptest! {
     /// Guards against a queue that keeps other messages than the newest ones.
     #[test]
