Use refusing addresses that no other test can take

Cause: two tests took a port and let it go to have an address that refuses connections; another test running at the same time could get the port.

Change: the address is the near end of a connection, which holds its port without listening on it. The assertions are the same.

--- a/crates/daemon/tests/store.rs
+++ b/crates/daemon/tests/store.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::{net::TcpListener, sync::mpsc::Receiver};
+use std::sync::mpsc::Receiver;
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use godwitroad_base::ClockSpan;
@@ -14,7 +14,7 @@
     StoreRequest,
 };
 use serde_json::{Value, json};
-use support::{Step, TestTarget, fake, head, post_bytes, settings};
+use support::{ClosedAddress, Step, TestTarget, fake, head, post_bytes, settings};
 use yare::parameterized;
 
 fn b64(text: &str) -> String {
@@ -137,12 +137,12 @@
 /// Guards against a call that is given up at the first dead address, and against "unknown" when none is reached.
 #[test]
 fn an_unreachable_address_is_passed_over() {
-    let closed =
-        || format!("http://{}", TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
-    let (_daemon, events) = calling(vec![closed(), closed()], put(None));
+    let closed = [ClosedAddress::new(), ClosedAddress::new()];
+    let [first, second] = closed.each_ref().map(|closed| format!("http://{}", closed.address));
+    let (_daemon, events) = calling(vec![first.clone(), second], put(None));
     assert_eq!(outcome(&events), Err(StoreFailure::NotSent));
     let store = TestTarget::start(|_| vec![Step::Write(head(400, "content-length: 0\r\n"))]);
-    let (_daemon, events) = calling(vec![closed(), format!("http://{}", store.address)], put(None));
+    let (_daemon, events) = calling(vec![first, format!("http://{}", store.address)], put(None));
     assert_eq!(outcome(&events), Err(StoreFailure::Rejected));
 }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// An address that refuses connections and that no other listener can take while this value lives.
+pub struct ClosedAddress {
+    pub address: SocketAddr,
+    _listener: TcpListener,
+    _stream: TcpStream,
+}
+
+impl ClosedAddress {
+    pub fn new() -> ClosedAddress {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // The near end of a connection holds its port without listening on it.
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let address = stream.local_addr().unwrap();
+        ClosedAddress { address, _listener: listener, _stream: stream }
+    }
+}
+
 /// What a target does after a request.
 pub enum Step {
     Write(Vec<u8>),
--- a/crates/daemon/tests/targets.rs
+++ b/crates/daemon/tests/targets.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{
         Mutex,
         mpsc::{Receiver, channel},
@@ -20,7 +20,8 @@
     RouterAction, RouterEvent, RunOutcome,
 };
 use support::{
-    Step, TestTarget, answer, chat, done, event_head, fake, head, post_bytes, settings, token,
+    ClosedAddress, Step, TestTarget, answer, chat, done, event_head, fake, head, post_bytes,
+    settings, token,
 };
 use yare::parameterized;
 
@@ -138,10 +139,8 @@
 /// Guards against "sent" for a request that no target can have seen.
 #[test]
 fn a_refused_connection_is_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let closed = listener.local_addr().unwrap();
-    drop(listener);
-    let (_daemon, events) = dispatch(closed, |_| Vec::new());
+    let closed = ClosedAddress::new();
+    let (_daemon, events) = dispatch(closed.address, |_| Vec::new());
     assert_eq!(failure(&reports(&events)), Some((false, false)));
 }
 
@@ -329,7 +328,8 @@
             Step::Write(rest),
         ]
     });
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed_address = ClosedAddress::new();
+    let closed = closed_address.address;
     let mut one_thread = settings();
     one_thread.target_threads = 1;
     let address = target.address;
