--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Result;
 
-use crate::{report::BenchRow, rollout, streams};
+use crate::{config, fairness, limits, report::BenchRow, restart, rollout, routing, streams};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -17,16 +17,18 @@
 
 /// Returns all experiments in the order of their names.
 pub fn experiments() -> Vec<BenchExperiment> {
+    let entry = |name, about, run| BenchExperiment { name, about, run };
     vec![
-        BenchExperiment {
-            name: "rollout",
-            about: "time and lost capacity of a rollout of weights",
-            run: rollout::run,
-        },
-        BenchExperiment {
-            name: "streams",
-            about: "tokens decoded again after an engine's death, memory of a stream",
-            run: streams::run,
-        },
+        entry("config", "time and cost of a change of the configuration", config::run),
+        entry("fairness", "what one account's excess does to the others", fairness::run),
+        entry("limits", "over-admission and wrongful refusals", limits::run),
+        entry("restart", "time until restarted routers hold and serve", restart::run),
+        entry("rollout", "time and lost capacity of a rollout of weights", rollout::run),
+        entry("routing", "hit rate and time to first token beside an oracle", routing::run),
+        entry(
+            "streams",
+            "tokens decoded again after an engine's death, memory of a stream",
+            streams::run,
+        ),
     ]
 }
--- a/crates/pick/src/load.rs
+++ b/crates/pick/src/load.rs
@@ -7,7 +7,8 @@
 use std::collections::VecDeque;
 
 use godwitroad_base::{ClockSpan, ClockTime};
-use godwitroad_prefix::TargetId;
+use godwitroad_prefix::{TargetId, TargetTag};
+use serde::{Deserialize, Serialize};
 
 /// The number of dispatches remembered per target; older ones are covered by a report by then.
 const MAX_DISPATCHES: usize = 512;
@@ -46,6 +47,30 @@
     pub age: ClockSpan,
 }
 
+/// A dispatch as a router tells its peers, so that their views include it before the target reports it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DispatchHint {
+    /// The target.
+    pub tag: TargetTag,
+    /// The prompt tokens that the target must compute.
+    pub tokens: u32,
+    /// The age of the dispatch when the hint was sent, in milliseconds.
+    pub age_ms: u16,
+}
+
+/// The missing prompt tokens from which a hint should be sent at once rather than with the next batch.
+///
+/// A dispatch of this size occupies a target for about as long as near-equal estimates differ, so that a peer
+/// that learns of it late may choose the same target.
+const URGENT_TOKENS: u32 = 500;
+
+impl DispatchHint {
+    /// Returns whether the hint should be sent at once rather than with the next batch.
+    pub fn is_urgent(&self) -> bool {
+        self.tokens >= URGENT_TOKENS
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SentWork {
     at: ClockTime,
@@ -107,10 +132,13 @@
 
     /// Counts a dispatch of `tokens` prompt tokens that the target must compute.
     ///
+    /// `at` is the time at which the request reaches the target; it may lie ahead by the time on the network, so
+    /// that a report taken meanwhile doesn't count as including it.
+    ///
     /// `request` is this router's number for a dispatch of its own and `None` for that of a peer.
     pub fn note_dispatch(
         &mut self,
-        now: ClockTime,
+        at: ClockTime,
         target: TargetId,
         tokens: u64,
         request: Option<u64>,
@@ -119,7 +147,7 @@
         if load.sent.len() == MAX_DISPATCHES {
             load.sent.pop_front();
         }
-        load.sent.push_back(SentWork { at: now, tokens, request });
+        load.sent.push_back(SentWork { at, tokens, request });
     }
 
     /// Counts the end of one of this router's requests.
--- a/crates/store/src/task.rs
+++ b/crates/store/src/task.rs
@@ -152,8 +152,9 @@
         }
     }
 
-    // A version never returns to an earlier value, so that a value at another version than the expected one without
-    // the marker proves that the write neither took effect nor will.
+    // A version never returns to an earlier value, so that a write whose key is at another version won't take effect
+    // any more. Whether it did is for the marker to show: values carry a log of changes, so that a later value that
+    // was derived from this one shows it too.
     fn settle_write(
         &mut self,
         reply: StoreReply,
@@ -175,7 +176,8 @@
             marker.is_some_and(|marker| (marker.holds)(&entry.value, marker.change))
         };
         match entry {
-            Some(entry) if self.is_exposed && holds(&entry) => {
+            // An earlier operation with the same change id, whose result its owner never got, counts as well.
+            Some(entry) if holds(&entry) => {
                 TaskNext::Done(Ok(OperationReply::Written { version, entry: Some(entry) }))
             }
             _ if self.step == TaskStep::Settle && version == expected => {
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod contact;
+mod duty;
 mod fetch;
 mod head;
 mod machine;
@@ -13,6 +14,9 @@
 mod progress;
 mod serve;
 mod settings;
+pub mod sim;
+mod sim_judge;
+mod sim_settings;
 mod startup;
 
 pub use apply::{ApplyAction, ApplyEvent, ApplyResult, ApplySettings, ConfigApply};
