--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod index;
 mod limits;
 pub mod once;
+pub mod plot;
 pub mod registry;
 pub mod report;
 mod restart;
