Test that the state of a key can be asked for

Cause: lookups had no test. Change: the state is asked for before the claim, during the run and after the end, at either of two VMs. Conclusion: the answers are those of the store.

--- a/crates/once/tests/support/fixture.rs
+++ b/crates/once/tests/support/fixture.rs
@@ -6,7 +6,7 @@
 };
 
 use godwitroad_base::{ClockSpan, ClockTime, NodeId, RequestId, VmName};
-use godwitroad_once::{ClaimTable, ClaimVerdict, OnceAction, OnceEvent, OnceSettings};
+use godwitroad_once::{ClaimTable, ClaimVerdict, KeyState, OnceAction, OnceEvent, OnceSettings};
 use godwitroad_store::{
     OperationReply, StoreOperation, StoreReply, StoreRequest, model::StoreModel,
 };
@@ -22,6 +22,7 @@
     serial: u64,
     verdicts: Vec<(RequestId, ClaimVerdict)>,
     keys: BTreeMap<RequestId, Arc<str>>,
+    pub(crate) states: Vec<KeyState>,
 }
 
 impl Fixture {
@@ -35,6 +36,7 @@
             serial: 0,
             verdicts: Vec::new(),
             keys: BTreeMap::new(),
+            states: Vec::new(),
         };
         for index in 0..tables {
             let table = fixture.build(index);
@@ -96,7 +98,7 @@
             for action in actions {
                 match action {
                     OnceAction::Verdict { id, verdict } => self.verdicts.push((id, verdict)),
-                    OnceAction::State { .. } => {}
+                    OnceAction::State { state, .. } => self.states.push(state),
                     OnceAction::Submit { op, order } => {
                         let result = Ok(self.apply(&order.operation));
                         events.push_back((index, OnceEvent::Store { op, result }));
--- a/crates/once/tests/table.rs
+++ b/crates/once/tests/table.rs
@@ -6,8 +6,8 @@
 
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, NodeId, RequestId, rendezvous};
 use godwitroad_once::{
-    ClaimHash, ClaimReply, ClaimTable, ClaimVerdict, ClaimWork, OnceAction, OnceEvent, OnceMessage,
-    OnceSettings, RequestDigest, RunEnd,
+    AnswerRecord, ClaimHash, ClaimReply, ClaimTable, ClaimVerdict, ClaimWork, KeyState, OnceAction,
+    OnceEvent, OnceMessage, OnceSettings, RequestDigest, RunEnd,
 };
 use proptest::{
     prelude::*,
@@ -15,6 +15,7 @@
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use support::{fixture::Fixture, naive::NaiveTable};
+use yare::parameterized;
 
 const TABLES: usize = 2;
 
@@ -229,6 +230,23 @@
     assert!(!actions.iter().any(is_release), "{actions:?}");
 }
 
+/// Guards against a state that is told from an old copy, by whichever VM is asked.
+#[parameterized(first_is_asked = { 0 }, second_is_asked = { 1 })]
+fn state_of_a_key_can_be_asked_for(asked: usize) {
+    let mut fixture = Fixture::new(2, OnceSettings::default());
+    let [id, first, second, third] = [1 - asked, asked, asked, asked].map(|i| fixture.next_id(i));
+    let lookup = |id| OnceEvent::Lookup { id, account: account(), key: "key-1".into() };
+    let digest = RequestDigest::of(&[0]);
+    fixture.drive(asked, lookup(first));
+    fixture.drive(1 - asked, claim(id, 1, 0));
+    fixture.drive(asked, lookup(second));
+    let end = RunEnd::Answered(b"answer".to_vec().into());
+    fixture.drive(1 - asked, OnceEvent::Finish { id, end });
+    fixture.drive(asked, lookup(third));
+    let finished = KeyState::Finished(digest, AnswerRecord::new(b"answer"));
+    assert_eq!(fixture.states, vec![KeyState::Absent, KeyState::Claimed(digest), finished]);
+}
+
 /// Guards against a claim that expires before its retention has passed, and against one that never expires.
 #[test]
 fn claims_last_for_their_retention() {
