Keep 3 rather than 3.5 deviations of free slots

Cause: with 3.5 deviations the account in excess was refused more than the others need. Change: QueueSettings::headroom is 3.0.

--- a/crates/queue/src/fair.rs
+++ b/crates/queue/src/fair.rs
@@ -28,7 +28,7 @@
     /// The free slots kept for accounts within their share, in standard deviations of their demand.
     ///
     /// A burst of one account would otherwise fill every slot, and the others would wait for a slot to become free
-    /// although the order of the queue favours them. 3.5 deviations
+    /// although the order of the queue favours them. 3 deviations
     /// leave them a free slot in more than 99% of cases; the account in excess still gets its own share.
     pub headroom: f64,
     /// The time over which the demand of an account is averaged.
@@ -46,7 +46,7 @@
             max_requests: 10_000,
             overnight_idle: 0.5,
             overnight_patience: ClockSpan::from_secs(6 * 3_600),
-            headroom: 3.5,
+            headroom: 3.0,
             demand_span: ClockSpan::from_secs(30),
             refuse_at: 1.2,
         }
