--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -9,7 +9,7 @@
     RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
 };
 use godwitroad_prefix::{PrefixMatches, TargetId};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 struct ChoiceWorld {
     choice: TargetChoice,
@@ -168,6 +168,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..Default::default() })]
+
     #[test]
     fn the_link_never_carries_more_than_its_budget(
         sends in prop::collection::vec((0..500u64, 1..5_000u64), 1..100),
--- a/crates/prefix/tests/feed.rs
+++ b/crates/prefix/tests/feed.rs
@@ -4,7 +4,7 @@
 
 use godwitroad_base::{ClockTime, Incarnation, SeededRandom};
 use godwitroad_prefix::{CacheChange, EventFeed, FeedAction, FeedBatch, FeedSettings, PieceHash};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn stored(piece: u128) -> CacheChange {
     CacheChange::Stored { piece: PieceHash(piece), parent: None }
@@ -31,6 +31,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..Default::default() })]
+
     #[test]
     fn a_disturbed_feed_ends_with_the_engines_cache(seed: u64) {
         let mut random = SeededRandom::new(seed);
--- a/crates/prefix/tests/index.rs
+++ b/crates/prefix/tests/index.rs
@@ -7,7 +7,7 @@
     CacheChange, ChainSalt, FeedAction, IndexSettings, PIECE_BYTES, PieceChain, PieceHash,
     PrefixIndex, PrefixMatches, TargetId,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const TARGETS: u16 = 70;
 
@@ -145,7 +145,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     // Long runs pass the point at which epoch numbers repeat.
     #[test]
--- a/crates/queue/tests/fair.rs
+++ b/crates/queue/tests/fair.rs
@@ -7,7 +7,7 @@
     Error, FairQueue, FreeSlots, QueuePriority, QueueSettings, QueuedRequest, SlotSettings,
     SlotTable,
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const ALL_FREE: FreeSlots = FreeSlots { free: 10, total: 10 };
 const UNIT: u128 = 1 << 20;
@@ -77,6 +77,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..Default::default() })]
+
     #[test]
     fn order_agrees_with_the_naive_queue(steps in prop::collection::vec(step(), 1..200)) {
         let mut queue = queue();
