--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod part;
 mod reader;
+mod repair;
 mod table;
 mod wire;
 
--- a/crates/prefix/src/message.rs
+++ b/crates/prefix/src/message.rs
@@ -141,19 +141,19 @@
     Entries {
         /// The number of the message among those from this sender to this receiver.
         sequence: u64,
-        /// The encoded [`EntryBatch`].
+        /// The encoded [`EntryBatch`](crate::EntryBatch).
         batch: Vec<u8>,
     },
     /// Everything that the sender reads from engines, as far as the receiver holds it.
     Snapshot {
         /// The number that the next [`PartMessage::Entries`] carries.
         sequence: u64,
-        /// The encoded [`EntryBatch`].
+        /// The encoded [`EntryBatch`](crate::EntryBatch).
         batch: Vec<u8>,
     },
     /// Entries from a router that stops.
     HandOver {
-        /// The encoded [`EntryBatch`].
+        /// The encoded [`EntryBatch`](crate::EntryBatch).
         batch: Vec<u8>,
     },
     /// The sender wants a [`PartMessage::Snapshot`].
--- a/crates/prefix/src/part.rs
+++ b/crates/prefix/src/part.rs
@@ -26,13 +26,13 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct PeerState {
-    sent: u64,
-    sent_at: ClockTime,
+pub(crate) struct PeerState {
+    pub(crate) sent: u64,
+    pub(crate) sent_at: ClockTime,
     expected: Option<u64>,
     /// The targets whose entries came from this peer.
     targets: BTreeSet<TargetTag>,
-    asked: Option<ClockTime>,
+    pub(crate) asked: Option<ClockTime>,
 }
 
 /// One router's part of the index of its zone.
@@ -49,7 +49,7 @@
     /// The holders of each partition, as positions in `members`, owner first.
     pub(crate) holders: Vec<Vec<usize>>,
     readers: BTreeMap<TargetName, EngineReader>,
-    peers: BTreeMap<VmName, PeerState>,
+    pub(crate) peers: BTreeMap<VmName, PeerState>,
     pub(crate) suspects: BTreeMap<VmName, ClockTime>,
     pub(crate) waiting: BTreeMap<u64, WaitingLookup>,
     hints: BTreeMap<(VmName, TargetTag), BTreeSet<u64>>,
@@ -302,28 +302,8 @@
         self.settle_read_back(now, actions);
     }
 
-    /// Repeats unanswered requests for snapshots, and shows each receiver the number of the last message.
-    fn repair(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
-        let retry = self.settings.feed.snapshot_retry;
-        let mut quiet = Vec::new();
-        for (vm, peer) in &mut self.peers {
-            if peer.asked.is_some_and(|asked| now.since(asked) >= retry) {
-                peer.asked = Some(now);
-                let message = PartMessage::AskSnapshot;
-                actions.push(PartAction::Send { to: vm.clone(), message });
-            }
-            if peer.sent > 0 && now.since(peer.sent_at) >= retry {
-                quiet.push(vm.clone());
-            }
-        }
-        for vm in quiet {
-            // Without a later message, the loss of the last one would never be seen.
-            self.send_batch(now, &vm, EntryBatch::default(), actions);
-        }
-    }
-
     /// Sends the collected changes to the holders of their partitions.
-    fn forward(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
+    pub(crate) fn forward(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
         self.last_forward = now;
         let mut outgoing: BTreeMap<usize, Vec<TargetEntries>> = BTreeMap::new();
         let holders = &self.holders;
@@ -375,7 +355,7 @@
         self.send_batch(now, to, EntryBatch { targets }, actions);
     }
 
-    fn send_batch(
+    pub(crate) fn send_batch(
         &mut self,
         now: ClockTime,
         to: &VmName,
@@ -491,36 +471,6 @@
             }
         }
     }
-
-    /// Sends this router's entries to the routers that hold the partitions without it.
-    fn hand_over(&mut self, now: ClockTime, actions: &mut Vec<PartAction>) {
-        self.forward(now, actions);
-        let rest: Vec<VmName> = self.members.iter().filter(|vm| **vm != self.vm).cloned().collect();
-        if rest.is_empty() {
-            actions.push(PartAction::HandedOver);
-            return;
-        }
-        let mut lists: BTreeMap<TargetId, Vec<EntryOp>> = BTreeMap::new();
-        self.index.for_each_live(now, |target, piece, provisional| {
-            let op = if provisional { EntryOp::Noted(piece) } else { EntryOp::Stored(piece) };
-            lists.entry(target).or_default().push(op);
-        });
-        let targets: Vec<TargetEntries> = lists
-            .into_iter()
-            .filter_map(|(target, ops)| {
-                let tag = TargetTag::of(self.index.target_name(target)?.as_str());
-                let incarnation = self.index.incarnation(target)?;
-                Some(TargetEntries { tag, incarnation, gap: false, replace: false, ops })
-            })
-            .collect();
-        let batch = EntryBatch { targets }.encode();
-        for to in rest {
-            let message = PartMessage::HandOver { batch: batch.clone() };
-            self.counters.snapshot_bytes += message.bytes() as u64;
-            actions.push(PartAction::Send { to, message });
-        }
-        actions.push(PartAction::HandedOver);
-    }
 }
 
 /// The slots swept on each tick; a table of 4.8 M slots is swept once in about 12 s at 10 ms per tick.
