Estimate the wait of queued requests every 50 ms

Cause: each tick estimated every waiting request, in time proportional to waiting requests times active accounts. Change: estimates run every 50 ms; deadlines are still checked on each tick.

--- a/crates/queue/src/fair.rs
+++ b/crates/queue/src/fair.rs
@@ -264,7 +264,9 @@
     /// Refuses waiting requests that can't be taken before their deadline any more.
     pub fn tick(&mut self, now: ClockTime, refusals: &mut Vec<QueueRefusal>) {
         self.rate.advance(now, !self.is_empty());
-        if now.since(self.measured) >= DEMAND_STEP {
+        // Estimates take time in proportion to all accounts, so that only deadlines are checked in between.
+        let is_estimated = now.since(self.measured) >= DEMAND_STEP;
+        if is_estimated {
             self.measure_demand(now);
         }
         self.promote_overnight(now);
@@ -274,6 +276,9 @@
                 let mut ahead = 0;
                 for entry in waiting {
                     let request = &entry.request;
+                    if !is_estimated && request.deadline > now {
+                        continue;
+                    }
                     match self.lateness(now, account, priority, ahead, request.deadline) {
                         Some(retry_after) => late.push((request.id, account.clone(), retry_after)),
                         None => ahead += request.tokens,
