--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -57,7 +57,7 @@
     Admitted { ticket: u64 },
     Refused { ticket: u64, retry_after: ClockSpan },
     RatesHandedOver,
-    Members(Vec<VmName>),
+    Members { members: Vec<VmName>, far: BTreeMap<ZoneName, Vec<VmName>> },
     Report(MemberReport),
 }
 
@@ -357,7 +357,12 @@
         let members = zones.get(self.member.zone()).cloned().unwrap_or_default();
         let live = self.live_nodes();
         let mut outcomes = vec![FleetOutcome::Act(RouterAction::Peers(places))];
-        outcomes.push(FleetOutcome::Members(members.clone()));
+        let far = zones.iter().filter(|(zone, _)| *zone != self.member.zone());
+        let far = far.map(|(zone, members)| (zone.clone(), members.clone())).collect();
+        outcomes.push(FleetOutcome::Members { members, far });
+        // One owner in the whole fleet for each shard of claims: an owner for each zone would write the same shard
+        // from all zones and lose most of its writes to conflicts.
+        let members = zones.values().flatten().cloned().collect();
         outcomes.extend(self.run(now, FleetEvent::Sync(SyncEvent::Rosters(zones))));
         let event = OnceEvent::Rosters { members, live };
         outcomes.extend(self.run(now, FleetEvent::Claims(event)));
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -1,9 +1,9 @@
 //! Messages between routers.
 
-use godwitroad_base::ClockSpan;
 use godwitroad_limits::RateMessage;
 use godwitroad_member::{Heartbeat, MemberMessage};
 use godwitroad_once::OnceMessage;
+use godwitroad_pick::DispatchHint;
 use godwitroad_prefix::{PartMessage, TargetTag};
 use godwitroad_sync::{SyncMessage, SyncStatus};
 use serde::{Deserialize, Serialize};
@@ -44,8 +44,8 @@
 pub struct LoadNews {
     /// The reports of the targets that the sender polls; the age of each is that at the time of sending.
     pub reports: Vec<(TargetTag, LoadReport)>,
-    /// The prompt tokens that targets must compute for the sender's dispatches, each with its age.
-    pub dispatches: Vec<(TargetTag, u64, ClockSpan)>,
+    /// The sender's dispatches since its last message.
+    pub dispatches: Vec<DispatchHint>,
 }
 
 impl PeerMessage {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -5,13 +5,14 @@
 use std::collections::BTreeMap;
 
 use godwitroad_base::{
-    ClockTime, Incarnation, RegionName, RequestId, SeededRandom, TargetName, VmName, ZoneName,
+    ClockSpan, ClockTime, Incarnation, RegionName, RequestId, SeededRandom, TargetName, VmName,
+    ZoneName,
 };
 use godwitroad_config::ServiceConfig;
 use godwitroad_pick::{
-    ChoiceExplain, ChoiceRequest, ChoiceSettings, Distance, HealthSettings, HealthState,
-    HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView, RetryBudget,
-    RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+    ChoiceExplain, ChoiceRequest, ChoiceSettings, DispatchHint, Distance, HealthSettings,
+    HealthState, HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView,
+    RetryBudget, RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
 };
 use godwitroad_prefix::{
     CacheChange, FeedBatch, IndexPart, PartAction, PartEvent, PartMessage, PartSettings,
@@ -21,6 +22,10 @@
 
 use crate::{CacheBatch, CacheEvent, LoadNews, LoadReport, view::ConfigView};
 
+/// The number of zones below which the routers of all zones hear of this zone's cached prefixes; beyond it only
+/// those of the own region do, as the bytes between regions are paid for.
+const MAX_FAR_ZONES: usize = 8;
+
 /// The settings of the placement of requests.
 #[derive(Clone, Debug, Default)]
 pub struct PlaceSettings {
@@ -45,6 +50,7 @@
 /// The placement of one router's requests.
 #[derive(Debug)]
 pub(crate) struct RequestPlacement {
+    vm: VmName,
     zone: ZoneName,
     region: RegionName,
     part: IndexPart,
@@ -93,8 +99,9 @@
         random: SeededRandom,
     ) -> RequestPlacement {
         let mut part = IndexPart::new(vm.clone(), settings.part);
-        part.handle(now, PartEvent::Members(vec![vm]), &mut Vec::new());
+        part.handle(now, PartEvent::Members(vec![vm.clone()]), &mut Vec::new());
         RequestPlacement {
+            vm,
             zone,
             region,
             part,
@@ -134,10 +141,33 @@
         actions
     }
 
-    pub(crate) fn set_members(&mut self, now: ClockTime, members: Vec<VmName>) -> Vec<PartAction> {
+    /// Takes the routers of the own zone, and those of each other zone.
+    pub(crate) fn set_members(
+        &mut self,
+        now: ClockTime,
+        view: &ConfigView,
+        members: Vec<VmName>,
+        far: BTreeMap<ZoneName, Vec<VmName>>,
+    ) -> Vec<PartAction> {
         self.routers = members.len().max(1);
         self.slots.set_routers(self.routers);
-        self.part(now, PartEvent::Members(members))
+        let mut actions = self.part(now, PartEvent::Members(members));
+        let all = far.len() < MAX_FAR_ZONES;
+        let near = |zone: &ZoneName| view.region(zone) == Some(&self.region);
+        let far = far.into_iter().filter(|(zone, _)| all || near(zone));
+        let far = far.map(|(_, members)| members).collect();
+        actions.extend(self.part(now, PartEvent::FarMembers(far)));
+        for target in view.target_names() {
+            if !self.is_reader_of(&target, &self.vm) {
+                actions.extend(self.part(now, PartEvent::Unread(target)));
+            }
+        }
+        actions
+    }
+
+    /// Returns whether the peers should learn at once of a dispatch.
+    pub(crate) fn has_urgent_news(&self) -> bool {
+        self.news.dispatches.last().is_some_and(DispatchHint::is_urgent)
     }
 
     pub(crate) fn hear(
@@ -189,7 +219,7 @@
         report: LoadReport,
     ) {
         let Some(id) = self.id_of(target) else { return };
-        let age = godwitroad_base::ClockSpan::from_ms(report.age_ms);
+        let age = ClockSpan::from_ms(report.age_ms);
         self.reports.insert(tag, (report, now - age));
         let before = self.incarnations.insert(id, report.incarnation);
         if before.is_some_and(|before| before != report.incarnation) {
@@ -236,9 +266,10 @@
                 self.note_report(now, tag, name, report);
             }
         }
-        for (tag, tokens, age) in news.dispatches {
+        for DispatchHint { tag, tokens, age_ms } in news.dispatches {
             if let Some(id) = names.get(&tag).and_then(|name| self.id_of(name)) {
-                self.load.note_dispatch(now - age, id, tokens, None);
+                let sent = now - ClockSpan::from_ms(age_ms.into());
+                self.load.note_dispatch(sent, id, tokens.into(), None);
             }
         }
     }
@@ -251,9 +282,6 @@
         for (_, report) in &mut news.reports {
             report.age_ms += span.as_ms();
         }
-        for (_, _, age) in &mut news.dispatches {
-            *age = span;
-        }
         (!news.reports.is_empty() || !news.dispatches.is_empty()).then_some(news)
     }
 
@@ -290,8 +318,12 @@
             self.link.take(now, request.bytes);
         }
         self.load.note_dispatch(now, id, missing_tokens, Some(request.id.serial));
-        let span = now.since(self.news_from);
-        self.news.dispatches.push((TargetTag::of(target.as_str()), missing_tokens, span));
+        // The hint leaves within the news period, which is short beside what it tells of.
+        self.news.dispatches.push(DispatchHint {
+            tag: TargetTag::of(target.as_str()),
+            tokens: u32::try_from(missing_tokens).unwrap_or(u32::MAX),
+            age_ms: 0,
+        });
         if let Some(first) = request.chain.first() {
             let used_ms = missing_tokens as f64 * 1_000.0 / self.load.prefill_rate(id);
             self.hot.note(now, first.short(), used_ms, self.routers);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -201,6 +201,9 @@
             RouterEvent::Tick => self.tick(&mut context),
         }
         self.pump(&mut context);
+        if self.placement.has_urgent_news() {
+            self.tell_news(&mut context);
+        }
         self.advance_stop(&mut context);
         self.note_readiness(&mut context);
     }
@@ -248,8 +251,8 @@
                     self.refuse_rate(context, id, retry_after);
                 }
                 FleetOutcome::RatesHandedOver => self.rates_handed_over(context),
-                FleetOutcome::Members(members) => {
-                    let actions = self.placement.set_members(context.now, members);
+                FleetOutcome::Members { members, far } => {
+                    let actions = self.placement.set_members(context.now, &self.view, members, far);
                     self.take_part(context, actions);
                     self.placement.configure(context.now, &self.view);
                 }
@@ -327,15 +330,14 @@
         self.take_part(context, actions);
         self.expire_queued(context);
         self.cancel_abandoned(context);
-        self.tell_news(context);
+        if context.now.since(self.news_at) >= self.settings.news_period {
+            self.news_at = context.now;
+            self.tell_news(context);
+        }
     }
 
     fn tell_news(&mut self, context: &mut EventContext<'_>) {
         let Some(fleet) = &self.fleet else { return };
-        if context.now.since(self.news_at) < self.settings.news_period {
-            return;
-        }
-        self.news_at = context.now;
         let Some(news) = self.placement.give_news(context.now) else { return };
         let own = &self.settings.node.vm;
         let zones = fleet.zones();
