Tell the parts when this router itself joins its zone's roster

Cause: the parts were told of the rosters only when the list of peers changed, which leaves out the router itself. A router that knew its peers before it joined never learned that it watches the configuration for its zone, and got the first change by anti-entropy after seconds.

Change: the rosters themselves are compared.

Conclusion: the first change after a start is in force within two seconds.

--- a/crates/member/src/work.rs
+++ b/crates/member/src/work.rs
@@ -23,10 +23,6 @@
 /// The time between two reads of the rosters of all zones.
 const READ_ALL_MS: u64 = 5_000;
 
-/// The time between two such reads while the process is young: the zones of a fleet that starts join one after the
-/// other, and a zone that isn't known gets changes late.
-const READ_ALL_YOUNG_MS: u64 = 500;
-
 const ROSTERS: &str = "roster/";
 
 #[derive(Clone, Debug)]
@@ -61,7 +57,6 @@
     /// The earliest time of the next read.
     pub(crate) next: ClockTime,
     next_all: ClockTime,
-    young_until: ClockTime,
     pub(crate) calls: u64,
 }
 
@@ -74,7 +69,6 @@
             failures: 0,
             next: first,
             next_all: first,
-            young_until: first + ClockSpan::from_ms(2 * READ_ALL_MS),
             calls: 0,
         }
     }
@@ -148,9 +142,7 @@
                 read(sent, entry, Vec::new())
             }
             (Ok(StoreReply::Entries { entries, .. }), _) => {
-                let young = now < self.young_until;
-                let period = if young { READ_ALL_YOUNG_MS } else { READ_ALL_MS };
-                self.next_all = now + ClockSpan::from_ms(period);
+                self.next_all = now + ClockSpan::from_ms(READ_ALL_MS);
                 read_all(sent, &Roster::store_key(&self.zone), entries)
             }
             (Ok(StoreReply::Written(_)), Some(roster)) => Some(WorkNews::Written { sent, roster }),
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -34,6 +34,7 @@
     // The addresses that the platform's VM list gives, for peers that are in no known roster.
     listed: BTreeMap<VmName, String>,
     places: Vec<PeerPlace>,
+    told: BTreeMap<ZoneName, Vec<VmName>>,
 }
 
 /// An event for one of the parts.
@@ -76,6 +77,7 @@
             rates: RateNode::new(fleet.rate_settings(router), now, random.fork()),
             listed: BTreeMap::new(),
             places: Vec::new(),
+            told: BTreeMap::new(),
         }
     }
 
@@ -349,11 +351,13 @@
     // Tells the parts and the adapters who the peers are, when that has changed.
     fn tell_rosters(&mut self, now: ClockTime) -> Vec<FleetOutcome> {
         let places = self.known_places();
-        if places == self.places {
+        let zones = self.zones();
+        // The places leave out this router itself, whose own joining the parts must hear of too.
+        if places == self.places && zones == self.told {
             return Vec::new();
         }
         self.places = places.clone();
-        let zones = self.zones();
+        self.told = zones.clone();
         let members = zones.get(self.member.zone()).cloned().unwrap_or_default();
         let live = self.live_nodes();
         let mut outcomes = vec![FleetOutcome::Act(RouterAction::Peers(places))];
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -51,10 +51,12 @@
 #[test]
 fn first_change_after_a_start_is_in_force_within_two_seconds() {
     for seed in 40..46 {
-        let mut fleet = FakeFleet::new(seed, &ZONES, 3);
+        let mut fleet = FakeFleet::new(seed, &ZONES[..1], 1);
         fleet.apply(document());
-        let names: Vec<String> = fleet.vms.keys().map(|vm| vm.to_string()).collect();
-        while !names.iter().all(|vm| fleet.is_ready(vm)) {
+        // The second zone joins after the first one has read all rosters.
+        fleet.run(1_000);
+        fleet.start("zone-b-0", "zone-b");
+        while !(fleet.is_ready("zone-a-0") && fleet.is_ready("zone-b-0")) {
             fleet.run(20);
             assert!(fleet.now < 20_000, "seed {seed}: the fleet is not ready");
         }
@@ -62,8 +64,8 @@
         next.accounts[0].keys.clear();
         fleet.apply(next);
         fleet.run(2_000);
-        let behind = names.iter().filter(|vm| fleet.vms[vm.as_str()].state.config().0 < 2);
-        assert_eq!(behind.collect::<Vec<_>>(), Vec::<&String>::new(), "seed {seed}");
+        let generations = ["zone-a-0", "zone-b-0"].map(|vm| fleet.vms[vm].state.config().0);
+        assert_eq!(generations, [2, 2], "seed {seed}");
     }
 }
 
