--- /dev/null
+++ b/crates/bench/src/capacity/memory.rs
@@ -0,0 +1,161 @@
+//! The memory of index entries, of the reader's record of them, of streams, accounts and the configuration.
+//!
+//! Types that know their size are asked for it. For the others the growth of the process's resident set is measured
+//! after a first step that takes up the pages freed by earlier work.
+
+use std::{fs, sync::Arc};
+
+use anyhow::{Context, Result};
+use godwitroad_base::{Incarnation, SeededRandom};
+use godwitroad_prefix::{
+    CacheChange, FeedBatch, IndexPart, IndexSettings, PartEvent, PartSettings, PieceHash,
+};
+use godwitroad_router::{RouterEvent, RouterState};
+use godwitroad_stream::{LogSettings, StreamLog, TokenBatch};
+
+use super::{
+    fit::fit_rows,
+    fleet::ZoneFleet,
+    sample::{START, arrival, document, lone_router, target_name},
+};
+use crate::{index::FullIndex, report::BenchRow};
+
+/// The bytes of one prompt: three pieces.
+const PROMPT_BYTES: usize = 24 * 1_024;
+
+/// The bytes of one streamed event as engines write them.
+const EVENT_BYTES: usize = 180;
+
+/// Numbers of units and the growth of the resident set in bytes.
+type Growth = Vec<(f64, f64)>;
+
+pub(super) fn run(seed: u64) -> Result<Vec<BenchRow>> {
+    let mut rows = Vec::new();
+    let unit = "bytes (machine)";
+    // All states stay alive until the last one is measured: freed pages would hide a part of the growth.
+    let (points, _routers) = active(seed)?;
+    rows.extend(fit_rows("resident set", "active accounts", "accounts", unit, &points));
+    let (points, _reader) = readers(seed)?;
+    rows.extend(fit_rows("resident set", "record of a reader", "pieces", unit, &points));
+    let (points, _configured) = configured(seed)?;
+    rows.extend(fit_rows("resident set", "configuration", "accounts", unit, &points));
+    let (points, _requests) = streams(seed)?;
+    rows.extend(fit_rows("resident set", "requests under way", "requests", unit, &points));
+    let points = entries(seed);
+    rows.extend(fit_rows("index at its limit", "size by the type", "entries", "bytes", &points));
+    let points = [50, 200, 800].map(|tokens| (tokens as f64, log_bytes(tokens)));
+    rows.extend(fit_rows("log of a stream", "size by the type", "tokens", "bytes", &points));
+    Ok(rows)
+}
+
+/// Returns the resident set of this process in bytes.
+fn resident() -> Result<f64> {
+    let status = fs::read_to_string("/proc/self/status").context("the process's status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.trim().strip_suffix(" kB")).context("a resident set")?;
+    Ok(number.parse::<f64>()? * 1_024.0)
+}
+
+/// Returns the resident set's growth over `steps` steps of `count` units each, after one step that isn't counted.
+///
+/// The first step takes up the pages that earlier work freed.
+fn growth(steps: usize, count: usize, mut step: impl FnMut(usize) -> Result<()>) -> Result<Growth> {
+    step(0)?;
+    let start = resident()?;
+    (1..=steps)
+        .map(|number| {
+            step(number)?;
+            Ok(((number * count) as f64, resident()? - start))
+        })
+        .collect()
+}
+
+/// All routers stay alive until the end, so that each step adds a whole configuration.
+fn configured(seed: u64) -> Result<(Growth, Vec<RouterState>)> {
+    let mut alive = Vec::new();
+    let points = growth(4, 25_000, |_| {
+        alive.push(lone_router(seed, document(25_000, 340)));
+        Ok(())
+    })?;
+    Ok((points, alive))
+}
+
+/// One request of each account goes through a router that holds all of them, and ends.
+fn active(seed: u64) -> Result<(Growth, ZoneFleet)> {
+    const STEP: usize = 6_000;
+    let mut fleet = ZoneFleet::new(seed, 1, &document(5 * STEP, 340))?;
+    fleet.pass(10_000)?;
+    let prompt: Arc<[u8]> = Arc::from(vec![b'a'; 400]);
+    let points = growth(4, STEP, |step| {
+        for account in step * STEP..(step + 1) * STEP {
+            fleet.tell(0, RouterEvent::Request(arrival(account, account, &prompt)))?;
+        }
+        fleet.pass(1_000)
+    })?;
+    Ok((points, fleet))
+}
+
+/// Requests wait in their queues or stream; both hold the prompt.
+fn streams(seed: u64) -> Result<(Growth, RouterState)> {
+    const STEP: usize = 2_000;
+    let mut state = lone_router(seed, document(100, 340));
+    let mut actions = Vec::new();
+    let points = growth(4, STEP, |_| {
+        for number in 0..STEP {
+            let prompt: Arc<[u8]> = Arc::from(vec![b'a'; PROMPT_BYTES]);
+            let event = RouterEvent::Request(arrival(number % 100, number, &prompt));
+            state.handle(START, event, &mut actions);
+            actions.clear();
+        }
+        Ok(())
+    })?;
+    Ok((points, state))
+}
+
+/// A reader keeps the partition of each piece of its engines, whoever holds the entries.
+fn readers(seed: u64) -> Result<(Growth, IndexPart)> {
+    const STEP: usize = 1_000_000;
+    const BATCH: usize = 1_000;
+    let mut random = SeededRandom::new(seed);
+    let index = IndexSettings { max_entries: 16, ..IndexSettings::default() };
+    let settings = PartSettings { copies: 1, index, ..PartSettings::default() };
+    let mut part = IndexPart::new("vm-reader".into(), settings);
+    let mut actions = Vec::new();
+    let names = (0..20).map(|number| target_name(number).into()).collect();
+    part.handle(START, PartEvent::Targets(names), &mut actions);
+    part.handle(START, PartEvent::Members(vec!["vm-holder".into()]), &mut actions);
+    let mut now = START;
+    let points = growth(4, STEP, |step| {
+        for round in step * STEP / BATCH..(step + 1) * STEP / BATCH {
+            let stored = |_| CacheChange::Stored {
+                piece: PieceHash(random.next_u64().into()),
+                parent: None,
+            };
+            let changes = (0..BATCH).map(stored).collect();
+            let first = (round / 20 * BATCH) as u64;
+            let batch = FeedBatch { incarnation: Incarnation(1), first, snapshot: false, changes };
+            let target = target_name(round % 20).into();
+            part.handle(now, PartEvent::Cache { target, batch }, &mut actions);
+            now += PartSettings::default().forward_window;
+            part.handle(now, PartEvent::Tick, &mut actions);
+            actions.clear();
+        }
+        Ok(())
+    })?;
+    Ok((points, part))
+}
+
+fn entries(seed: u64) -> Vec<(f64, f64)> {
+    let sizes = [900_000, 1_800_000, 3_600_000];
+    sizes.map(|size| (size as f64, FullIndex::new(seed, size).index.bytes() as f64)).to_vec()
+}
+
+fn log_bytes(tokens: u64) -> f64 {
+    let mut log = StreamLog::new(LogSettings::default());
+    log.begin(1);
+    for first in 0..tokens {
+        let data = "d".repeat(EVENT_BYTES).into();
+        log.accept(TokenBatch { attempt: 1, first, count: 1, data, text: "word ".into() });
+    }
+    log.held_bytes() as f64
+}
--- /dev/null
+++ b/crates/bench/src/capacity/wire.rs
@@ -0,0 +1,142 @@
+//! The bytes of messages between routers, as the peers crate writes them.
+//!
+//! A message travels as CBOR; the frame around it and the lower layers are not counted here.
+
+use std::sync::Arc;
+
+use anyhow::Result;
+use godwitroad_base::{ClockSpan, Incarnation, NodeId};
+use godwitroad_limits::{AccountGrant, AccountReport, AskEntry, RateMessage};
+use godwitroad_member::{BeatEcho, Heartbeat, NodeSummary};
+use godwitroad_prefix::{EntryBatch, EntryOp, PartMessage, TargetEntries, TargetMatch, TargetTag};
+use godwitroad_router::{LoadNews, PeerMessage};
+use godwitroad_sync::{ChunkDigest, SyncMessage, SyncStatus};
+
+use super::{fit::fit_rows, load};
+use crate::report::BenchRow;
+
+/// An incarnation as processes choose it: the time of their start.
+const STARTED: u64 = 1_764_816_000_000;
+
+pub(super) fn run() -> Result<Vec<BenchRow>> {
+    let mut rows = Vec::new();
+    let row = |measure: &str, value: f64| {
+        BenchRow::new("messages between routers", "product", measure, "bytes", value)
+    };
+    rows.push(row("heartbeat", size(&heartbeat())?));
+    rows.push(row("configuration chunk of 64,000 bytes", size(&chunk())?));
+    rows.push(row("index lookup of 12 pieces", size(&lookup())?));
+    rows.push(row("index reply with 20 targets", size(&reply())?));
+    let sizes = [1, 4, 16, 64];
+    let mut line = |measure: &str, unit: &str, make: &dyn Fn(usize) -> PeerMessage| {
+        let points = sizes.map(|count| Ok((count as f64, size(&make(count))?)));
+        let points = points.into_iter().collect::<Result<Vec<_>>>()?;
+        rows.extend(fit_rows("messages between routers", measure, unit, "bytes", &points));
+        anyhow::Ok(())
+    };
+    line("load message", "targets", &loads)?;
+    line("index entries of one target", "entries", &entries)?;
+    line("rate ask", "accounts", &ask)?;
+    line("rate grant", "accounts", &grant)?;
+    line("rate report", "accounts", &report)?;
+    Ok(rows)
+}
+
+/// Returns the bytes of a message as it is sent.
+pub(super) fn size(message: &PeerMessage) -> Result<f64> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes)?;
+    Ok(bytes.len() as f64)
+}
+
+fn heartbeat() -> PeerMessage {
+    let heartbeat = Heartbeat {
+        epoch: 1_200,
+        beat: 216_000,
+        echo: Some(BeatEcho { incarnation: Incarnation(STARTED), beat: 215_000 }),
+        vouch: true,
+        confirmed_age: Some(ClockSpan::from_ms(640)),
+        neighbours: 25_000,
+        summary: NodeSummary { generation: 29_000, digest: u64::MAX / 3, load: 18 },
+        ..Heartbeat::default()
+    };
+    let status = SyncStatus {
+        generation: 29_000,
+        digest: Some(ChunkDigest::of(b"document")),
+        is_ready: true,
+        store_age: Some(ClockSpan::from_ms(2_500)),
+        outside_age: Some(ClockSpan::from_ms(1_000)),
+    };
+    PeerMessage::Heartbeat { heartbeat, status }
+}
+
+fn chunk() -> PeerMessage {
+    PeerMessage::Sync(SyncMessage::Chunk(Arc::from(vec![b'a'; 64_000])))
+}
+
+fn lookup() -> PeerMessage {
+    let pieces = (0..12).map(|piece| u64::MAX / (piece + 2)).collect();
+    PeerMessage::Index(PartMessage::Lookup { token: 5_000_000, pieces })
+}
+
+fn reply() -> PeerMessage {
+    let line = |target: u64| TargetMatch {
+        tag: TargetTag(u64::MAX / (target + 2)),
+        usable: 12,
+        confirmed: 12,
+    };
+    let matches = (0..20).map(line).collect();
+    PeerMessage::Index(PartMessage::Reply { token: 5_000_000, matches })
+}
+
+fn loads(count: usize) -> PeerMessage {
+    let news = load::news();
+    let reports = news.reports.iter().cycle().take(count).copied().collect();
+    PeerMessage::Load(LoadNews { reports, dispatches: Vec::new() })
+}
+
+fn entries(count: usize) -> PeerMessage {
+    let piece = |number: usize| EntryOp::Stored(u64::MAX / (number as u64 + 2));
+    let target = TargetEntries {
+        tag: TargetTag(u64::MAX / 7),
+        incarnation: Incarnation(STARTED),
+        gap: false,
+        replace: false,
+        ops: (0..count).map(piece).collect(),
+    };
+    let batch = EntryBatch { targets: vec![target] }.encode();
+    PeerMessage::Index(PartMessage::Entries { sequence: 4_000_000, batch })
+}
+
+fn ask(count: usize) -> PeerMessage {
+    let line = |number: usize| AskEntry {
+        account: format!("account-{number:05}").into(),
+        serial: 1_000_000 + number as u64,
+        need: 2_300,
+        extra: 20_000,
+        partial: false,
+    };
+    PeerMessage::Rates(RateMessage::Ask((0..count).map(line).collect()))
+}
+
+fn grant(count: usize) -> PeerMessage {
+    let line = |number: usize| AccountGrant {
+        account: format!("account-{number:05}").into(),
+        asker: NodeId::new("vm-0123", STARTED),
+        serial: 1_000_000 + number as u64,
+        tokens: 22_300,
+        holds: true,
+        retry_after: ClockSpan::from_ms(0),
+    };
+    PeerMessage::Rates(RateMessage::Grant((0..count).map(line).collect()))
+}
+
+fn report(count: usize) -> PeerMessage {
+    let line = |number: usize| AccountReport {
+        account: format!("account-{number:05}").into(),
+        serial: 1_000_000 + number as u64,
+        spent: 18_000,
+        returned: 4_300,
+    };
+    PeerMessage::Rates(RateMessage::Report((0..count).map(line).collect()))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each experiment runs the product beside its baselines in the same process, from one seed, and prints rows that
 //! name the stated target where there is one.
 
+pub mod capacity;
 pub mod config;
 pub mod fairness;
 pub mod fleet;
