--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -22,11 +22,7 @@
 pub fn experiments() -> Vec<BenchExperiment> {
     let entry = |name, about, run| BenchExperiment { name, about, run };
     vec![
-        entry(
-            "capacity",
-            "cost of one unit of each kind of work, as straight lines",
-            capacity::run,
-        ),
+        entry("capacity", "processor time and bytes of each event, at three sizes", capacity::run),
         entry("config", "time and cost of a change of the configuration", config::run),
         entry("fairness", "what one account's excess does to the others", fairness::run),
         entry("index", "decision time, bytes an entry and events a second", index::run),
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -44,29 +44,39 @@
         event: &str,
     ) {
         let connection = arrival.connection;
-        let parsed = event.parse::<EventId>();
-        let id = parsed.map_or_else(|_| self.requests.next_id(), |event| event.request);
-        context.actions.push(RouterAction::Accepted { connection, id });
-        let Ok(event) = parsed else {
-            return context.fail(id, CallerError::not_run(ErrorKind::RequestInvalid));
-        };
-        if let Err(error) = self.replay(context, arrival, event) {
-            context.fail(id, error);
+        match self.find_stream(arrival, event) {
+            Ok(event) => {
+                let id = event.request;
+                context.actions.push(RouterAction::Accepted { connection, id });
+                if let Err(error) = self.replay(context, event) {
+                    context.fail(id, error);
+                }
+            }
+            // The error goes out under an id of its own, as the stream may belong to somebody else.
+            Err(error) => {
+                let id = self.requests.next_id();
+                context.actions.push(RouterAction::Accepted { connection, id });
+                context.fail(id, error);
+            }
         }
     }
 
+    fn find_stream(&self, arrival: &RequestArrival, event: &str) -> Result<EventId, CallerError> {
+        let invalid = |_| CallerError::not_run(ErrorKind::RequestInvalid);
+        let event: EventId = event.parse().map_err(invalid)?;
+        let entry = self.requests.get(event.request);
+        // Another key must not learn whether the stream exists.
+        let owned = entry.is_some_and(|entry| entry.facts.key == arrival.key);
+        owned.then_some(event).ok_or_else(|| CallerError::unknown(ErrorKind::StreamLost))
+    }
+
     fn replay(
         &mut self,
         context: &mut EventContext<'_>,
-        arrival: &RequestArrival,
         event: EventId,
     ) -> Result<(), CallerError> {
         let lost = || CallerError::unknown(ErrorKind::StreamLost);
         let entry = self.requests.get_mut(event.request).ok_or_else(lost)?;
-        // Another key must not learn whether the stream exists.
-        if entry.facts.key != arrival.key {
-            return Err(lost());
-        }
         entry.log.reconnect();
         let missed: Vec<_> = entry.log.replay(event.number).map_err(|_| lost())?.cloned().collect();
         entry.caller = CallerState::Connected;
