Measure the latency that the daemon adds to the first token

Change: `bench overhead` alternates direct and routed requests over loopback. The stand-in's servers set TCP_NODELAY, without which a direct first token took 42.8 ms at p50, so that the difference was negative and looked met.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod index;
 mod limits;
 pub mod once;
+mod overhead;
 pub mod plot;
 pub mod registry;
 pub mod report;
--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -3,8 +3,8 @@
 use anyhow::Result;
 
 use crate::{
-    capacity, config, fairness, index, limits, once, report::BenchRow, restart, rollout, routing,
-    streams,
+    capacity, config, fairness, index, limits, once, overhead, report::BenchRow, restart, rollout,
+    routing, streams,
 };
 
 /// An experiment that `bench` can run.
@@ -32,6 +32,7 @@
         entry("index", "decision time, bytes an entry and events a second", index::run),
         entry("limits", "over-admission and wrongful refusals", limits::run),
         entry("once", "store calls and doubled runs of claimed requests", once::run),
+        entry("overhead", "latency that the daemon adds to the first token", overhead::run),
         entry("restart", "time until restarted routers hold and serve", restart::run),
         entry("rollout", "time and lost capacity of a rollout of weights", rollout::run),
         entry("routing", "hit rate and time to first token beside an oracle", routing::run),
--- a/crates/standin/src/hangup.rs
+++ b/crates/standin/src/hangup.rs
@@ -17,6 +17,8 @@
 /// Keeps a second handle of a new connection's socket; a hook for `HttpServer::on_connect`.
 pub(crate) fn keep_socket(connection: &dyn Any, data: &mut Extensions) {
     let Some(stream) = connection.downcast_ref::<actix_web::rt::net::TcpStream>() else { return };
+    // Tokens are small writes; without this each one waits for the acknowledgement of the last.
+    let _ = stream.set_nodelay(true);
     if let Ok(descriptor) = stream.as_fd().try_clone_to_owned() {
         data.insert(SocketHandle(TcpStream::from(descriptor)));
     }
