Bound the targets of a router and the listeners of load news

Cause: a configuration of more than 4,096 targets made a router panic, because the prefix index has room for no more; the measurement of capacity at the design size found it.

Change: a router chooses from at most 4,096 targets, the nearest first. In a fleet of more than eight zones only the own zone hears load news. The table of targets is kept.

The bytes at the design size are to be worked out again.

Conclusion: a router starts at the design size.

--- a/crates/bench/src/registry.rs
+++ b/crates/bench/src/registry.rs
@@ -2,7 +2,10 @@
 
 use anyhow::Result;
 
-use crate::{capacity, config, fairness, index, limits, once, overhead, report::BenchRow, restart, rollout, routing, streams};
+use crate::{
+    capacity, config, fairness, index, limits, once, overhead, report::BenchRow, restart, rollout,
+    routing, streams,
+};
 
 /// An experiment that `bench` can run.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +32,10 @@
         entry("restart", "time until restarted routers hold and serve", restart::run),
         entry("rollout", "time and lost capacity of a rollout of weights", rollout::run),
         entry("routing", "hit rate and time to first token beside an oracle", routing::run),
-        entry("streams", "tokens decoded again after an engine's death, memory of a stream", streams::run),
+        entry(
+            "streams",
+            "tokens decoded again after an engine's death, memory of a stream",
+            streams::run,
+        ),
     ]
 }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -24,7 +24,10 @@
 
 /// The number of zones below which the routers of all zones hear of this zone's cached prefixes; beyond it only
 /// those of the own region do, as the bytes between regions are paid for.
-const MAX_FAR_ZONES: usize = 8;
+pub(crate) const MAX_FAR_ZONES: usize = 8;
+
+/// The most targets that a router chooses from, nearest first; the prefix index has no room for more.
+const MAX_TARGETS: usize = 4_096;
 
 /// The settings of the placement of requests.
 #[derive(Clone, Debug, Default)]
@@ -67,6 +70,8 @@
     news_from: ClockTime,
     reports: BTreeMap<TargetTag, (LoadReport, ClockTime)>,
     incarnations: BTreeMap<TargetId, u64>,
+    /// The targets that this router can choose.
+    tags: BTreeMap<TargetTag, TargetName>,
 }
 
 /// A chosen target, until the attempt at it ends.
@@ -118,11 +123,13 @@
             news_from: now,
             reports: BTreeMap::new(),
             incarnations: BTreeMap::new(),
+            tags: BTreeMap::new(),
         }
     }
 
     pub(crate) fn configure(&mut self, now: ClockTime, view: &ConfigView) {
-        let names = view.target_names();
+        let names = view.nearest_targets(&self.zone, &self.region, MAX_TARGETS);
+        self.tags = names.iter().map(|name| (TargetTag::of(name.as_str()), name.clone())).collect();
         let event = PartEvent::Targets(names.iter().cloned().collect());
         self.part.handle(now, event, &mut Vec::new());
         for name in &names {
@@ -157,7 +164,7 @@
         let far = far.into_iter().filter(|(zone, _)| all || near(zone));
         let far = far.map(|(_, members)| members).collect();
         actions.extend(self.part(now, PartEvent::FarMembers(far)));
-        for target in view.target_names() {
+        for target in self.tags.values().cloned().collect::<Vec<_>>() {
             if !self.is_reader_of(&target, &self.vm) {
                 actions.extend(self.part(now, PartEvent::Unread(target)));
             }
@@ -255,19 +262,13 @@
 
     /// Takes what a peer knows of the targets' load.
     pub(crate) fn take_news(&mut self, now: ClockTime, news: LoadNews) {
-        let names: BTreeMap<TargetTag, TargetName> = self
-            .part
-            .index()
-            .targets()
-            .map(|(name, _)| (TargetTag::of(name.as_str()), name.clone()))
-            .collect();
         for (tag, report) in news.reports {
-            if let Some(name) = names.get(&tag) {
-                self.note_report(now, tag, name, report);
+            if let Some(name) = self.tags.get(&tag).cloned() {
+                self.note_report(now, tag, &name, report);
             }
         }
         for DispatchHint { tag, tokens, age_ms } in news.dispatches {
-            if let Some(id) = names.get(&tag).and_then(|name| self.id_of(name)) {
+            if let Some(id) = self.tags.get(&tag).and_then(|name| self.id_of(name)) {
                 let sent = now - ClockSpan::from_ms(age_ms.into());
                 self.load.note_dispatch(sent, id, tokens.into(), None);
             }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -22,7 +22,7 @@
     admission::LocalRates,
     explain::ExplainLog,
     fleet::{FleetEvent, FleetOutcome, FleetParts},
-    placement::RequestPlacement,
+    placement::{MAX_FAR_ZONES, RequestPlacement},
     request::RequestTable,
     stop::{HandOver, StopPhase},
     view::ConfigView,
@@ -341,7 +341,11 @@
         let Some(news) = self.placement.give_news(context.now) else { return };
         let own = &self.settings.node.vm;
         let zones = fleet.zones();
-        for to in zones.values().flatten().filter(|vm| *vm != own) {
+        // In a large fleet only the own zone hears: the bytes grow with the square of the listeners.
+        let all = zones.len() <= MAX_FAR_ZONES;
+        let listeners = zones.iter().filter(|(zone, _)| all || **zone == self.settings.zone);
+        let listeners = listeners.flat_map(|(_, members)| members).filter(|vm| *vm != own);
+        for to in listeners {
             let message = PeerMessage::Load(news.clone());
             context.actions.push(RouterAction::Peer { to: to.clone(), message });
         }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -94,9 +94,22 @@
         self.regions.get(zone)
     }
 
-    /// Returns the names of all targets, each once.
-    pub(crate) fn target_names(&self) -> BTreeSet<TargetName> {
-        self.targets.keys().cloned().collect()
+    /// Returns the names of at most `most` targets, those of `zone` first, then those of `region`, then the others.
+    pub(crate) fn nearest_targets(
+        &self,
+        zone: &ZoneName,
+        region: &RegionName,
+        most: usize,
+    ) -> BTreeSet<TargetName> {
+        let distance = |name: &TargetName| {
+            let target = self.target(name);
+            let is_near = target.is_some_and(|target| target.zone == *zone);
+            let in_region = target.is_some_and(|target| self.region(&target.zone) == Some(region));
+            (!is_near, !in_region)
+        };
+        let mut names: Vec<&TargetName> = self.targets.keys().collect();
+        names.sort_by_key(|name| distance(name));
+        names.into_iter().take(most).cloned().collect()
     }
 }
 
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use godwitroad_config::TargetConfig;
 use godwitroad_router::{
     AttemptReport, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterEvent, RunOutcome,
 };
@@ -180,6 +181,22 @@
     assert_eq!(driver.replies(id).last(), Some(&CallerReply::End));
 }
 
+#[test]
+fn more_targets_than_the_index_takes_leave_the_near_ones_in_use() {
+    let mut driver = TestDriver::new();
+    let mut large = document();
+    let far = |index: usize| TargetConfig {
+        name: format!("far-{index}").into(),
+        zone: "zone-z".into(),
+        address: format!("127.0.1.1:{}", 10_000 + index),
+        ..TargetConfig::default()
+    };
+    large.services[0].targets.splice(0..0, (0..6_000).map(far));
+    driver.configure(2, large);
+    let (_, actions) = driver.request(chat("secret-1"));
+    assert!(dispatches(&actions)[0].target.as_str().starts_with("engine-"));
+}
+
 #[test]
 fn unconfigured_router_refuses() {
     let mut driver = TestDriver::unconfigured();
