--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -24,10 +24,10 @@
 
 use crate::report::BenchRow;
 
-const PAIRS: usize = 200;
+const PAIRS: usize = 4_000;
 
 /// Pairs that warm connections and caches up and aren't counted.
-const WARM_PAIRS: usize = 20;
+const WARM_PAIRS: usize = 200;
 
 const CALLERS: usize = 8;
 
