Use the field's usual terms for names in the claims, rates, facade and daemon

Cause: some names were figurative: a shelf and books of claims, wallets and a pledge book of rates, a desk for store calls, a board of progress, shells and wishes in the daemon.

Change: renamed to BodyCache, ShardWriter, AccountCredit, PledgeTable, StoreCalls, ProgressAnswers, CallerContext, PollContext and CallerOptions, with their variables and files.

Conclusion: behaviour is unchanged.

--- a/crates/daemon/src/app/serve.rs
+++ b/crates/daemon/src/app/serve.rs
@@ -26,7 +26,7 @@
     decision::DecisionState,
     operators,
     peering::{RouterMessage, report_counters},
-    reply::{self, CallerShell},
+    reply::{self, CallerContext},
     settings::DaemonSettings,
     store::StoreAdapter,
     target::{TargetWorker, run_pollers},
@@ -117,7 +117,7 @@
     listener: TcpListener,
     slot: Option<&Arc<CertificateSlot>>,
 ) -> anyhow::Result<ServerHandle> {
-    let shell = web::Data::new(CallerShell {
+    let context = web::Data::new(CallerContext {
         core: core.clone(),
         telemetry: telemetry.clone(),
         connections: AtomicU64::new(1),
@@ -126,7 +126,7 @@
     let core = web::Data::new(core.clone());
     let server = HttpServer::new(move || {
         App::new()
-            .app_data(shell.clone())
+            .app_data(context.clone())
             .app_data(core.clone())
             .configure(operators::add_probes)
             .route("/v1/models", web::get().to(reply::models))
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -94,14 +94,14 @@
     body: Bytes,
 ) -> Result<(RequestArrival, IntakeRequest)> {
     let key = key.as_ref();
-    let wishes = headers::read_wishes(head.headers, key)?;
+    let options = headers::read_options(head.headers, key)?;
     let mut arrival = RequestArrival {
         path: head.path.to_string(),
         key: key.map(CallerKey::hash),
-        priority: wishes.priority,
-        deadline: wishes.deadline,
-        idempotency_key: wishes.idempotency_key,
-        last_event_id: wishes.last_event_id,
+        priority: options.priority,
+        deadline: options.deadline,
+        idempotency_key: options.idempotency_key,
+        last_event_id: options.last_event_id,
         ..Default::default()
     };
     let body = match EnginePath::of(head.path) {
--- a/crates/daemon/src/intake/headers.rs
+++ b/crates/daemon/src/intake/headers.rs
@@ -78,7 +78,7 @@
 
 /// What a caller asks for by headers.
 #[derive(Debug, Default)]
-pub(super) struct CallerWishes {
+pub(super) struct CallerOptions {
     pub(super) priority: Option<PriorityClass>,
     pub(super) deadline: Option<ClockSpan>,
     pub(super) idempotency_key: Option<String>,
@@ -164,7 +164,7 @@
 }
 
 /// Reads what a caller asks for by headers.
-pub(super) fn read_wishes(headers: &HeaderMap, key: Option<&CallerKey>) -> Result<CallerWishes> {
+pub(super) fn read_options(headers: &HeaderMap, key: Option<&CallerKey>) -> Result<CallerOptions> {
     let priority = single(headers, "x-priority")?
         .map(|text| match text {
             "interactive" => Ok(PriorityClass::Interactive),
@@ -181,7 +181,7 @@
             })
         })
         .transpose()?;
-    Ok(CallerWishes {
+    Ok(CallerOptions {
         priority,
         deadline,
         idempotency_key: token(headers, "idempotency-key", MAX_IDEMPOTENCY_BYTES, key)?,
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -37,7 +37,7 @@
 use whole::WholeAnswer;
 
 /// What all threads for callers share.
-pub(crate) struct CallerShell {
+pub(crate) struct CallerContext {
     pub(crate) core: CoreHandle,
     pub(crate) telemetry: Arc<NodeTelemetry>,
     pub(crate) connections: AtomicU64,
@@ -54,27 +54,30 @@
 pub(crate) async fn relay(
     request: HttpRequest,
     payload: web::Payload,
-    shell: web::Data<CallerShell>,
+    context: web::Data<CallerContext>,
 ) -> HttpResponse {
-    shell.telemetry.count("caller.requests");
-    match take_request(&request, payload, &shell).await {
+    context.telemetry.count("caller.requests");
+    match take_request(&request, payload, &context).await {
         Ok((link, stream, engine)) => answer(link, stream, engine).await,
         Err(error) => {
-            shell.telemetry.caller_error(error.kind);
+            context.telemetry.caller_error(error.kind);
             error_response(&error, None)
         }
     }
 }
 
 /// Answers `GET /v1/models`.
-pub(crate) async fn models(request: HttpRequest, shell: web::Data<CallerShell>) -> HttpResponse {
+pub(crate) async fn models(
+    request: HttpRequest,
+    context: web::Data<CallerContext>,
+) -> HttpResponse {
     let key = match intake::key_hash(request.headers()) {
         Ok(key) => key,
         Err(error) => return error_response(&error, None),
     };
     let kind = if key.is_some() { ErrorKind::KeyInvalid } else { ErrorKind::KeyMissing };
     let (answer, models) = oneshot::channel();
-    if !shell.core.send(CoreInput::Models(key, answer)) {
+    if !context.core.send(CoreInput::Models(key, answer)) {
         return error_response(&not_ready(), None);
     }
     match models.await {
@@ -93,7 +96,7 @@
 async fn take_request(
     request: &HttpRequest,
     payload: web::Payload,
-    shell: &web::Data<CallerShell>,
+    context: &web::Data<CallerContext>,
 ) -> intake::Result<(CallerLink, bool, Option<EnginePath>)> {
     let head = IntakeHead {
         method: request.method(),
@@ -104,20 +107,20 @@
     let key = intake::check_head(head)?;
     let announced = request.headers().get(CONTENT_LENGTH);
     let announced = announced.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-    if announced > shell.max_body_bytes {
-        return Err(too_large(shell.max_body_bytes));
+    if announced > context.max_body_bytes {
+        return Err(too_large(context.max_body_bytes));
     }
-    let body = read_body(payload, announced, shell.max_body_bytes).await?;
+    let body = read_body(payload, announced, context.max_body_bytes).await?;
     let (mut arrival, mut intake) = intake::read_request(head, key, body)?;
-    let connection = shell.connections.fetch_add(1, Ordering::Relaxed);
+    let connection = context.connections.fetch_add(1, Ordering::Relaxed);
     arrival.connection = connection;
     let stream = arrival.stream;
     let engine = intake.engine().map(|body| body.path);
-    let span = shell.telemetry.begin_request(intake.trace);
+    let span = context.telemetry.begin_request(intake.trace);
     intake.trace = span.context().or(intake.trace);
     let (caller, items) = unbounded_channel();
-    let link = CallerLink::new(shell.clone().into_inner(), connection, items, span);
-    if !shell.core.send(CoreInput::Arrive { arrival, request: Arc::new(intake), caller }) {
+    let link = CallerLink::new(context.clone().into_inner(), connection, items, span);
+    if !context.core.send(CoreInput::Arrive { arrival, request: Arc::new(intake), caller }) {
         return Err(not_ready());
     }
     Ok((link, stream, engine))
@@ -228,7 +231,7 @@
     /// Tells the core that bytes left the buffer.
     fn drained(&self, bytes: usize) {
         if let (Some(id), true) = (self.id(), bytes > 0) {
-            self.shell().core.event(RouterEvent::CallerDrained { id, bytes: bytes as u64 });
+            self.context().core.event(RouterEvent::CallerDrained { id, bytes: bytes as u64 });
         }
     }
 }
--- a/crates/daemon/src/reply/caller.rs
+++ b/crates/daemon/src/reply/caller.rs
@@ -11,7 +11,7 @@
 use godwitroad_router::{CallerError, CallerReply};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::{CallerShell, error_response};
+use super::{CallerContext, error_response};
 use crate::{
     core::{CallerItem, CoreInput},
     telemetry::HopSpan,
@@ -19,7 +19,7 @@
 
 /// The receiving end of an answer; dropping it before the end tells the core that the caller left.
 pub(super) struct CallerLink {
-    shell: Arc<CallerShell>,
+    context: Arc<CallerContext>,
     connection: u64,
     items: UnboundedReceiver<CallerItem>,
     id: Option<RequestId>,
@@ -30,17 +30,17 @@
 
 impl CallerLink {
     pub(super) fn new(
-        shell: Arc<CallerShell>,
+        context: Arc<CallerContext>,
         connection: u64,
         items: UnboundedReceiver<CallerItem>,
         span: HopSpan,
     ) -> CallerLink {
         let arrived = Instant::now();
-        CallerLink { shell, connection, items, id: None, ended: false, arrived, span }
+        CallerLink { context, connection, items, id: None, ended: false, arrived, span }
     }
 
-    pub(super) fn shell(&self) -> &CallerShell {
-        &self.shell
+    pub(super) fn context(&self) -> &CallerContext {
+        &self.context
     }
 
     pub(super) fn id(&self) -> Option<RequestId> {
@@ -74,7 +74,7 @@
 
     /// Counts the time to the first part of the answer.
     pub(super) fn first_part(&self) {
-        self.shell.telemetry.time("caller.first_part_us", self.arrived.elapsed());
+        self.context.telemetry.time("caller.first_part_us", self.arrived.elapsed());
     }
 
     /// Adds the request's id to a response.
@@ -92,11 +92,11 @@
         match reply {
             CallerReply::End => {
                 self.ended = true;
-                self.shell.telemetry.count("caller.ended");
+                self.context.telemetry.count("caller.ended");
             }
             CallerReply::Failed(error) => {
                 self.ended = true;
-                self.shell.telemetry.caller_error(error.kind);
+                self.context.telemetry.caller_error(error.kind);
                 self.span.fail();
             }
             CallerReply::Header { .. } | CallerReply::Data(_) | CallerReply::Event { .. } => {}
@@ -107,8 +107,8 @@
 impl Drop for CallerLink {
     fn drop(&mut self) {
         if !self.ended {
-            self.shell.telemetry.count("caller.left");
-            self.shell.core.send(CoreInput::Left { connection: self.connection });
+            self.context.telemetry.count("caller.left");
+            self.context.core.send(CoreInput::Left { connection: self.connection });
         }
     }
 }
--- a/crates/daemon/src/target/poll.rs
+++ b/crates/daemon/src/target/poll.rs
@@ -32,7 +32,7 @@
 const MAX_POLL_BYTES: usize = 64 << 20;
 
 #[derive(Clone)]
-struct PollShell {
+struct PollContext {
     scheme: &'static str,
     client: Client,
     core: CoreHandle,
@@ -49,7 +49,7 @@
     mut lists: UnboundedReceiver<Vec<PollTarget>>,
 ) {
     let (scheme, client) = target_client(tls.as_ref());
-    let shell = PollShell { scheme, client, core, telemetry, load_poll };
+    let context = PollContext { scheme, client, core, telemetry, load_poll };
     let mut running: HashMap<TargetName, (PollTarget, Vec<JoinHandle<()>>)> = HashMap::new();
     while let Some(list) = lists.recv().await {
         running.retain(|_, (target, tasks)| {
@@ -61,9 +61,9 @@
         });
         for target in list.into_iter().take(MAX_POLLED) {
             running.entry(target.name.clone()).or_insert_with(|| {
-                let mut tasks = vec![actix_rt::spawn(poll_load(shell.clone(), target.clone()))];
+                let mut tasks = vec![actix_rt::spawn(poll_load(context.clone(), target.clone()))];
                 if target.cache {
-                    tasks.push(actix_rt::spawn(poll_cache(shell.clone(), target.clone())));
+                    tasks.push(actix_rt::spawn(poll_cache(context.clone(), target.clone())));
                 }
                 (target, tasks)
             });
@@ -72,21 +72,21 @@
     running.values().flat_map(|(_, tasks)| tasks).for_each(JoinHandle::abort);
 }
 
-async fn poll_load(shell: PollShell, target: PollTarget) {
+async fn poll_load(context: PollContext, target: PollTarget) {
     loop {
-        if let Some(report) = shell.get::<LoadReport>(&target, "/load", LOAD_LIMIT_MS).await {
-            shell.core.event(RouterEvent::Load { target: target.name.clone(), report });
+        if let Some(report) = context.get::<LoadReport>(&target, "/load", LOAD_LIMIT_MS).await {
+            context.core.event(RouterEvent::Load { target: target.name.clone(), report });
         }
-        sleep(Duration::from_millis(shell.load_poll.as_ms())).await;
+        sleep(Duration::from_millis(context.load_poll.as_ms())).await;
     }
 }
 
-async fn poll_cache(shell: PollShell, target: PollTarget) {
+async fn poll_cache(context: PollContext, target: PollTarget) {
     // No engine has sent as many events: it answers with its whole cache.
     let mut after = u64::MAX;
     loop {
         let path = format!("/cache/events?after={after}");
-        let Some(batch) = shell.get::<CacheBatch>(&target, &path, CACHE_LIMIT_MS).await else {
+        let Some(batch) = context.get::<CacheBatch>(&target, &path, CACHE_LIMIT_MS).await else {
             sleep(Duration::from_millis(RETRY_MS)).await;
             continue;
         };
@@ -98,7 +98,7 @@
             after = batch.first + batch.events.len() as u64 - 1;
         }
         if batch.snapshot || !batch.events.is_empty() {
-            shell.core.event(RouterEvent::Cache { target: target.name.clone(), batch });
+            context.core.event(RouterEvent::Cache { target: target.name.clone(), batch });
         }
         if after == last {
             // An engine that has nothing new and doesn't hold the request must not be asked in a tight loop.
@@ -107,7 +107,7 @@
     }
 }
 
-impl PollShell {
+impl PollContext {
     async fn get<T: DeserializeOwned>(
         &self,
         target: &PollTarget,
--- a/crates/limits/src/holder.rs
+++ b/crates/limits/src/holder.rs
@@ -13,7 +13,7 @@
     bucket::RateBucket,
     demand::DemandMeter,
     message::{AccountGrant, AskEntry, HandedBucket, RateMessage},
-    pledge::{PledgeBook, PromisedShard},
+    pledge::{PledgeTable, PromisedShard},
     reserve::{QUIET_MS, send_lowered},
     settings::RateSettings,
     shard::{RateRow, ShardClaim, shard_of},
@@ -121,7 +121,7 @@
 pub(crate) struct ActiveAccount {
     pub(crate) bucket: RateBucket,
     pub(crate) demand: DemandMeter,
-    pub(crate) pledges: PledgeBook,
+    pub(crate) pledges: PledgeTable,
     pub(crate) used: ClockTime,
     /// Whether a write of the account's row is under way, so that the level must be known until it ends.
     pinned: bool,
@@ -195,7 +195,7 @@
         ActiveAccount {
             bucket,
             demand: DemandMeter::new(now),
-            pledges: PledgeBook::default(),
+            pledges: PledgeTable::default(),
             used: now,
             pinned: false,
             served: BTreeMap::new(),
--- a/crates/limits/src/pledge.rs
+++ b/crates/limits/src/pledge.rs
@@ -8,13 +8,13 @@
 
 /// The promises for one account: the newest confirmed one and those that may have arrived.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PledgeBook {
+pub(crate) struct PledgeTable {
     open: Vec<(NodeId, u64, u64)>,
     /// The time at which the newest pledge was sent.
     pub(crate) sent: Option<ClockTime>,
 }
 
-impl PledgeBook {
+impl PledgeTable {
     /// Returns the tokens that may not be issued.
     pub(crate) fn floor(&self) -> u64 {
         self.open.iter().map(|(_, _, reserve)| *reserve).max().unwrap_or(0)
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -129,7 +129,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct AccountWallet {
+struct AccountCredit {
     pool: PrepaidPool,
     asks: Vec<OpenAsk>,
     waiting: VecDeque<WaitingRequest>,
@@ -153,7 +153,7 @@
 pub struct RateSpender {
     settings: RateSettings,
     view: std::sync::Arc<HoldView>,
-    wallets: BTreeMap<AccountName, AccountWallet>,
+    credits: BTreeMap<AccountName, AccountCredit>,
     reserved: BTreeMap<u64, ReservedTokens>,
     silent: BTreeMap<VmName, ClockTime>,
     serial: u64,
@@ -167,7 +167,7 @@
         RateSpender {
             settings,
             view: std::sync::Arc::default(),
-            wallets: BTreeMap::new(),
+            credits: BTreeMap::new(),
             reserved: BTreeMap::new(),
             silent: BTreeMap::new(),
             serial: 0,
@@ -194,8 +194,8 @@
             }
             SpenderEvent::Settle { ticket, used } => self.settle(now, ticket, used),
             SpenderEvent::Cancel { ticket } => {
-                for wallet in self.wallets.values_mut() {
-                    wallet.waiting.retain(|waiting| waiting.ticket != ticket);
+                for credit in self.credits.values_mut() {
+                    credit.waiting.retain(|waiting| waiting.ticket != ticket);
                 }
             }
             SpenderEvent::Grants { from, grants } => {
@@ -209,7 +209,7 @@
 
     /// Returns the number of accounts that have state.
     pub fn active_accounts(&self) -> usize {
-        self.wallets.len()
+        self.credits.len()
     }
 
     /// Returns the counters.
@@ -226,15 +226,15 @@
         wait: ClockSpan,
         actions: &mut Vec<SpenderAction>,
     ) {
-        let wallet = self.wallets.entry(account.clone()).or_insert_with(|| AccountWallet::new(now));
-        wallet.demand.add(now, tokens);
-        if wallet.waiting.len() >= MOST_WAITING {
+        let credit = self.credits.entry(account.clone()).or_insert_with(|| AccountCredit::new(now));
+        credit.demand.add(now, tokens);
+        if credit.waiting.len() >= MOST_WAITING {
             self.counters.refused += 1;
-            let retry_after = wallet.retry_after;
+            let retry_after = credit.retry_after;
             actions.push(SpenderAction::Refused { ticket, retry_after });
             return;
         }
-        wallet.waiting.push_back(WaitingRequest { ticket, tokens, until: now + wait });
+        credit.waiting.push_back(WaitingRequest { ticket, tokens, until: now + wait });
         let before = self.counters.admitted;
         self.pump(now, &account, actions);
         self.counters.admitted_at_once += u64::from(self.counters.admitted > before);
@@ -242,38 +242,38 @@
 
     // Admits what the pool covers, and asks for more where it doesn't.
     fn pump(&mut self, now: ClockTime, account: &AccountName, actions: &mut Vec<SpenderAction>) {
-        let Some(wallet) = self.wallets.get_mut(account) else { return };
-        self.counters.expired += wallet.pool.expire(now);
+        let Some(credit) = self.credits.get_mut(account) else { return };
+        self.counters.expired += credit.pool.expire(now);
         let mut index = 0;
         // A small request may pass a large one that waits, as it would at one central bucket.
-        while let Some(waiting) = wallet.waiting.get(index) {
-            if wallet.pool.left() < waiting.tokens + wallet.debt {
+        while let Some(waiting) = credit.waiting.get(index) {
+            if credit.pool.left() < waiting.tokens + credit.debt {
                 index += 1;
                 continue;
             }
             let (ticket, tokens) = (waiting.ticket, waiting.tokens);
-            wallet.pool.spend(std::mem::take(&mut wallet.debt));
-            let parts = wallet.pool.spend(tokens);
-            wallet.waiting.remove(index);
+            credit.pool.spend(std::mem::take(&mut credit.debt));
+            let parts = credit.pool.spend(tokens);
+            credit.waiting.remove(index);
             let reserved = ReservedTokens { account: account.clone(), tokens, parts };
             self.reserved.insert(ticket, reserved);
             self.counters.admitted += 1;
             actions.push(SpenderAction::Admitted { ticket, tokens });
         }
-        if wallet.asks.iter().any(|ask| ask.awaited) {
+        if credit.asks.iter().any(|ask| ask.awaited) {
             return;
         }
-        let target = wallet.demand.rate(now) * self.settings.prefetch.as_ms() / 1_000;
-        let left = wallet.pool.left();
-        if wallet.waiting.is_empty() {
-            wallet.step = 0;
-            if left < target / 2 && now >= wallet.dry_until {
+        let target = credit.demand.rate(now) * self.settings.prefetch.as_ms() / 1_000;
+        let left = credit.pool.left();
+        if credit.waiting.is_empty() {
+            credit.step = 0;
+            if left < target / 2 && now >= credit.dry_until {
                 self.ask(now, account, 0, target - left, actions);
             }
-        } else if now >= wallet.dry_until {
-            let front = wallet.waiting.front().map_or(0, |waiting| waiting.tokens);
-            let need = (front + wallet.debt).saturating_sub(left);
-            let others: u64 = wallet.waiting.iter().skip(1).map(|waiting| waiting.tokens).sum();
+        } else if now >= credit.dry_until {
+            let front = credit.waiting.front().map_or(0, |waiting| waiting.tokens);
+            let need = (front + credit.debt).saturating_sub(left);
+            let others: u64 = credit.waiting.iter().skip(1).map(|waiting| waiting.tokens).sum();
             self.ask(now, account, need.max(1), others + target, actions);
         }
     }
@@ -290,26 +290,26 @@
         let Some(view) = self.view.shards.get(usize::from(shard_of(account))) else { return };
         let own = view.owner.iter();
         let holders: Vec<&VmName> = own.clone().chain(&view.others).chain(own).collect();
-        let Some(wallet) = self.wallets.get_mut(account) else { return };
+        let Some(credit) = self.credits.get_mut(account) else { return };
         let silent = |vm: &VmName| self.silent.get(vm).is_some_and(|until| now < *until);
-        while holders.get(wallet.step).is_some_and(|vm| silent(vm)) {
-            wallet.step += 1;
+        while holders.get(credit.step).is_some_and(|vm| silent(vm)) {
+            credit.step += 1;
         }
-        let Some(holder) = holders.get(wallet.step) else {
-            wallet.rest(now);
+        let Some(holder) = holders.get(credit.step) else {
+            credit.rest(now);
             return;
         };
         // A prefetch is worth one ask of the own holder only.
-        if need == 0 && wallet.step > 0 {
-            wallet.rest(now);
+        if need == 0 && credit.step > 0 {
+            credit.rest(now);
             return;
         }
         self.serial += 1;
         self.counters.asks += 1;
-        let partial = wallet.step > 0 || need == 0;
-        let extra = if wallet.step > 0 { 0 } else { extra };
+        let partial = credit.step > 0 || need == 0;
+        let extra = if credit.step > 0 { 0 } else { extra };
         let (serial, holder) = (self.serial, (*holder).clone());
-        wallet.asks.push(OpenAsk {
+        credit.asks.push(OpenAsk {
             serial,
             holder: holder.clone(),
             sent: now,
@@ -331,25 +331,25 @@
         if grant.asker != self.settings.node {
             return;
         }
-        let Some(wallet) = self.wallets.get_mut(&grant.account) else { return };
-        let found = wallet.asks.iter().position(|ask| ask.serial == grant.serial);
+        let Some(credit) = self.credits.get_mut(&grant.account) else { return };
+        let found = credit.asks.iter().position(|ask| ask.serial == grant.serial);
         let Some(index) = found else { return };
-        if wallet.asks[index].holder != *from {
+        if credit.asks[index].holder != *from {
             return;
         }
-        let ask = wallet.asks.remove(index);
+        let ask = credit.asks.remove(index);
         self.silent.remove(from);
-        wallet.pool.add(from, grant.serial, grant.tokens, ask.sent);
+        credit.pool.add(from, grant.serial, grant.tokens, ask.sent);
         if ask.awaited && ask.need == 0 {
             // A holder that has nothing to spare is not asked for more at once.
-            wallet.dry_until = now + ClockSpan::from_ms(DRY_MS.1 / 2);
+            credit.dry_until = now + ClockSpan::from_ms(DRY_MS.1 / 2);
         } else if ask.awaited {
             if grant.tokens >= ask.need.max(1) {
-                wallet.step = 0;
+                credit.step = 0;
             } else {
-                wallet.step += 1;
+                credit.step += 1;
                 if grant.retry_after > ClockSpan::ZERO {
-                    wallet.retry_after = grant.retry_after;
+                    credit.retry_after = grant.retry_after;
                 }
             }
         }
@@ -358,12 +358,12 @@
 
     fn settle(&mut self, now: ClockTime, ticket: u64, used: u64) {
         let Some(reserved) = self.reserved.remove(&ticket) else { return };
-        let Some(wallet) = self.wallets.get_mut(&reserved.account) else { return };
-        wallet.debt += used.saturating_sub(reserved.tokens);
+        let Some(credit) = self.credits.get_mut(&reserved.account) else { return };
+        credit.debt += used.saturating_sub(reserved.tokens);
         let mut unused = reserved.tokens.saturating_sub(used);
-        self.counters.expired += wallet.pool.expire(now);
+        self.counters.expired += credit.pool.expire(now);
         for (serial, amount) in reserved.parts.iter().rev() {
-            let refund = wallet.pool.refund(*serial, unused.min(*amount));
+            let refund = credit.pool.refund(*serial, unused.min(*amount));
             unused -= refund;
             self.counters.refunded += refund;
         }
@@ -371,22 +371,22 @@
 
     fn tick(&mut self, now: ClockTime, actions: &mut Vec<SpenderAction>) {
         let report = now.since(self.reported) >= self.settings.report;
-        let accounts: Vec<AccountName> = self.wallets.keys().cloned().collect();
+        let accounts: Vec<AccountName> = self.credits.keys().cloned().collect();
         for account in accounts {
-            let Some(wallet) = self.wallets.get_mut(&account) else { continue };
+            let Some(credit) = self.credits.get_mut(&account) else { continue };
             let late = |ask: &OpenAsk| now.since(ask.sent) >= self.settings.ask;
-            for ask in wallet.asks.iter_mut().filter(|ask| ask.awaited) {
+            for ask in credit.asks.iter_mut().filter(|ask| ask.awaited) {
                 if late(ask) {
                     ask.awaited = false;
-                    wallet.step += 1;
+                    credit.step += 1;
                     self.counters.unanswered += 1;
                     self.silent.insert(ask.holder.clone(), now + ClockSpan::from_ms(SILENT_MS));
                 }
             }
             // A grant that comes later than its life has expired already.
-            wallet.asks.retain(|ask| now < PrepaidPool::expiry(ask.sent));
-            let retry_after = wallet.retry_after;
-            wallet.waiting.retain(|waiting| {
+            credit.asks.retain(|ask| now < PrepaidPool::expiry(ask.sent));
+            let retry_after = credit.retry_after;
+            credit.waiting.retain(|waiting| {
                 let ended = now >= waiting.until;
                 if ended {
                     self.counters.refused += 1;
@@ -407,12 +407,12 @@
     // Tells the holders what was spent, and gives back what isn't needed.
     fn report(&mut self, now: ClockTime, actions: &mut Vec<SpenderAction>) {
         let mut reports: BTreeMap<VmName, Vec<_>> = BTreeMap::new();
-        for (account, wallet) in &mut self.wallets {
-            let target = wallet.demand.rate(now) * self.settings.prefetch.as_ms() / 1_000;
-            if wallet.waiting.is_empty() {
-                self.counters.returned += wallet.pool.give_back(now, target);
+        for (account, credit) in &mut self.credits {
+            let target = credit.demand.rate(now) * self.settings.prefetch.as_ms() / 1_000;
+            if credit.waiting.is_empty() {
+                self.counters.returned += credit.pool.give_back(now, target);
             }
-            for (holder, report) in wallet.pool.reports(account) {
+            for (holder, report) in credit.pool.reports(account) {
                 reports.entry(holder).or_default().push(report);
             }
         }
@@ -420,7 +420,7 @@
             let message = RateMessage::Report(reports);
             actions.push(SpenderAction::Send { to, message });
         }
-        self.wallets.retain(|_, wallet| !wallet.is_idle(now));
+        self.credits.retain(|_, credit| !credit.is_idle(now));
     }
 
     /// Returns the identity of this process.
@@ -429,9 +429,9 @@
     }
 }
 
-impl AccountWallet {
-    fn new(now: ClockTime) -> AccountWallet {
-        AccountWallet {
+impl AccountCredit {
+    fn new(now: ClockTime) -> AccountCredit {
+        AccountCredit {
             pool: PrepaidPool::default(),
             asks: Vec::new(),
             waiting: VecDeque::new(),
--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -165,7 +165,7 @@
     ) {
         let digest = answer.digest;
         let text = answer.text.map(|text| Arc::from(text.as_bytes()));
-        let body = text.or_else(|| self.shelf.get(hash));
+        let body = text.or_else(|| self.bodies.get(hash));
         let is_remote = record.vm != self.settings.node.vm;
         let is_live = self.live.contains(&record.runner.node);
         if body.is_none() && is_remote && is_live {
@@ -222,7 +222,7 @@
             RunEnd::Answered(body) => {
                 let answer = AnswerRecord::new(&body);
                 if answer.text.is_none() {
-                    self.shelf.put(hash, body, self.settings.body_bytes);
+                    self.bodies.put(hash, body, self.settings.body_bytes);
                 }
                 ClaimState::Finished(answer)
             }
--- a/crates/once/src/shelf.rs
+++ b/crates/once/src/bodies.rs
@@ -9,14 +9,14 @@
 
 /// The bodies that are held in memory; the oldest ones are dropped first.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct BodyShelf {
+pub(crate) struct BodyCache {
     bodies: BTreeMap<u64, (ClaimHash, Arc<[u8]>)>,
     serials: BTreeMap<ClaimHash, u64>,
     bytes: usize,
     last: u64,
 }
 
-impl BodyShelf {
+impl BodyCache {
     pub(crate) fn put(&mut self, hash: ClaimHash, body: Arc<[u8]>, limit: usize) {
         if body.len() > limit {
             return;
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -5,20 +5,20 @@
 //! twice. Claims are written in batches, because the store takes far fewer writes than the fleet takes requests.
 
 mod attempt;
-mod book;
+mod bodies;
 mod key;
 mod merge;
 mod message;
 mod plan;
 mod record;
 mod settings;
-mod shelf;
 pub mod sim;
 mod sim_judge;
 mod sim_settings;
 mod table;
 mod view;
 mod waiters;
+mod writer;
 
 pub use key::{ClaimHash, RequestDigest};
 pub use merge::{ClaimEntry, ClaimReply, ClaimWork, MergeChange, merge};
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -10,14 +10,14 @@
 
 use crate::{
     attempt::{AttemptPhase, ClaimAttempt},
-    book::{BookContext, BookOutput, ShardBook},
+    bodies::BodyCache,
     key::{CLAIM_SHARDS, ClaimHash, RequestDigest},
     merge::{ClaimEntry, ClaimWork},
     message::OnceMessage,
     record::{AnswerRecord, ClaimState},
     settings::{OnceCounters, OnceSettings},
-    shelf::BodyShelf,
     waiters::ClaimWaiter,
+    writer::{ShardWriter, WriterContext, WriterOutput},
 };
 
 /// The largest number of refused requests whose claims are still to be released.
@@ -182,10 +182,10 @@
     pub(crate) orphans: BTreeMap<RequestId, OrphanClaim>,
     /// The last requests that certainly didn't run and won't.
     pub(crate) refused: BTreeSet<RequestId>,
-    pub(crate) shelf: BodyShelf,
+    pub(crate) bodies: BodyCache,
     pub(crate) live: BTreeSet<u64>,
     members: Vec<VmName>,
-    books: Vec<ShardBook>,
+    writers: Vec<ShardWriter>,
     last_op: u64,
 }
 
@@ -200,10 +200,10 @@
             timers: BTreeSet::new(),
             orphans: BTreeMap::new(),
             refused: BTreeSet::new(),
-            shelf: BodyShelf::default(),
+            bodies: BodyCache::default(),
             live: BTreeSet::new(),
             members: Vec::new(),
-            books: (0..CLAIM_SHARDS).map(ShardBook::new).collect(),
+            writers: (0..CLAIM_SHARDS).map(ShardWriter::new).collect(),
             last_op: 0,
         }
     }
@@ -247,9 +247,9 @@
 
     /// Returns the next time at which a tick changes something, or `None` when nothing waits.
     pub fn next_deadline(&self) -> Option<ClockTime> {
-        let books = self.books.iter().filter_map(|book| book.next_deadline(&self.settings));
+        let writers = self.writers.iter().filter_map(|writer| writer.next_deadline(&self.settings));
         let timer = self.timers.first().map(|(at, _)| *at);
-        books.chain(timer).min()
+        writers.chain(timer).min()
     }
 
     fn claim(
@@ -287,7 +287,7 @@
         self.route(now, id, hash, work, is_forwarded, actions);
     }
 
-    /// Hands work to the shard's owner, or to the own book.
+    /// Hands work to the shard's owner, or to the own writer.
     pub(crate) fn route(
         &mut self,
         now: ClockTime,
@@ -303,7 +303,7 @@
             actions.push(OnceAction::Send { to: owner, message: OnceMessage::Work(entry) });
         } else {
             let waiter = ClaimWaiter { from: None, entry };
-            self.work(now, hash.shard(), actions, |book, context| book.push(waiter, context));
+            self.work(now, hash.shard(), actions, |writer, context| writer.push(waiter, context));
         }
     }
 
@@ -313,24 +313,24 @@
         owner.map_or_else(|| self.settings.node.vm.clone(), |index| self.members[index].clone())
     }
 
-    // Changes a shard's book, moves its work on, and hands out what comes of it.
+    // Changes a shard's writer, moves its work on, and hands out what comes of it.
     fn work(
         &mut self,
         now: ClockTime,
         shard: u8,
         actions: &mut Vec<OnceAction>,
-        change: impl FnOnce(&mut ShardBook, &mut BookContext<'_>),
+        change: impl FnOnce(&mut ShardWriter, &mut WriterContext<'_>),
     ) {
-        let book = &mut self.books[usize::from(shard)];
-        let mut context = BookContext {
+        let writer = &mut self.writers[usize::from(shard)];
+        let mut context = WriterContext {
             now,
             settings: &self.settings,
             counters: &mut self.counters,
             last_op: &mut self.last_op,
-            output: BookOutput::default(),
+            output: WriterOutput::default(),
         };
-        change(book, &mut context);
-        book.advance(&mut context);
+        change(writer, &mut context);
+        writer.advance(&mut context);
         let output = context.output;
         let submits = output.orders.into_iter();
         actions.extend(submits.map(|(op, order)| OnceAction::Submit { op, order }));
@@ -353,9 +353,9 @@
         result: Result<OperationReply>,
         actions: &mut Vec<OnceAction>,
     ) {
-        let shard = (0..CLAIM_SHARDS).find(|shard| self.books[usize::from(*shard)].has_op(op));
+        let shard = (0..CLAIM_SHARDS).find(|shard| self.writers[usize::from(*shard)].has_op(op));
         if let Some(shard) = shard {
-            self.work(now, shard, actions, |book, context| book.take(context, result));
+            self.work(now, shard, actions, |writer, context| writer.take(context, result));
         }
     }
 
@@ -371,13 +371,13 @@
                 let shard = entry.hash.shard();
                 let entry = ClaimEntry { at: now, ..entry };
                 let waiter = ClaimWaiter { from: Some(from), entry };
-                self.work(now, shard, actions, |book, context| book.push(waiter, context));
+                self.work(now, shard, actions, |writer, context| writer.push(waiter, context));
             }
             OnceMessage::Reply { id, hash, reply } => {
                 self.take_reply(now, id, hash, reply, actions);
             }
             OnceMessage::BodyRequest { id, hash } => {
-                let message = OnceMessage::Body { id, body: self.shelf.get(hash) };
+                let message = OnceMessage::Body { id, body: self.bodies.get(hash) };
                 actions.push(OnceAction::Send { to: from, message });
             }
             OnceMessage::Body { id, body } => self.take_body(id, body, actions),
--- a/crates/once/src/book.rs
+++ b/crates/once/src/writer.rs
@@ -19,7 +19,7 @@
 const WAITING_LIMIT: usize = 4_096;
 
 #[derive(Clone, Debug)]
-enum BookFlight {
+enum WriterFlight {
     Load,
     Fetch(u64),
     Renew(u64),
@@ -28,34 +28,34 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) struct ShardBook {
+pub(crate) struct ShardWriter {
     shard: u8,
     view: Option<ShardView>,
     spare: Option<SpareLease>,
     waiting: Vec<ClaimWaiter>,
-    flight: Option<(OpId, ClockTime, BookFlight)>,
+    flight: Option<(OpId, ClockTime, WriterFlight)>,
     not_before: ClockTime,
     used_at: ClockTime,
 }
 
 /// What a shard's work leads to.
 #[derive(Debug, Default)]
-pub(crate) struct BookOutput {
+pub(crate) struct WriterOutput {
     pub(crate) orders: Vec<(OpId, StoreOrder)>,
     pub(crate) answers: Vec<ClaimAnswer>,
 }
 
-pub(crate) struct BookContext<'a> {
+pub(crate) struct WriterContext<'a> {
     pub(crate) now: ClockTime,
     pub(crate) settings: &'a OnceSettings,
     pub(crate) counters: &'a mut OnceCounters,
     pub(crate) last_op: &'a mut u64,
-    pub(crate) output: BookOutput,
+    pub(crate) output: WriterOutput,
 }
 
-impl ShardBook {
-    pub(crate) fn new(shard: u8) -> ShardBook {
-        ShardBook {
+impl ShardWriter {
+    pub(crate) fn new(shard: u8) -> ShardWriter {
+        ShardWriter {
             shard,
             view: None,
             spare: None,
@@ -66,10 +66,10 @@
         }
     }
 
-    pub(crate) fn push(&mut self, waiter: ClaimWaiter, context: &mut BookContext<'_>) {
+    pub(crate) fn push(&mut self, waiter: ClaimWaiter, context: &mut WriterContext<'_>) {
         self.used_at = context.now;
         let is_covered = match &self.flight {
-            Some((_, _, BookFlight::Write(plan))) => {
+            Some((_, _, WriterFlight::Write(plan))) => {
                 plan.answers.iter().any(|answer| answer.waiter.is_same(&waiter))
             }
             _ => false,
@@ -90,11 +90,11 @@
     }
 
     /// Moves the work on until it waits for the store or for time.
-    pub(crate) fn advance(&mut self, context: &mut BookContext<'_>) {
+    pub(crate) fn advance(&mut self, context: &mut WriterContext<'_>) {
         self.drop_late(context);
         while self.flight.is_none() && !self.waiting.is_empty() && self.not_before <= context.now {
             let Some(view) = &mut self.view else {
-                self.order(context, BookFlight::Load);
+                self.order(context, WriterFlight::Load);
                 return;
             };
             let mut plan = ShardPlan {
@@ -106,17 +106,17 @@
             };
             match plan.step() {
                 PlanStep::Wait => return,
-                PlanStep::Load => self.order(context, BookFlight::Load),
-                PlanStep::Fetch(number) => self.order(context, BookFlight::Fetch(number)),
-                PlanStep::Renew(number) => self.order(context, BookFlight::Renew(number)),
-                PlanStep::Grant => self.order(context, BookFlight::Grant),
+                PlanStep::Load => self.order(context, WriterFlight::Load),
+                PlanStep::Fetch(number) => self.order(context, WriterFlight::Fetch(number)),
+                PlanStep::Renew(number) => self.order(context, WriterFlight::Renew(number)),
+                PlanStep::Grant => self.order(context, WriterFlight::Grant),
                 PlanStep::Answer(answers, rest) => {
                     context.output.answers.extend(answers);
                     self.waiting = rest;
                 }
                 PlanStep::Write(mut plan) => {
                     self.waiting = std::mem::take(&mut plan.rest);
-                    self.order(context, BookFlight::Write(plan));
+                    self.order(context, WriterFlight::Write(plan));
                 }
             }
         }
@@ -127,7 +127,7 @@
     }
 
     // A claim whose caller has been refused meanwhile would only have to be released again.
-    fn drop_late(&mut self, context: &mut BookContext<'_>) {
+    fn drop_late(&mut self, context: &mut WriterContext<'_>) {
         let (now, wait) = (context.now, context.settings.claim_wait);
         let answers = &mut context.output.answers;
         self.waiting.retain(|waiter| {
@@ -140,21 +140,21 @@
         });
     }
 
-    fn order(&mut self, context: &mut BookContext<'_>, flight: BookFlight) {
+    fn order(&mut self, context: &mut WriterContext<'_>, flight: WriterFlight) {
         let operation = match &flight {
-            BookFlight::Load => StoreOperation::List { prefix: shard_prefix(self.shard) },
-            BookFlight::Fetch(number) => {
+            WriterFlight::Load => StoreOperation::List { prefix: shard_prefix(self.shard) },
+            WriterFlight::Fetch(number) => {
                 StoreOperation::Get { key: slice_key(self.shard, *number) }
             }
-            BookFlight::Renew(number) => {
+            WriterFlight::Renew(number) => {
                 let copy = self.view.as_ref().and_then(|view| view.slices.get(number));
                 match copy.and_then(|copy| copy.value.as_ref()) {
                     Some(value) => StoreOperation::KeepAlive { lease: value.lease },
                     None => StoreOperation::List { prefix: shard_prefix(self.shard) },
                 }
             }
-            BookFlight::Grant => StoreOperation::Grant { ttl: context.settings.lease() },
-            BookFlight::Write(plan) => {
+            WriterFlight::Grant => StoreOperation::Grant { ttl: context.settings.lease() },
+            WriterFlight::Write(plan) => {
                 context.counters.writes += 1;
                 StoreOperation::Cas {
                     key: slice_key(self.shard, plan.number),
@@ -173,34 +173,34 @@
     }
 
     /// Takes the result of the operation under way.
-    pub(crate) fn take(&mut self, context: &mut BookContext<'_>, result: Result<OperationReply>) {
+    pub(crate) fn take(&mut self, context: &mut WriterContext<'_>, result: Result<OperationReply>) {
         let Some((_, sent, flight)) = self.flight.take() else { return };
         match (flight, result) {
-            (BookFlight::Load, Ok(OperationReply::Entries { entries, .. })) => {
+            (WriterFlight::Load, Ok(OperationReply::Entries { entries, .. })) => {
                 self.take_load(context, sent, &entries);
             }
-            (BookFlight::Fetch(number), Ok(OperationReply::Value(entry))) => {
+            (WriterFlight::Fetch(number), Ok(OperationReply::Value(entry))) => {
                 self.take_entry(context, sent, number, entry);
             }
-            (BookFlight::Renew(number), Ok(OperationReply::Lease { until, .. })) => {
+            (WriterFlight::Renew(number), Ok(OperationReply::Lease { until, .. })) => {
                 let copy = self.view.as_mut().and_then(|view| view.slices.get_mut(&number));
                 if let Some(copy) = copy {
                     copy.until = Some(until);
                 }
             }
-            (BookFlight::Grant, Ok(OperationReply::Lease { lease, until })) => {
+            (WriterFlight::Grant, Ok(OperationReply::Lease { lease, until })) => {
                 self.spare = Some(SpareLease { lease, until });
             }
-            (BookFlight::Write(plan), Ok(OperationReply::Written { version, .. })) => {
+            (WriterFlight::Write(plan), Ok(OperationReply::Written { version, .. })) => {
                 self.take_written(context, sent, *plan, version);
             }
-            (BookFlight::Write(plan), Ok(OperationReply::Conflict(entry))) => {
+            (WriterFlight::Write(plan), Ok(OperationReply::Conflict(entry))) => {
                 context.counters.conflicts += 1;
                 let number = plan.number;
                 self.put_back(*plan);
                 self.take_entry(context, sent, number, entry);
             }
-            (BookFlight::Write(plan), Ok(_)) => {
+            (WriterFlight::Write(plan), Ok(_)) => {
                 self.put_back(*plan);
                 self.spare = None;
                 self.view = None;
@@ -219,7 +219,7 @@
 
     fn take_load(
         &mut self,
-        context: &mut BookContext<'_>,
+        context: &mut WriterContext<'_>,
         sent: ClockTime,
         entries: &[StoreEntry],
     ) {
@@ -231,14 +231,14 @@
             // A slice that can't be read may hold any key: every claim of the shard is refused until it is repaired.
             Err(_) => {
                 context.counters.corrupt += 1;
-                self.fail(context, BookFlight::Load, OperationError::Rejected);
+                self.fail(context, WriterFlight::Load, OperationError::Rejected);
             }
         }
     }
 
     fn take_entry(
         &mut self,
-        context: &mut BookContext<'_>,
+        context: &mut WriterContext<'_>,
         sent: ClockTime,
         number: u64,
         entry: Option<StoreEntry>,
@@ -256,14 +256,14 @@
             }
             Err(_) => {
                 context.counters.corrupt += 1;
-                self.fail(context, BookFlight::Load, OperationError::Rejected);
+                self.fail(context, WriterFlight::Load, OperationError::Rejected);
             }
         }
     }
 
     fn take_written(
         &mut self,
-        context: &mut BookContext<'_>,
+        context: &mut WriterContext<'_>,
         sent: ClockTime,
         plan: WritePlan,
         version: KeyVersion,
@@ -285,8 +285,13 @@
 
     // Nobody who waits for a reply is kept waiting; ends and releases are tried again after a pause. A write without
     // an answer may still take effect, so that nothing known of the shard can be relied on.
-    fn fail(&mut self, context: &mut BookContext<'_>, flight: BookFlight, error: OperationError) {
-        if let BookFlight::Write(plan) = flight {
+    fn fail(
+        &mut self,
+        context: &mut WriterContext<'_>,
+        flight: WriterFlight,
+        error: OperationError,
+    ) {
+        if let WriterFlight::Write(plan) = flight {
             self.put_back(*plan);
         }
         if error != OperationError::NotDone {
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -3,8 +3,8 @@
 //! Each part is a state machine of its own; here the actions of one become the events of another. What concerns
 //! the requests comes out as a [`FleetOutcome`], so that the parts know nothing of requests.
 
-mod desk;
 mod settings;
+mod store_calls;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -18,15 +18,15 @@
 use godwitroad_store::{CallId, StoreAction, StoreEvent, StoreOutcome};
 use godwitroad_sync::{ConfigSync, SyncAction, SyncEvent, SyncHead};
 
-pub(crate) use desk::{RawOwner, StoreDesk, StoreTag};
 pub use settings::FleetSettings;
+pub(crate) use store_calls::{RawOwner, StoreCalls, StoreTag};
 
 use crate::{PeerMessage, PeerPlace, RouterAction, RouterSettings, StateNotice};
 
 /// The parts of a router that need the store and its peers.
 #[derive(Debug)]
 pub(crate) struct FleetParts {
-    pub(crate) desk: StoreDesk,
+    pub(crate) store: StoreCalls,
     pub(crate) member: MemberTable,
     pub(crate) sync: ConfigSync,
     pub(crate) claims: ClaimTable,
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub(crate) enum FleetEvent {
     Store { call: CallId, outcome: StoreOutcome },
-    Desk(StoreEvent<StoreTag>),
+    Client(StoreEvent<StoreTag>),
     Member(MemberEvent),
     Sync(SyncEvent),
     Claims(OnceEvent),
@@ -70,7 +70,7 @@
         random: &mut SeededRandom,
     ) -> FleetParts {
         FleetParts {
-            desk: StoreDesk::new(fleet.store.clone(), random.fork()),
+            store: StoreCalls::new(fleet.store.clone(), random.fork()),
             member: MemberTable::new(fleet.member_settings(router), now, random.fork()),
             sync: ConfigSync::new(now, fleet.sync_settings(router), random.fork()),
             claims: ClaimTable::new(fleet.claim_settings(router)),
@@ -96,7 +96,7 @@
         let mut outcomes = self.run(now, FleetEvent::Member(MemberEvent::Tick));
         outcomes.extend(self.tell_rosters(now));
         let events = [
-            FleetEvent::Desk(StoreEvent::Tick),
+            FleetEvent::Client(StoreEvent::Tick),
             FleetEvent::Sync(SyncEvent::Tick),
             FleetEvent::Claims(OnceEvent::Tick),
             FleetEvent::Rates(RateEvent::Tick),
@@ -166,9 +166,9 @@
         outcomes: &mut Vec<FleetOutcome>,
     ) {
         match event {
-            FleetEvent::Store { call, outcome } => match self.desk.resolve(call) {
+            FleetEvent::Store { call, outcome } => match self.store.resolve(call) {
                 Some((RawOwner::Client, _)) => {
-                    queue.push_back(FleetEvent::Desk(StoreEvent::Outcome { call, outcome }));
+                    queue.push_back(FleetEvent::Client(StoreEvent::Outcome { call, outcome }));
                 }
                 Some((RawOwner::Member, call)) => {
                     let event = MemberEvent::Store { call, outcome };
@@ -179,7 +179,7 @@
                 }
                 None => {}
             },
-            FleetEvent::Desk(event) => self.run_desk(now, event, queue, outcomes),
+            FleetEvent::Client(event) => self.run_client(now, event, queue, outcomes),
             FleetEvent::Member(event) => self.run_member(now, event, queue, outcomes),
             FleetEvent::Sync(event) => self.run_sync(now, event, queue, outcomes),
             FleetEvent::Claims(event) => self.run_claims(now, event, queue, outcomes),
@@ -187,14 +187,14 @@
         }
     }
 
-    fn run_desk(
+    fn run_client(
         &mut self,
         now: ClockTime,
         event: StoreEvent<StoreTag>,
         queue: &mut VecDeque<FleetEvent>,
         outcomes: &mut Vec<FleetOutcome>,
     ) {
-        for action in self.desk.handle(now, event) {
+        for action in self.store.handle(now, event) {
             match action {
                 StoreAction::Call { call, request } => {
                     outcomes.push(FleetOutcome::Act(RouterAction::Store { call, request }));
@@ -244,7 +244,7 @@
                     outcomes.push(FleetOutcome::Act(RouterAction::Peer { to, message }));
                 }
                 MemberAction::Store { call, request } => {
-                    let call = self.desk.raw(RawOwner::Member, call);
+                    let call = self.store.raw(RawOwner::Member, call);
                     outcomes.push(FleetOutcome::Act(RouterAction::Store { call, request }));
                 }
                 MemberAction::Report(report) => {
@@ -277,7 +277,7 @@
                     FleetOutcome::Act(RouterAction::Peer { to, message })
                 }
                 RateAction::Store { call, request } => {
-                    let call = self.desk.raw(RawOwner::Rates, call);
+                    let call = self.store.raw(RawOwner::Rates, call);
                     FleetOutcome::Act(RouterAction::Store { call, request })
                 }
                 RateAction::Admitted { ticket, .. } => FleetOutcome::Admitted { ticket },
@@ -302,11 +302,11 @@
             match action {
                 SyncAction::Submit { op, order } => {
                     let event = StoreEvent::Submit { tag: StoreTag::Sync(op), order };
-                    queue.push_back(FleetEvent::Desk(event));
+                    queue.push_back(FleetEvent::Client(event));
                 }
                 SyncAction::Cancel { op } => {
                     let event = StoreEvent::Cancel { tag: StoreTag::Sync(op) };
-                    queue.push_back(FleetEvent::Desk(event));
+                    queue.push_back(FleetEvent::Client(event));
                 }
                 SyncAction::Send { to, message } => {
                     let message = PeerMessage::Sync(message);
@@ -342,7 +342,7 @@
                 }
                 OnceAction::Submit { op, order } => {
                     let event = StoreEvent::Submit { tag: StoreTag::Claims(op), order };
-                    queue.push_back(FleetEvent::Desk(event));
+                    queue.push_back(FleetEvent::Client(event));
                 }
             }
         }
--- a/crates/router/src/fleet/desk.rs
+++ b/crates/router/src/fleet/store_calls.rs
@@ -25,7 +25,7 @@
 
 /// The calls of all parts.
 #[derive(Debug)]
-pub(crate) struct StoreDesk {
+pub(crate) struct StoreCalls {
     client: StoreClient<StoreTag>,
     calls: BTreeMap<CallId, (RawOwner, CallId)>,
     last: u64,
@@ -34,10 +34,10 @@
 /// The first number of the calls that don't go through the client; the client numbers its own from one.
 const RAW_CALLS_FROM: u64 = 1 << 48;
 
-impl StoreDesk {
-    pub(crate) fn new(settings: ClientSettings, random: SeededRandom) -> StoreDesk {
+impl StoreCalls {
+    pub(crate) fn new(settings: ClientSettings, random: SeededRandom) -> StoreCalls {
         let client = StoreClient::new(settings, random);
-        StoreDesk { client, calls: BTreeMap::new(), last: RAW_CALLS_FROM }
+        StoreCalls { client, calls: BTreeMap::new(), last: RAW_CALLS_FROM }
     }
 
     pub(crate) fn is_reachable(&self) -> bool {
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -72,7 +72,7 @@
             let epoch = fleet.member.epoch();
             map.insert("epoch".into(), epoch.into());
             map.insert("may_hold".into(), fleet.member.may_hold(now).into());
-            map.insert("store_reachable".into(), fleet.desk.is_reachable().into());
+            map.insert("store_reachable".into(), fleet.store.is_reachable().into());
             map.insert("contact_age_ms".into(), fleet.sync.contact_age(now).as_ms().into());
             map.insert("zones".into(), self.zones(now));
         }
--- a/crates/sync/src/machine.rs
+++ b/crates/sync/src/machine.rs
@@ -13,7 +13,7 @@
     fetch::{ConfigFetch, FetchNeed, FetchSource},
     head::{ChunkDigest, SyncHead, assemble},
     message::{SyncMessage, SyncStatus},
-    progress::{ProgressBoard, ZoneProgress},
+    progress::{ProgressAnswers, ZoneProgress},
     settings::{SyncCounters, SyncSettings},
     startup::{ReadySource, StartupCheck},
 };
@@ -138,7 +138,7 @@
     pub(crate) ready: Option<ReadySource>,
     reason: &'static str,
     pub(crate) contact: ContactRecord,
-    pub(crate) board: ProgressBoard,
+    pub(crate) progress_answers: ProgressAnswers,
     pub(crate) nonce: u64,
     pub(crate) has_greeted: bool,
     pub(crate) start: ClockTime,
@@ -170,7 +170,7 @@
             ready: None,
             reason: "the store has not answered yet",
             contact: ContactRecord::default(),
-            board: ProgressBoard::default(),
+            progress_answers: ProgressAnswers::default(),
             nonce,
             has_greeted: false,
             start: now,
@@ -238,7 +238,7 @@
     ///
     /// A zone that is missing hasn't answered: nothing is known of it.
     pub fn progress(&self, now: ClockTime) -> BTreeMap<ZoneName, (ClockSpan, ZoneProgress)> {
-        self.board.answers(now)
+        self.progress_answers.answers(now)
     }
 
     /// Returns the counters.
--- a/crates/sync/src/progress.rs
+++ b/crates/sync/src/progress.rs
@@ -23,7 +23,7 @@
 
 /// The answers of the zones to one question of an operator.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ProgressBoard {
+pub(crate) struct ProgressAnswers {
     pub(crate) nonce: u64,
     answers: BTreeMap<ZoneName, (ClockTime, ZoneProgress)>,
 }
@@ -41,7 +41,7 @@
     }
 }
 
-impl ProgressBoard {
+impl ProgressAnswers {
     pub(crate) fn ask(&mut self, nonce: u64) {
         self.nonce = nonce;
         self.answers.clear();
--- a/crates/sync/src/serve.rs
+++ b/crates/sync/src/serve.rs
@@ -38,9 +38,9 @@
             }
             SyncMessage::Progress { nonce, progress } => {
                 if let Some(zone) = self.zone_of(&from).cloned()
-                    && nonce == self.board.nonce
+                    && nonce == self.progress_answers.nonce
                 {
-                    self.board.take(now, &zone, progress);
+                    self.progress_answers.take(now, &zone, progress);
                 }
                 None
             }
@@ -241,10 +241,10 @@
 
     pub(crate) fn ask_progress(&mut self, now: ClockTime, actions: &mut Vec<SyncAction>) {
         let nonce = self.random.next_u64();
-        self.board.ask(nonce);
+        self.progress_answers.ask(nonce);
         let own = self.own_progress(now);
         let zone = self.settings.zone.clone();
-        self.board.take(now, &zone, own);
+        self.progress_answers.take(now, &zone, own);
         for zone in self.zones.keys().filter(|zone| **zone != self.settings.zone) {
             for to in self.watchers_of(zone) {
                 actions
