--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! crate holds the small types in which they are handed over, so that no decision crate needs a clock, a host
 //! name or an entropy source of its own.
 
+pub mod byte_string;
 mod clock;
 mod id;
 mod name;
--- a/crates/prefix/src/message.rs
+++ b/crates/prefix/src/message.rs
@@ -142,6 +142,7 @@
         /// The number of the message among those from this sender to this receiver.
         sequence: u64,
         /// The encoded [`EntryBatch`](crate::EntryBatch).
+        #[serde(with = "godwitroad_base::byte_string")]
         batch: Vec<u8>,
     },
     /// Everything that the sender reads from engines, as far as the receiver holds it.
@@ -149,11 +150,13 @@
         /// The number that the next [`PartMessage::Entries`] carries.
         sequence: u64,
         /// The encoded [`EntryBatch`](crate::EntryBatch).
+        #[serde(with = "godwitroad_base::byte_string")]
         batch: Vec<u8>,
     },
     /// Entries from a router that stops.
     HandOver {
         /// The encoded [`EntryBatch`](crate::EntryBatch).
+        #[serde(with = "godwitroad_base::byte_string")]
         batch: Vec<u8>,
     },
     /// The sender wants a [`PartMessage::Snapshot`].
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -4,8 +4,10 @@
 
 use godwitroad_config::TargetConfig;
 use godwitroad_router::{
-    AttemptReport, CallerReply, ErrorKind, RequestArrival, RouterAction, RouterEvent, RunOutcome,
+    AttemptReport, CallerReply, ErrorKind, PeerMessage, RequestArrival, RouterAction, RouterEvent,
+    RunOutcome,
 };
+use godwitroad_sync::SyncMessage;
 use support::{TestDriver, chat, dispatches, document, errors, registration, started, token};
 use yare::parameterized;
 
@@ -202,3 +204,17 @@
     let mut driver = TestDriver::unconfigured();
     assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::NotReady);
 }
+
+/// Guards against messages that take two bytes for each byte of a chunk.
+#[test]
+fn chunk_travels_as_a_byte_string() {
+    let chunk: std::sync::Arc<[u8]> = (0..=255).cycle().take(10_000).collect();
+    let message = PeerMessage::Sync(SyncMessage::Chunk(chunk));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&message, &mut bytes).unwrap();
+    assert!(bytes.len() < 10_100, "{} bytes", bytes.len());
+    let read: PeerMessage = ciborium::from_reader(bytes.as_slice()).unwrap();
+    assert_eq!(read, message);
+    let text = serde_json::to_string(&message).unwrap();
+    assert_eq!(serde_json::from_str::<PeerMessage>(&text).unwrap(), message);
+}
--- a/crates/sync/src/message.rs
+++ b/crates/sync/src/message.rs
@@ -65,7 +65,7 @@
     /// Asks for chunks.
     ChunkRequest(Vec<ChunkDigest>),
     /// A chunk.
-    Chunk(Arc<[u8]>),
+    Chunk(#[serde(with = "godwitroad_base::byte_string")] Arc<[u8]>),
     /// The sender doesn't hold these chunks.
     ChunksMissing(Vec<ChunkDigest>),
 }
