Count the bytes of answers across the link between regions

Cause: the link's meter had a way to count answers, but the facade counted only requests, so that the larger part of the traffic was outside the budget.

Change: bytes of events and bodies from a target in another region are counted; the status shows the sum.

Figures: a test with a prompt of 400 bytes and a token of 3 bytes sees at least 403 bytes counted and none for a near target; before, the answer was not counted.

Conclusion: the budget covers both directions.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -66,6 +66,9 @@
     fn tokens(&mut self, context: &mut EventContext<'_>, id: RequestId, batch: TokenBatch) {
         let Some(entry) = self.requests.get_mut(id) else { return };
         let attempt = batch.attempt;
+        if let Some(placed) = &entry.placed {
+            self.placement.note_answer(context.now, placed, batch.data.len());
+        }
         match entry.log.accept(batch) {
             TokenOutcome::Accepted(event) => {
                 if let Some(placed) = &mut entry.placed {
@@ -89,6 +92,9 @@
 
     fn data(&mut self, context: &mut EventContext<'_>, id: RequestId, bytes: Arc<[u8]>) {
         let Some(entry) = self.requests.get_mut(id) else { return };
+        if let Some(placed) = &entry.placed {
+            self.placement.note_answer(context.now, placed, bytes.len());
+        }
         entry.keep_answer(&bytes);
         if entry.caller == CallerState::Connected {
             entry.log.wait(bytes.len() as u64);
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -379,6 +379,18 @@
         with_room.collect()
     }
 
+    /// Counts bytes of an answer, which cross the link when the target is in another region.
+    pub(crate) fn note_answer(&mut self, now: ClockTime, attempt: &PlacedAttempt, bytes: usize) {
+        if attempt.explain.chosen.distance == Distance::Remote {
+            self.link.note_answer(now, bytes as u64);
+        }
+    }
+
+    /// Returns the bytes that requests and answers of this router sent across the link between regions.
+    pub(crate) fn link_bytes(&self) -> u64 {
+        self.link.bytes()
+    }
+
     /// Records the first token of an attempt.
     pub(crate) fn first_token(&mut self, now: ClockTime, attempt: &mut PlacedAttempt) {
         if attempt.first_token.is_some() {
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -67,6 +67,7 @@
             "reason": readiness.err(),
             "requests": self.requests.len(),
             "index_entries": self.placement.index_entries(),
+            "link_bytes": self.placement.link_bytes(),
         });
         if let (Some(fleet), Some(map)) = (&self.fleet, status.as_object_mut()) {
             let epoch = fleet.member.epoch();
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -205,6 +205,28 @@
     assert_eq!(errors(&driver.request(chat("secret-1")).1)[0].kind, ErrorKind::NotReady);
 }
 
+/// Guards against answers that cross the paid link uncounted.
+#[test]
+fn bytes_to_and_from_another_region_are_counted() {
+    let mut driver = TestDriver::new();
+    let link_bytes = |driver: &TestDriver| {
+        driver.state.status(driver.now)["link_bytes"].as_u64().expect("the status has the bytes")
+    };
+    let (near, _) = driver.request(chat("secret-1"));
+    driver.report(near, 1, started());
+    driver.report(near, 1, token(0));
+    assert_eq!(link_bytes(&driver), 0);
+    let mut remote = document();
+    remote.services[0].targets.iter_mut().for_each(|target| target.zone = "zone-z".into());
+    driver.configure(2, remote);
+    let (far, _) = driver.request(chat("secret-1"));
+    let sent = link_bytes(&driver);
+    assert!(sent >= 400, "the prompt has 400 bytes: {sent}");
+    driver.report(far, 1, started());
+    driver.report(far, 1, token(0));
+    assert_eq!(link_bytes(&driver), sent + 3);
+}
+
 /// Guards against messages that take two bytes for each byte of a chunk.
 #[test]
 fn chunk_travels_as_a_byte_string() {
