Make the stand-in's test of priorities independent of the scheduler

Cause: the test compared the order in which two answers reached their callers.

Change: the overnight request stalls as soon as it gets the only slot, so that the interactive one can end only if it went first. A time limit ends a run in which it never does.

Conclusion: the check is as strict as before and gives the same verdict each time.

--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -179,13 +179,10 @@
 #[actix_rt::test]
 async fn interactive_goes_first() {
     let engine = EngineServer::start(EngineSettings { slots: 1, ..quick() }).unwrap();
-    engine.push_faults([AnswerFault::Stall { after_tokens: 0 }]);
-    let finished = std::cell::RefCell::new(Vec::new());
-    let (engine, finished) = (&engine, &finished);
-    let ask_as = async |name: &'static str, priority: u32| {
-        let answer = ask(engine, json!({ "prompt": name, "priority": priority })).await;
-        finished.borrow_mut().push((name, answer.done));
-    };
+    // The overnight request would keep the only slot for good, so that the interactive one can't end after it.
+    let stall = || AnswerFault::Stall { after_tokens: 0 };
+    engine.push_faults([stall(), stall()]);
+    let engine = &engine;
     let wait_for = async |taken: u64| {
         while engine.work().taken < taken {
             actix_rt::time::sleep(std::time::Duration::from_millis(1)).await;
@@ -196,18 +193,25 @@
     let stalled = client.post(url).send_json(&json!({ "prompt": "stalled" })).await.unwrap();
     let overnight = async {
         wait_for(1).await;
-        ask_as("overnight", 2).await;
+        ask(engine, json!({ "prompt": "overnight", "priority": 2 })).await;
     };
     let interactive = async {
         wait_for(2).await;
-        ask_as("interactive", 0).await;
+        ask(engine, json!({ "prompt": "interactive", "priority": 0 })).await.done
     };
     let release = async {
         wait_for(3).await;
         drop((stalled, client));
     };
-    futures_util::future::join3(overnight, interactive, release).await;
-    assert_eq!(*finished.borrow(), vec![("interactive", 1), ("overnight", 1)]);
+    let served = futures_util::future::join(interactive, release);
+    let first = futures_util::future::select(Box::pin(overnight), Box::pin(served));
+    // The limit only ends a run in which the interactive request is never served.
+    let first = actix_rt::time::timeout(std::time::Duration::from_secs(60), first).await;
+    match first {
+        Ok(futures_util::future::Either::Right(((done, ()), _))) => assert_eq!(done, 1),
+        Ok(futures_util::future::Either::Left(_)) => panic!("the stalled overnight request ended"),
+        Err(_) => panic!("the interactive request was not served"),
+    }
 }
 
 // Guards against late events and lagging reports that are delivered at once.
