End failed requests through one method of the facade

Two pieces did nothing: an unused parameter and an outcome that was ignored.

Change: RouterState::fail and CallerError::of_attempts take their place; the parameter and the outcome are removed.

Conclusion: behaviour is unchanged.

--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -14,7 +14,6 @@
 use crate::{
     CallerError, ErrorKind, RequestArrival, RouterAction, RouterState,
     claim::ClaimedAnswer,
-    ending::RequestEnd,
     fleet::FleetEvent,
     request::{CallerState, RequestEntry, RequestFacts},
     state::EventContext,
@@ -85,7 +84,7 @@
         retry_after: ClockSpan,
     ) {
         let error = CallerError::not_run(ErrorKind::RateExceeded).retry_after(retry_after);
-        self.end(context, id, RequestEnd::Failed(error));
+        self.fail(context, id, error);
     }
 
     /// Goes on with a request whose tokens are reserved.
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -165,8 +165,7 @@
 
     fn give_up(&mut self, context: &mut EventContext<'_>, id: RequestId, unrun: bool) {
         let kind = ErrorKind::TargetFailed;
-        let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
-        self.end(context, id, RequestEnd::Failed(error));
+        self.fail(context, id, CallerError::of_attempts(kind, unrun));
     }
 }
 
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -122,7 +122,7 @@
         }
         let error = CallerError::unknown(ErrorKind::KeyWithdrawn);
         if entry.facts.repeat() == RepeatRule::Repeatable {
-            return self.end(context, id, RequestEnd::Failed(error));
+            return self.fail(context, id, error);
         }
         // A run-once request goes on, so that its outcome can be recorded.
         if entry.caller == CallerState::Connected {
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -63,7 +63,7 @@
         // Without an account two callers could use the same key; without a store no claim is certain.
         let (Some(account), true) = (account, self.fleet.is_some()) else {
             let error = CallerError::not_run(ErrorKind::ClaimUnavailable);
-            return self.end(context, id, RequestEnd::Failed(error));
+            return self.fail(context, id, error);
         };
         let mut text = entry.facts.path.clone().into_bytes();
         text.push(b'\n');
@@ -82,30 +82,21 @@
             ClaimVerdict::Run => self.run_claimed(context, id),
             ClaimVerdict::Replay { body, .. } => self.replay_recorded(context, id, body),
             ClaimVerdict::Pending => {
-                self.refuse_claimed(context, id, CallerError::unknown(ErrorKind::ClaimPending));
+                self.fail(context, id, CallerError::unknown(ErrorKind::ClaimPending));
             }
             ClaimVerdict::Unknown => {
-                self.refuse_claimed(context, id, CallerError::unknown(ErrorKind::ClaimUnknown));
+                self.fail(context, id, CallerError::unknown(ErrorKind::ClaimUnknown));
             }
             ClaimVerdict::Mismatch => {
-                self.refuse_claimed(context, id, CallerError::not_run(ErrorKind::ClaimMismatch));
+                self.fail(context, id, CallerError::not_run(ErrorKind::ClaimMismatch));
             }
             ClaimVerdict::NotRun { retry_after } => {
                 let error = CallerError::not_run(ErrorKind::ClaimUnavailable);
-                self.refuse_claimed(context, id, error.retry_after(retry_after));
+                self.fail(context, id, error.retry_after(retry_after));
             }
         }
     }
 
-    fn refuse_claimed(
-        &mut self,
-        context: &mut EventContext<'_>,
-        id: RequestId,
-        error: CallerError,
-    ) {
-        self.end(context, id, RequestEnd::Failed(error));
-    }
-
     fn replay_recorded(
         &mut self,
         context: &mut EventContext<'_>,
@@ -116,7 +107,7 @@
         let Some((status, content_type, body)) = recorded else {
             let error = CallerError::not_run(ErrorKind::AnswerLost);
             let error = CallerError { outcome: RunOutcome::Ran, ..error };
-            return self.refuse_claimed(context, id, error);
+            return self.fail(context, id, error);
         };
         if self.requests.get(id).is_some_and(|entry| entry.caller == CallerState::Connected) {
             context.reply(id, CallerReply::Header { status, content_type });
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     CallerError, DispatchOrder, ErrorKind, PeerMessage, ResumePoint, RouterAction, RouterState,
-    ending::RequestEnd, placement::PlaceRequest, state::EventContext,
+    placement::PlaceRequest, state::EventContext,
 };
 
 /// The bytes of a request around its prompt.
@@ -180,8 +180,8 @@
     ) {
         let Some(entry) = self.requests.get(id) else { return };
         let unrun = entry.stage.as_ref().is_some_and(LifeStage::is_unrun);
-        let error = if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) };
+        let error = CallerError::of_attempts(kind, unrun);
         let error = retry_after.map_or(error.clone(), |span| error.retry_after(span));
-        self.end(context, id, RequestEnd::Failed(error));
+        self.fail(context, id, error);
     }
 }
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Ends a request with an error.
+    pub(crate) fn fail(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        error: CallerError,
+    ) {
+        self.end(context, id, RequestEnd::Failed(error));
+    }
+
     fn leave_queue(&mut self, id: RequestId, used: u64) {
         let Some(entry) = self.requests.get(id) else { return };
         self.looking.remove(&id.serial);
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -53,7 +53,6 @@
 pub(crate) enum FleetOutcome {
     Act(RouterAction),
     Install { head: Arc<SyncHead>, document: Arc<[u8]> },
-    Ready,
     Verdict { id: RequestId, verdict: ClaimVerdict },
     Admitted { ticket: u64 },
     Refused { ticket: u64, retry_after: ClockSpan },
@@ -315,7 +314,8 @@
                 SyncAction::Install { head, document } => {
                     outcomes.push(FleetOutcome::Install { head, document });
                 }
-                SyncAction::Ready { .. } => outcomes.push(FleetOutcome::Ready),
+                // The facade asks for the readiness after each event.
+                SyncAction::Ready { .. } => {}
             }
         }
     }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -23,6 +23,11 @@
         CallerError { outcome: RunOutcome::Unknown, ..CallerError::not_run(kind) }
     }
 
+    /// Returns the error of a request that is given up, `unrun` when no attempt of it can have run.
+    pub(crate) fn of_attempts(kind: ErrorKind, unrun: bool) -> CallerError {
+        if unrun { CallerError::not_run(kind) } else { CallerError::unknown(kind) }
+    }
+
     pub(crate) fn retry_after(self, span: ClockSpan) -> CallerError {
         CallerError { retry_after: Some(span), ..self }
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -197,7 +197,7 @@
             RouterEvent::AskProgress => {
                 self.run_fleet(&mut context, FleetEvent::Sync(SyncEvent::AskProgress));
             }
-            RouterEvent::Stop => self.begin_stop(&mut context),
+            RouterEvent::Stop => self.begin_stop(),
             RouterEvent::Tick => self.tick(&mut context),
         }
         self.pump(&mut context);
@@ -239,7 +239,6 @@
                 FleetOutcome::Install { head, document } => {
                     self.install(context, head.generation, &document);
                 }
-                FleetOutcome::Ready => {}
                 FleetOutcome::Verdict { id, verdict } => self.take_verdict(context, id, verdict),
                 FleetOutcome::Report(report) => self.take_report(context, report),
                 FleetOutcome::Admitted { ticket } => {
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -27,7 +27,7 @@
 }
 
 impl RouterState {
-    pub(crate) fn begin_stop(&mut self, _context: &mut EventContext<'_>) {
+    pub(crate) fn begin_stop(&mut self) {
         if self.stop == StopPhase::Running {
             self.stop = StopPhase::Draining;
         }
