--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -16,17 +16,21 @@
 use crate::{peers::PeerNote, rules::AccountRule, tag_of};
 
 /// The settings of the counts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AllowanceSettings {
     /// The window over which the operator counts.
     pub window: ClockSpan,
     /// Whether this router may have admitted requests before its start.
     pub restarted: bool,
+    /// The part by which an account may exceed its limit, as the operator tolerates it.
+    pub overage: f64,
+    /// Units by which an account may exceed its limit besides.
+    pub slack: u64,
 }
 
 impl Default for AllowanceSettings {
     fn default() -> AllowanceSettings {
-        AllowanceSettings { window: ClockSpan::from_secs(8), restarted: true }
+        AllowanceSettings { window: ClockSpan::from_secs(8), restarted: true, overage: 0.0, slack: 0 }
     }
 }
 
@@ -95,8 +99,13 @@
     }
 
     /// Returns the units that an account may use in a window.
+    ///
+    /// Half of what the operator tolerates beyond the limit is used, so that counts that lag refuse nobody who is
+    /// within the limit; the other half covers what the lag lets through.
     pub fn limit(&self, rule: &AccountRule) -> u64 {
-        rule.rate.saturating_mul(self.settings.window.as_ms()) / 1_000 + rule.burst
+        let exact = rule.rate.saturating_mul(self.settings.window.as_ms()) / 1_000 + rule.burst;
+        let slack = if rule.by_tokens { self.settings.slack / 2 } else { 0 };
+        exact + (exact as f64 * self.settings.overage / 2.0) as u64 + slack
     }
 
     /// Admits a request of `units`, or returns when the caller should come back.
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -40,7 +40,8 @@
     pub memory_ms: f64,
     /// The time of one request of a plain service, in ms.
     pub plain_ms: f64,
-    /// The weight of serving on weights that have been replaced, in ms.
+    /// The weight of losing an answer's whole worth to replaced weights, in ms. An answer that is late by its whole
+    /// objective loses about as much.
     pub old_ms: f64,
     /// The advantage of the target that a prompt held nowhere belongs to, in ms; routers that don't know of each
     /// other's request then choose the same target.
@@ -59,7 +60,7 @@
             batch_ms: 0.8,
             memory_ms: 900.0,
             plain_ms: 30.0,
-            old_ms: 150.0,
+            old_ms: 600.0,
             home_ms: 25.0,
             noise: 0.05,
         }
@@ -83,8 +84,8 @@
     pub held: u64,
     /// Sources of what it lacks, with the tokens that they hold.
     pub sources: Vec<PartSource>,
-    /// Whether its weights have been replaced for so long that an answer is worth less.
-    pub is_old: bool,
+    /// The part of an answer's worth that is lost because its weights have been replaced.
+    pub loss: f64,
     /// Whether the request's prompt belongs here while nobody holds it.
     pub is_home: bool,
 }
@@ -190,9 +191,7 @@
     cost += again as f64 * settings.again_ms;
     // Memory that fills up evicts what others will ask for, before anything waits.
     cost += (taken / memory).min(1.0) * settings.home_ms;
-    if option.is_old {
-        cost += settings.old_ms;
-    }
+    cost += option.loss * settings.old_ms;
     if !option.is_home {
         cost += settings.home_ms;
     }
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -174,7 +174,8 @@
     health: HealthTable,
     term: OrderTerm,
     weights: WeightPlan,
-    named_at: BTreeMap<ModelName, ClockTime>,
+    // When each version was named, oldest first.
+    named_at: BTreeMap<ModelName, Vec<(u64, ClockTime)>>,
     // Targets that another router is about to order, by tag, and until when that counts.
     loading: BTreeMap<u32, ClockTime>,
     told_loading: BTreeSet<TargetName>,
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -7,6 +7,9 @@
 
 use super::{ForwardAction, ForwardState};
 
+/// Namings that are remembered of a model. A target that is further behind has weights that are long outdated.
+const MAX_NAMINGS: usize = 32;
+
 impl ForwardState {
     pub(super) fn take_named(
         &mut self,
@@ -18,7 +21,11 @@
         if self.weights.name_version(model.clone(), version) {
             let detail = format!("model={model} version={version}");
             actions.push(ForwardAction::Notice("weights_named", detail));
-            self.named_at.insert(model, now);
+            let namings = self.named_at.entry(model).or_default();
+            if namings.len() >= MAX_NAMINGS {
+                namings.remove(0);
+            }
+            namings.push((version, now));
         }
     }
 
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -36,11 +36,15 @@
 /// after two seconds.
 const STREAM_SILENCE: ClockSpan = ClockSpan::from_ms(1_200);
 
-/// The time before the end of `version_span` at which replaced weights serve no new request.
-const VERSION_MARGIN: ClockSpan = ClockSpan::from_ms(800);
+/// The time before the end of `version_span` at which replaced weights serve no new request: a request may wait at
+/// the target before it begins.
+const VERSION_MARGIN: ClockSpan = ClockSpan::from_ms(1_500);
 
-/// The age of a naming from which answers on the weights before are worth less, less the time of a load.
-const OLD_WEIGHTS_AGE: ClockSpan = ClockSpan::from_ms(1_000);
+/// The age of a naming from which answers on the weights before are worth less, from the users' rules.
+const OLD_WEIGHTS_AGE: ClockSpan = ClockSpan::from_ms(1_500);
+
+/// What such answers lose at once; they lose the rest until `version_span` has passed.
+const OLD_WEIGHTS_LOSS: f64 = 0.2;
 
 /// Shared tokens from which a copy in the store of cache entries is worth its transfer.
 const KEEP_TOKENS: u64 = 512;
@@ -179,6 +183,15 @@
         self.age_of_weights(now, request, record).is_some_and(|age| age >= limit)
     }
 
+    // The part of an answer's worth that is lost because the target's weights have been replaced.
+    fn loss(&self, now: ClockTime, request: &ForwardRequest, record: &TargetRecord) -> f64 {
+        let age = self.age_of_weights(now, request, record);
+        let Some(age) = age.filter(|age| *age >= OLD_WEIGHTS_AGE) else { return 0.0 };
+        let span = self.settings.version_span.saturating_sub(OLD_WEIGHTS_AGE).as_ms().max(1);
+        let passed = (age.as_ms() - OLD_WEIGHTS_AGE.as_ms()) as f64 / span as f64;
+        OLD_WEIGHTS_LOSS + (1.0 - OLD_WEIGHTS_LOSS) * passed.min(1.0)
+    }
+
     // The time since the weights that a target serves were replaced.
     fn age_of_weights(
         &self,
@@ -188,8 +201,10 @@
     ) -> Option<ClockSpan> {
         let model = request.arrival.model.as_ref()?;
         let serves = record.versions.get(model)?;
-        let is_behind = self.weights.named(model).is_some_and(|named| named > *serves);
-        is_behind.then(|| now.since(self.named_at.get(model).copied().unwrap_or(now)))
+        // The oldest naming that replaced them counts, not the newest.
+        let namings = self.named_at.get(model)?;
+        let (_, named_at) = namings.iter().find(|(version, _)| version > serves)?;
+        Some(now.since(*named_at))
     }
 
     fn place_plain(
@@ -224,9 +239,7 @@
         for (index, record) in records.iter().enumerate() {
             let mut option = self.option(now, record);
             option.held = self.held_by(&FeedSource::Target(record.name.clone()), &prompts[index]);
-            option.is_old = self
-                .age_of_weights(now, request, record)
-                .is_some_and(|age| age >= OLD_WEIGHTS_AGE);
+            option.loss = self.loss(now, request, record);
             option.sources = self.sources(now, request, rules, record, &prompts[index]);
             option.is_home = homes == Some(index);
             let best = option.sources.iter().map(|source| source.held).max().unwrap_or(0);
@@ -262,7 +275,7 @@
             work: self.loads.work(now, &record.name),
             held: 0,
             sources: Vec::new(),
-            is_old: false,
+            loss: 0.0,
             is_home: true,
         }
     }
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -13,12 +13,19 @@
 use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName, ZoneName};
 
 /// The settings of a rollout.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WeightSettings {
-    /// Targets that load at once without slowing each other down.
+    /// Targets that load at once without slowing each other down, in a small fleet.
     pub loads_at_once: usize,
+    /// The part of all targets that may load at once in a large fleet.
+    pub load_share: f64,
+    /// Targets that finish their requests while others load.
+    pub drains_at_once: usize,
     /// The time between the notice to the routers and the order, so that requests under way arrive before it.
     pub notice: ClockSpan,
+    /// The longest time for a target to finish its requests before the order is sent all the same; the target then
+    /// finishes them itself, but takes no others meanwhile.
+    pub drain: ClockSpan,
     /// The time between two questions to a target that loads.
     pub poll: ClockSpan,
     /// The time after which a target's place is given to another.
@@ -29,7 +36,10 @@
     fn default() -> WeightSettings {
         WeightSettings {
             loads_at_once: 2,
+            load_share: 0.2,
+            drains_at_once: 1,
             notice: ClockSpan::from_ms(60),
+            drain: ClockSpan::from_ms(900),
             poll: ClockSpan::from_ms(500),
             patience: ClockSpan::from_secs(8),
         }
@@ -164,15 +174,27 @@
     /// Returns what to do next, given all targets that serve models.
     pub fn next(&mut self, now: ClockTime, targets: &[WeightTarget]) -> Vec<WeightAction> {
         self.settle(now, targets);
-        self.start(now, targets);
+        let loads = self.loads_at_once(targets.len());
+        self.start(now, targets, loads + self.settings.drains_at_once);
+        let settings = self.settings;
+        let is_active = |change: &ChangeState| change.step != ChangeStep::Noticed;
+        let mut free = loads.saturating_sub(self.changes.values().filter(|c| is_active(c)).count());
         let mut actions = Vec::new();
         for (name, change) in &mut self.changes {
-            let wait = match change.step {
-                ChangeStep::Noticed => self.settings.notice,
-                ChangeStep::Asked | ChangeStep::Ordered => ANSWER_TIME,
-                ChangeStep::Loading | ChangeStep::Resting => self.settings.poll,
+            let waited = now.since(change.since);
+            let is_due = match change.step {
+                ChangeStep::Noticed => {
+                    let target = targets.iter().find(|target| target.name == *name);
+                    let is_idle = target.is_none_or(|target| target.work == 0);
+                    let is_due = waited >= settings.notice && (is_idle || waited >= settings.drain);
+                    let takes_place = is_due && free > 0;
+                    free -= usize::from(takes_place);
+                    takes_place
+                }
+                ChangeStep::Asked | ChangeStep::Ordered => waited >= ANSWER_TIME,
+                ChangeStep::Loading | ChangeStep::Resting => waited >= settings.poll,
             };
-            if now.since(change.since) >= wait {
+            if is_due {
                 change.step = ChangeStep::Asked;
                 change.since = now;
                 actions.push(WeightAction::Ask { target: name.clone() });
@@ -181,6 +203,11 @@
         actions
     }
 
+    fn loads_at_once(&self, targets: usize) -> usize {
+        let share = (targets as f64 * self.settings.load_share) as usize;
+        share.max(self.settings.loads_at_once)
+    }
+
     // Ends changes that are done or whose target is gone, and takes the place of those that take too long.
     fn settle(&mut self, now: ClockTime, targets: &[WeightTarget]) {
         let patience = self.settings.patience;
@@ -199,8 +226,8 @@
         self.postponed.retain(|_, until| now < *until);
     }
 
-    fn start(&mut self, now: ClockTime, targets: &[WeightTarget]) {
-        while self.changes.len() < self.settings.loads_at_once {
+    fn start(&mut self, now: ClockTime, targets: &[WeightTarget], most: usize) {
+        while self.changes.len() < most {
             let zones: Vec<&ZoneName> = targets
                 .iter()
                 .filter(|target| self.changes.contains_key(&target.name))
