Mark the owner of orders as active or idle, share the ages of namings, close idle connections at a stop

Change: requests are refused from 2.8 s after the stop on; an owner without recent orders is followed without a pause; routers tell each other how long ago weights were named.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -41,6 +41,8 @@
     pub usage: Vec<(u32, u64, u32)>,
     /// Tags of targets that are about to load weights, from the router that gives the orders.
     pub loading: Vec<u32>,
+    /// The latest namings of weights: the model's tag, the version, the age in milliseconds.
+    pub named: Vec<(u32, u64, u32)>,
     /// Other routers that the sender knows, in notes to routers it hasn't heard.
     pub known: Vec<PeerPlace>,
 }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -37,6 +37,8 @@
 /// Why a request is refused or given up.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum RefusalReason {
+    /// This router is about to end.
+    Stopping,
     /// No configuration is known yet.
     NoConfiguration,
     /// No route matches.
@@ -79,7 +81,8 @@
             RefusalReason::AllowanceUsed => 429,
             RefusalReason::TargetFailed => 502,
             RefusalReason::TargetTimeout => 504,
-            RefusalReason::NoConfiguration
+            RefusalReason::Stopping
+            | RefusalReason::NoConfiguration
             | RefusalReason::ContactLost
             | RefusalReason::NoTarget
             | RefusalReason::Overloaded
@@ -91,6 +94,7 @@
     /// Returns the name that error bodies, logs and counters use.
     pub fn name(self) -> &'static str {
         match self {
+            RefusalReason::Stopping => "stopping",
             RefusalReason::NoConfiguration => "no_configuration",
             RefusalReason::RouteUnknown => "route_unknown",
             RefusalReason::KeyInvalid => "key_invalid",
--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -18,6 +18,13 @@
 /// When a caller should come back after a router lost the store: its next connection may reach another router.
 pub(super) const CONTACT_WAIT: ClockSpan = ClockSpan::from_ms(200);
 
+/// How long a stopping router still takes requests. The balancer sends it no new connections after two refused
+/// questions; a request taken later might not end within the grace time.
+const TAKE_TIME: ClockSpan = ClockSpan::from_ms(2_800);
+
+/// When a caller of a stopping router should come back: at once, to another one.
+const STOPPING_WAIT: ClockSpan = ClockSpan::from_ms(20);
+
 /// The part of the fleet's retries that this router uses. Requests are spread unevenly over the routers, and a
 /// router that just left may have used its own part.
 const RETRY_PART: f64 = 0.6;
@@ -33,6 +40,9 @@
         now: ClockTime,
         arrival: ForwardArrival,
     ) -> std::result::Result<ForwardRequest, ForwardRefusal> {
+        if self.stopping.is_some_and(|since| now.since(since) >= TAKE_TIME) {
+            return Err(ForwardRefusal::after(RefusalReason::Stopping, STOPPING_WAIT));
+        }
         let rules = self.rules.clone();
         let rules = rules.ok_or_else(|| {
             ForwardRefusal::after(RefusalReason::NoConfiguration, NO_CONFIGURATION_WAIT)
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -46,10 +46,11 @@
             incarnation: self.settings.incarnation,
             version: rules.map_or(0, |rules| rules.version),
             proof_age_ms: self.contact.age(now).and_then(|age| u32::try_from(age.as_ms()).ok()),
-            stopping: self.stopping,
+            stopping: self.stopping.is_some(),
             loads: loads.take(MAX_LINES).collect(),
             usage,
             loading,
+            named: self.naming_ages(now),
             known: if introduce { known.take(MAX_LINES).collect() } else { Vec::new() },
         }
     }
@@ -74,12 +75,16 @@
             }
         }
         let (version, proof, loading) = (note.version, note.proof_age_ms, note.loading.clone());
+        let named = note.named.clone();
         if !self.peers.hear(now, note) {
             return;
         }
         for tag in loading {
             self.loading.insert(tag, now + LOADING_SPAN);
         }
+        for (tag, version, age) in named {
+            self.hear_naming(now, tag, version, ClockSpan::from_ms(age.into()));
+        }
         let own = self.rules.as_ref().map_or(0, |rules| rules.version);
         if version > own {
             self.contact.doubt();
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -30,6 +30,7 @@
     RefusalReason, RosterChange, TargetRecord, TargetRoster,
 };
 
+use orders::WeightNaming;
 use place::HealthTable;
 
 /// The bounds of retries over the whole fleet.
@@ -108,6 +109,8 @@
     },
     /// The store tells who owns the orders.
     TermOwner(Option<VmName>),
+    /// The store tells whether the owner of the orders is active.
+    TermMark(bool),
     /// The store answered a call for the ownership of orders.
     Term(TermAnswer),
     /// A target told its state, or `None` if it didn't answer.
@@ -174,14 +177,15 @@
     health: HealthTable,
     term: OrderTerm,
     weights: WeightPlan,
-    // When each version was named, oldest first.
-    named_at: BTreeMap<ModelName, Vec<(u64, ClockTime)>>,
+    // The named versions, oldest first.
+    named_at: BTreeMap<ModelName, Vec<WeightNaming>>,
+    was_listed: bool,
     // Targets that another router is about to order, by tag, and until when that counts.
     loading: BTreeMap<u32, ClockTime>,
     told_loading: BTreeSet<TargetName>,
     random: SeededRandom,
     sequence: u64,
-    stopping: bool,
+    stopping: Option<ClockTime>,
     was_ready: bool,
 }
 
@@ -241,11 +245,12 @@
             term: OrderTerm::new(settings.term.clone()),
             weights: WeightPlan::new(settings.weights),
             named_at: BTreeMap::new(),
+            was_listed: false,
             loading: BTreeMap::new(),
             told_loading: BTreeSet::new(),
             random: SeededRandom::new(settings.seed),
             sequence: 0,
-            stopping: false,
+            stopping: None,
             was_ready: false,
             settings,
         }
@@ -268,6 +273,11 @@
         self.roster.get(name)
     }
 
+    /// Returns the lease under which this router owns the orders, to end it at a stop.
+    pub fn order_lease(&self, now: ClockTime) -> Option<u64> {
+        self.term.lease(now)
+    }
+
     /// Returns the number of listed targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
@@ -289,7 +299,7 @@
     ///
     /// Returns the reason for which the router is not ready.
     pub fn readiness(&self, now: ClockTime) -> std::result::Result<(), &'static str> {
-        if self.stopping {
+        if self.stopping.is_some() {
             Err("the router is stopping")
         } else if self.rules.is_none() {
             Err("no configuration is known")
@@ -325,8 +335,11 @@
             ForwardEvent::Note(note) => self.take_note(now, note),
             ForwardEvent::Parts { source, batch } => self.take_parts(source, batch),
             ForwardEvent::TermOwner(owner) => self.term.observe(now, owner),
+            ForwardEvent::TermMark(active) => self.term.observe_mark(active),
             ForwardEvent::Term(answer) => {
-                actions.push(ForwardAction::Notice("order_term", format!("{answer:?}")));
+                if !matches!(answer, TermAnswer::Renewed { .. }) {
+                    actions.push(ForwardAction::Notice("order_term", format!("{answer:?}")));
+                }
                 self.term.answer(now, answer);
             }
             ForwardEvent::WeightReport { target, report } => {
@@ -337,7 +350,9 @@
                 actions.push(ForwardAction::Notice("order_answered", detail));
                 self.weights.answer(now, &target, answer);
             }
-            ForwardEvent::Stop => self.stopping = true,
+            ForwardEvent::Stop => {
+                self.stopping.get_or_insert(now);
+            }
             ForwardEvent::Tick => self.tick(now, actions),
         }
         self.drive_orders(now, actions);
@@ -371,6 +386,7 @@
 
     fn store_answered(&mut self, now: ClockTime, read_from: ClockTime) {
         self.contact.prove(read_from);
+        self.was_listed = true;
         if let Some(since) = self.store_failing.take()
             && now.since(since) >= LAPSE_OUTAGE
         {
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -180,33 +180,18 @@
     // Whether a target's weights were replaced so long ago that they must no longer serve.
     fn is_outdated(&self, now: ClockTime, request: &ForwardRequest, record: &TargetRecord) -> bool {
         let limit = self.settings.version_span.saturating_sub(VERSION_MARGIN);
-        self.age_of_weights(now, request, record).is_some_and(|age| age >= limit)
+        self.age_of_weights(now, request.arrival.model.as_ref(), record).is_some_and(|age| age >= limit)
     }
 
     // The part of an answer's worth that is lost because the target's weights have been replaced.
     fn loss(&self, now: ClockTime, request: &ForwardRequest, record: &TargetRecord) -> f64 {
-        let age = self.age_of_weights(now, request, record);
+        let age = self.age_of_weights(now, request.arrival.model.as_ref(), record);
         let Some(age) = age.filter(|age| *age >= OLD_WEIGHTS_AGE) else { return 0.0 };
         let span = self.settings.version_span.saturating_sub(OLD_WEIGHTS_AGE).as_ms().max(1);
         let passed = (age.as_ms() - OLD_WEIGHTS_AGE.as_ms()) as f64 / span as f64;
         OLD_WEIGHTS_LOSS + (1.0 - OLD_WEIGHTS_LOSS) * passed.min(1.0)
     }
 
-    // The time since the weights that a target serves were replaced.
-    fn age_of_weights(
-        &self,
-        now: ClockTime,
-        request: &ForwardRequest,
-        record: &TargetRecord,
-    ) -> Option<ClockSpan> {
-        let model = request.arrival.model.as_ref()?;
-        let serves = record.versions.get(model)?;
-        // The oldest naming that replaced them counts, not the newest.
-        let namings = self.named_at.get(model)?;
-        let (_, named_at) = namings.iter().find(|(version, _)| version > serves)?;
-        Some(now.since(*named_at))
-    }
-
     fn place_plain(
         &mut self,
         now: ClockTime,
--- a/crates/orders/src/term.rs
+++ b/crates/orders/src/term.rs
@@ -4,6 +4,10 @@
 //! the entry is the fencing number: it grows with each owner. Where targets don't check fencing numbers, time takes
 //! the place of the check: the owner stops ordering before its lease can have run out, and the next owner waits for
 //! the quiet time that targets need between two owners, counted from the end of the lease before.
+//!
+//! Most owners end while they order nothing. Before its first order an owner therefore marks itself as active in an
+//! entry that lasts, under the condition that it still owns the first one, and as idle once the quiet time has passed
+//! after its last order. An owner after an idle one need not wait.
 
 use godwitroad_base::{ClockSpan, ClockTime, VmName};
 
@@ -34,6 +38,13 @@
         /// The lease.
         lease: u64,
     },
+    /// Write whether the owner is active, if the entry still has this revision.
+    Mark {
+        /// The revision of the owner's entry.
+        fence: u64,
+        /// Whether the owner gives orders.
+        active: bool,
+    },
 }
 
 /// What the store answered.
@@ -53,6 +64,11 @@
         /// The start of the call.
         from: ClockTime,
     },
+    /// The mark was written.
+    Marked {
+        /// Whether the owner gives orders.
+        active: bool,
+    },
     /// Another router owns the entry, or the lease has ended.
     Refused,
     /// No answer came; the call may have taken effect.
@@ -66,6 +82,7 @@
     valid_until: ClockTime,
     orders_from: ClockTime,
     renewed: ClockTime,
+    last_order: ClockTime,
 }
 
 /// The state of the ownership as this router sees it.
@@ -73,9 +90,9 @@
 pub struct OrderTerm {
     settings: TermSettings,
     owner: Option<VmName>,
-    // When the entry was last seen to exist, so that its lease may have run until then.
-    owned_until: Option<ClockTime>,
     held: Option<HeldTerm>,
+    // The mark as the store tells it; without one nobody has ever ordered.
+    active: bool,
     pending: Option<ClockTime>,
     next_try: ClockTime,
 }
@@ -90,8 +107,8 @@
     fn default() -> TermSettings {
         TermSettings {
             vm: "vm-1".into(),
-            lease: ClockSpan::from_ms(2_500),
-            renewal: ClockSpan::from_ms(800),
+            lease: ClockSpan::from_ms(1_800),
+            renewal: ClockSpan::from_ms(500),
             margin: ClockSpan::from_ms(300),
             quiet: ClockSpan::from_ms(3_300),
             call_time: ClockSpan::from_ms(1_000),
@@ -105,8 +122,8 @@
         OrderTerm {
             settings,
             owner: None,
-            owned_until: None,
             held: None,
+            active: false,
             pending: None,
             next_try: ClockTime::ZERO,
         }
@@ -119,9 +136,6 @@
 
     /// Takes the owner as the store tells it; `None` when the entry doesn't exist.
     pub fn observe(&mut self, now: ClockTime, owner: Option<VmName>) {
-        if owner.is_some() || self.owner.is_some() {
-            self.owned_until = Some(now);
-        }
         if owner.is_none() && self.owner.is_some() {
             self.next_try = self.next_try.max(now);
         }
@@ -133,10 +147,28 @@
         self.owner = owner;
     }
 
+    /// Takes the mark as the store tells it.
+    pub fn observe_mark(&mut self, active: bool) {
+        self.active = active;
+    }
+
     /// Returns the fencing number while orders may be sent.
     pub fn fence(&self, now: ClockTime) -> Option<u64> {
         let held = self.held?;
-        (now >= held.orders_from && now < held.valid_until).then_some(held.fence)
+        let may_order = self.active && now >= held.orders_from && now < held.valid_until;
+        may_order.then_some(held.fence)
+    }
+
+    /// Returns the lease while this router owns the entry, to end it at a stop.
+    pub fn lease(&self, now: ClockTime) -> Option<u64> {
+        self.held.filter(|held| now < held.valid_until).map(|held| held.lease)
+    }
+
+    /// Notes that an order was sent.
+    pub fn note_order(&mut self, now: ClockTime) {
+        if let Some(held) = &mut self.held {
+            held.last_order = now;
+        }
     }
 
     /// Returns whether this router owns the entry.
@@ -144,8 +176,9 @@
         self.held.is_some_and(|held| now < held.valid_until)
     }
 
-    /// Returns what to ask of the store; `rank` is this router's place among the candidates.
-    pub fn next(&mut self, now: ClockTime, rank: usize) -> Option<TermAction> {
+    /// Returns what to ask of the store; `rank` is this router's place among the candidates, and `has_work` tells
+    /// whether there is anything to order.
+    pub fn next(&mut self, now: ClockTime, rank: usize, has_work: bool) -> Option<TermAction> {
         if self.held.is_some_and(|held| now >= held.valid_until) {
             self.held = None;
             self.next_try = now + RETRY_PAUSE;
@@ -155,11 +188,9 @@
         }
         self.pending = None;
         if let Some(held) = self.held {
-            if now.since(held.renewed) < self.settings.renewal {
-                return None;
-            }
+            let action = self.next_as_owner(now, &held, has_work)?;
             self.pending = Some(now);
-            return Some(TermAction::Renew { lease: held.lease });
+            return Some(action);
         }
         let wait = ClockSpan::from_ms(RANK_PAUSE.as_ms() * rank as u64);
         if self.owner.is_some() || now < self.next_try + wait {
@@ -169,17 +200,43 @@
         Some(TermAction::Acquire)
     }
 
+    fn next_as_owner(
+        &self,
+        now: ClockTime,
+        held: &HeldTerm,
+        has_work: bool,
+    ) -> Option<TermAction> {
+        if now.since(held.renewed) >= self.settings.renewal {
+            return Some(TermAction::Renew { lease: held.lease });
+        }
+        let fence = held.fence;
+        if has_work && !self.active {
+            return Some(TermAction::Mark { fence, active: true });
+        }
+        let is_quiet = now >= held.orders_from.max(held.last_order + self.settings.quiet);
+        if !has_work && self.active && is_quiet {
+            return Some(TermAction::Mark { fence, active: false });
+        }
+        None
+    }
+
     /// Takes the store's answer.
     pub fn answer(&mut self, now: ClockTime, answer: TermAnswer) {
         self.pending = None;
         let usable = self.settings.lease.saturating_sub(self.settings.margin);
         match answer {
             TermAnswer::Acquired { lease, fence, granted } => {
-                let quiet = self.owned_until.map_or(ClockTime::ZERO, |at| at + self.settings.quiet);
-                // A router that knows nothing of an owner before may have started a moment ago.
-                let orders_from = quiet.max(now + self.settings.quiet);
+                // Orders of an owner before may be under way only if it was active.
+                let orders_from = if self.active { now + self.settings.quiet } else { now };
                 let valid_until = granted + usable;
-                self.held = Some(HeldTerm { lease, fence, valid_until, orders_from, renewed: now });
+                self.held = Some(HeldTerm {
+                    lease,
+                    fence,
+                    valid_until,
+                    orders_from,
+                    renewed: now,
+                    last_order: ClockTime::ZERO,
+                });
                 self.owner = Some(self.settings.vm.clone());
             }
             TermAnswer::Renewed { from } => {
@@ -188,6 +245,7 @@
                     held.renewed = from;
                 }
             }
+            TermAnswer::Marked { active } => self.active = active,
             TermAnswer::Refused => {
                 self.held = None;
                 self.next_try = now + RETRY_PAUSE;
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -171,6 +171,11 @@
         self.changes.clear();
     }
 
+    /// Returns whether any target should change.
+    pub fn has_work(&self, targets: &[WeightTarget]) -> bool {
+        !self.changes.is_empty() || targets.iter().any(|target| self.behind(target).is_some())
+    }
+
     /// Returns what to do next, given all targets that serve models.
     pub fn next(&mut self, now: ClockTime, targets: &[WeightTarget]) -> Vec<WeightAction> {
         self.settle(now, targets);
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -294,7 +294,7 @@
             response.append_header((name.as_str(), value.as_bytes()));
         }
     }
-    if core.stopping.get() {
+    if core.is_stopping() {
         response.force_close();
     }
     finish(&mut response)
@@ -369,5 +369,5 @@
         refusal.retry_after.map(|wait| wait.as_ms()),
     );
     core.log.request("request_refused", id, &detail);
-    failure(id, refusal, core.stopping.get())
+    failure(id, refusal, core.is_stopping())
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -17,7 +17,7 @@
     ForwardState, NextStep, SendPlan,
 };
 use tokio::{
-    sync::Notify,
+    sync::{Notify, watch},
     time::{Instant, sleep_until},
 };
 
@@ -39,7 +39,7 @@
     pub(crate) metrics: NodeMetrics,
     pub(crate) tell_peers: Notify,
     pub(crate) open_requests: Cell<usize>,
-    pub(crate) stopping: Cell<bool>,
+    pub(crate) stopping: watch::Sender<bool>,
     clock: NodeClock,
     state: RefCell<ForwardState>,
 }
@@ -60,7 +60,7 @@
             metrics: NodeMetrics::default(),
             tell_peers: Notify::new(),
             open_requests: Cell::new(0),
-            stopping: Cell::new(false),
+            stopping: watch::Sender::new(false),
             clock,
             state: RefCell::new(state),
         })
@@ -150,6 +150,11 @@
         Instant::now() + Duration::from_millis(span.as_ms())
     }
 
+    /// Returns whether the process is to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
     /// Waits for a span.
     pub(crate) async fn sleep(&self, span: ClockSpan) {
         sleep_until(self.after(span)).await;
--- a/crates/proxy/src/owner.rs
+++ b/crates/proxy/src/owner.rs
@@ -14,6 +14,7 @@
     let answer = match action {
         TermAction::Acquire => acquire(&core).await,
         TermAction::Renew { lease } => renew(&core, lease).await,
+        TermAction::Mark { fence, active } => mark(&core, fence, active).await,
     };
     core.handle(ForwardEvent::Term(answer));
 }
@@ -46,3 +47,19 @@
         Ok(_) | Err(_) => TermAnswer::Lost,
     }
 }
+
+async fn mark<P: PlatformPort>(core: &SharedCore<P>, fence: u64, active: bool) -> TermAnswer {
+    match store::call(core, &StoreCall::Mark { fence, active }).await {
+        Ok(StoreAnswer::Written { .. }) => TermAnswer::Marked { active },
+        Ok(StoreAnswer::Conflict) => TermAnswer::Refused,
+        Ok(_) | Err(_) => TermAnswer::Lost,
+    }
+}
+
+/// Ends the ownership at a stop, so that another router need not wait for the end of the lease.
+pub(crate) async fn end<P: PlatformPort>(core: &SharedCore<P>) {
+    let Some(lease) = core.read(|state| state.order_lease(core.now())) else { return };
+    if let Err(error) = store::call(core, &StoreCall::End { lease }).await {
+        core.log.warn("order_lease_not_ended", &format!("lease={lease} error={error}"));
+    }
+}
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -84,6 +84,18 @@
         /// The lease under which the entry lives.
         lease: u64,
     },
+    /// Write whether the owner of orders is active, if its entry still has this revision.
+    Mark {
+        /// The revision of the owner's entry.
+        fence: u64,
+        /// Whether the owner gives orders.
+        active: bool,
+    },
+    /// End a lease.
+    End {
+        /// The lease.
+        lease: u64,
+    },
     /// Write the entry of a router.
     Register {
         /// The router.
@@ -120,6 +132,8 @@
     PeerGone(VmName),
     /// The owner of orders, or `None` if its entry ended.
     Owner(Option<VmName>),
+    /// Whether the owner of orders is active.
+    Mark(bool),
     /// An entry that can't be read. It changes nothing.
     Unreadable {
         /// The key.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     core::{ProxyCore, SharedCore},
-    feeds, notes,
+    feeds, notes, owner,
     port::PlatformPort,
     serve,
     settings::ProxySettings,
@@ -92,7 +92,7 @@
 async fn stop<P: PlatformPort>(core: &SharedCore<P>) {
     let started = core.now();
     core.log.event("stopping", &format!("open_requests={}", core.open_requests.get()));
-    core.stopping.set(true);
+    core.stopping.send_replace(true);
     core.handle(ForwardEvent::Stop);
     core.tell_peers.notify_one();
     let grace = core.settings.borrow().grace.saturating_sub(END_MARGIN);
@@ -105,6 +105,7 @@
         }
         core.sleep(STOP_CHECK).await;
     }
+    owner::end(core).await;
     let detail = format!(
         "after_ms={} open_requests={}",
         core.now().since(started).as_ms(),
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -55,7 +55,7 @@
     let app = App::new().default_service(web::to(move |request: HttpRequest, body: web::Payload| {
         answer::answer(handler_core.clone(), request, body)
     }));
-    connection_service(app, limits).await
+    connection_service(core, app, limits).await
 }
 
 /// Answers the balancer's question whether this router is ready, for as long as the process runs.
@@ -73,7 +73,8 @@
             }
         }),
     );
-    serve(core, listener, connection_service(app, &CallerLimits::default()).await).await;
+    let service = connection_service(&core, app, &CallerLimits::default()).await;
+    serve(core, listener, service).await;
 }
 
 /// Serves the metrics for as long as the process runs.
@@ -86,7 +87,8 @@
             async move { HttpResponse::Ok().content_type("text/plain; charset=utf-8").body(text) }
         }),
     );
-    serve(core, listener, connection_service(app, &CallerLimits::default()).await).await;
+    let service = connection_service(&core, app, &CallerLimits::default()).await;
+    serve(core, listener, service).await;
 }
 
 async fn serve<P: PlatformPort>(
@@ -119,8 +121,13 @@
     }
 }
 
-async fn connection_service<T, B>(app: App<T>, limits: &CallerLimits) -> ConnectionService
+async fn connection_service<P, T, B>(
+    core: &SharedCore<P>,
+    app: App<T>,
+    limits: &CallerLimits,
+) -> ConnectionService
 where
+    P: PlatformPort,
     T: ServiceFactory<
             actix_web::dev::ServiceRequest,
             Config = (),
@@ -131,12 +138,21 @@
     B: actix_web::body::MessageBody + 'static,
 {
     let span = |span: godwitroad_base::ClockSpan| Duration::from_millis(span.as_ms());
+    let stopping = core.stopping.subscribe();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(span(limits.idle_time)))
         .client_request_timeout(span(limits.head_time))
         .client_disconnect_timeout(DISCONNECT_TIME)
         // A caller that closes its side has left; its request must not go on.
         .h1_allow_half_closed(false)
+        // Idle connections end at a stop, so that their next request goes to another router.
+        .graceful_shutdown_signal(move || {
+            let mut stopping = stopping.clone();
+            async move {
+                // The sender lives as long as the process.
+                let _ = stopping.wait_for(|stopping| *stopping).await;
+            }
+        })
         .h1(map_config(app, |()| AppConfig::default()));
     let service = factory.new_service(()).await;
     let service = Rc::new(service.expect("the application has no state that could fail to start"));
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -211,6 +211,7 @@
                 listed.owner = owner.is_some();
                 ForwardEvent::TermOwner(owner)
             }
+            StoreItem::Mark(active) => ForwardEvent::TermMark(active),
             StoreItem::Unreadable { key, error } => {
                 core.log.warn("store_entry_unreadable", &format!("key={key} error={error}"));
                 continue;
@@ -258,7 +259,7 @@
 pub(crate) async fn keep_entry<P: PlatformPort>(core: SharedCore<P>) {
     let mut lease = None;
     loop {
-        if core.stopping.get() {
+        if core.is_stopping() {
             return;
         }
         let (place, length) = {
