--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -1,8 +1,8 @@
 //! The rollout of named weights, by the router that owns the orders.
 
-use std::collections::BTreeSet;
+use std::{cmp::Reverse, collections::BTreeSet};
 
-use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName, VmName};
+use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName};
 use godwitroad_orders::{TermAction, WeightAction, WeightReport, WeightTarget};
 
 use super::{ForwardAction, ForwardState};
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns whether this router is in the middle of a rollout, which it should finish before it ends.
+    pub fn is_ordering(&self, now: ClockTime) -> bool {
+        self.term.fence(now).is_some() && self.weights.has_work(&self.weight_targets(now))
+    }
+
     fn next_term(&mut self, now: ClockTime, has_work: bool) -> Option<TermAction> {
         // Without models there is nothing to order; without contact the store would not answer.
         let rules = self.rules.as_ref()?;
@@ -156,9 +161,11 @@
         if self.store_failing.is_some() && !self.term.is_held(now) {
             return None;
         }
-        let own: &VmName = &self.settings.place.vm;
+        // The youngest goes first: where routers are restarted in turn, it is the last to be restarted again.
+        let own = (Reverse(self.settings.incarnation), &self.settings.place.vm);
         let heard = self.peers.heard(now).filter(|(note, _)| !note.stopping);
-        let rank = heard.filter(|(note, _)| note.place.vm < *own).count();
+        let rank = heard.filter(|(note, _)| (Reverse(note.incarnation), &note.place.vm) < own);
+        let rank = rank.count();
         self.term.next(now, rank, has_work)
     }
 
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -99,7 +99,8 @@
     store::sign_off(core).await;
     loop {
         let passed = core.now().since(started);
-        let is_done = passed >= LEAVE_TIME && core.open_requests.get() == 0;
+        let is_ordering = core.read(|state| state.is_ordering(core.now()));
+        let is_done = passed >= LEAVE_TIME && core.open_requests.get() == 0 && !is_ordering;
         if is_done || passed >= grace {
             break;
         }
