--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -71,12 +71,15 @@
             if tag_of(model.as_str()) != tag {
                 continue;
             }
-            let same = namings.iter_mut().filter(|naming| naming.version == version);
-            for naming in same {
-                if naming.is_assumed || age > naming.age(now) {
-                    let (seen, before) = (now, age);
-                    *naming = WeightNaming { version, seen, before, is_assumed: false };
+            let told = WeightNaming { version, seen: now, before: age, is_assumed: false };
+            match namings.binary_search_by_key(&version, |naming| naming.version) {
+                Ok(at) if namings[at].is_assumed || age > namings[at].age(now) => namings[at] = told,
+                Ok(_) => {}
+                // A version that was replaced before this router started still tells the age of older weights.
+                Err(at) if at < namings.len() && namings.len() < MAX_NAMINGS => {
+                    namings.insert(at, told);
                 }
+                Err(_) => {}
             }
         }
     }
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -182,15 +182,20 @@
         let loads = self.loads_at_once(targets.len());
         self.start(now, targets, loads + self.settings.drains_at_once);
         let settings = self.settings;
-        let is_active = |change: &ChangeState| change.step != ChangeStep::Noticed;
-        let mut free = loads.saturating_sub(self.changes.values().filter(|c| is_active(c)).count());
+        let work = |name: &TargetName| {
+            targets.iter().find(|target| target.name == *name).map_or(0, |target| target.work)
+        };
+        // A target that has its order but still runs requests doesn't load yet.
+        let is_loading = |(name, change): &(&TargetName, &ChangeState)| {
+            change.step != ChangeStep::Noticed && work(name) == 0
+        };
+        let mut free = loads.saturating_sub(self.changes.iter().filter(is_loading).count());
         let mut actions = Vec::new();
         for (name, change) in &mut self.changes {
             let waited = now.since(change.since);
             let is_due = match change.step {
                 ChangeStep::Noticed => {
-                    let target = targets.iter().find(|target| target.name == *name);
-                    let is_idle = target.is_none_or(|target| target.work == 0);
+                    let is_idle = work(name) == 0;
                     let is_due = waited >= settings.notice && (is_idle || waited >= settings.drain);
                     let takes_place = is_due && free > 0;
                     free -= usize::from(takes_place);
