Prefer holders of a prompt to copies, save only within the region of the store of cache entries

Saves from the other region took ten times as long and filled the store's link, so its copies were missing, and copies between engines evicted each other.

--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -30,6 +30,9 @@
     /// The weight of reading a token that another target holds, in ms a token. At the users' prices a token read
     /// again costs about eight times the time that it takes.
     pub again_ms: f64,
+    /// The weight of copying a token to another target, in ms a token: the copy takes memory in which other shared
+    /// parts would stay.
+    pub copy_ms: f64,
     /// What a way to another zone or region costs beside its delay, in ms by distance; bytes between them are paid.
     pub distance_ms: [f64; 3],
     /// How much longer a transfer takes by distance, from the platform's description of transfers.
@@ -46,6 +49,8 @@
     /// The advantage of the target that a prompt held nowhere belongs to, in ms; routers that don't know of each
     /// other's request then choose the same target.
     pub home_ms: f64,
+    /// The weight of an engine's whole memory taken by requests, in ms.
+    pub fill_ms: f64,
     /// The part of the estimate that is left to chance, so that routers with the same view spread.
     pub noise: f64,
 }
@@ -55,13 +60,15 @@
         ChoiceSettings {
             read_per_ms: 80.0,
             again_ms: 0.1,
+            copy_ms: 0.008,
             distance_ms: [0.0, 12.0, 45.0],
             transfer_factor: [1.0, 2.0, 10.0],
             batch_ms: 0.8,
             memory_ms: 900.0,
             plain_ms: 30.0,
             old_ms: 600.0,
-            home_ms: 25.0,
+            home_ms: 50.0,
+            fill_ms: 25.0,
             noise: 0.05,
         }
     }
@@ -91,7 +98,7 @@
 }
 
 /// A holder of parts of a prompt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PartSource {
     /// The address to fetch from.
     pub address: SocketAddr,
@@ -99,6 +106,8 @@
     pub held: u64,
     /// How far it is from the target.
     pub distance: PlaceDistance,
+    /// The rate of its transfers, in megabits per second.
+    pub link_mbps: f64,
 }
 
 /// What a request needs of an engine.
@@ -189,8 +198,9 @@
     wait += queued as f64 * settings.memory_ms / f64::from(need.engine.slots.max(1));
     let mut cost = 1.0 + wait + settings.distance_ms[option.distance as usize];
     cost += again as f64 * settings.again_ms;
+    cost += covered.saturating_sub(option.held) as f64 * settings.copy_ms;
     // Memory that fills up evicts what others will ask for, before anything waits.
-    cost += (taken / memory).min(1.0) * settings.home_ms;
+    cost += (taken / memory).min(1.0) * settings.fill_ms;
     cost += option.loss * settings.old_ms;
     if !option.is_home {
         cost += settings.home_ms;
@@ -207,7 +217,8 @@
     let tokens = source.held.min(need.input).saturating_sub(option.held);
     let bits = tokens as f64 * need.engine.token_bytes as f64 * 8.0;
     let factor = settings.transfer_factor[source.distance as usize];
-    1.0 + bits / (need.engine.link_mbps.max(1.0) * 1_000.0) * factor
+    let rate = source.link_mbps.min(need.engine.link_mbps).max(1.0);
+    1.0 + bits / (rate * 1_000.0) * factor
 }
 
 // The source that leaves the least to do: what it doesn't hold is read, and read again if another holds it.
--- a/crates/forward/src/parts.rs
+++ b/crates/forward/src/parts.rs
@@ -71,6 +71,9 @@
 /// The time for which a part counts that was sent to an engine but not confirmed.
 const EXPECT_SPAN: ClockSpan = ClockSpan::from_ms(3_000);
 
+/// The time in which an engine reads a long prompt.
+const READ_SPAN: ClockSpan = ClockSpan::from_ms(250);
+
 /// The most parts that are remembered of one holder; engines of today hold a few hundred.
 const MAX_PARTS: usize = 8_192;
 
@@ -133,6 +136,17 @@
         sum
     }
 
+    /// Returns the tokens at the start of a prompt that the holder can already hand on: those that it confirmed, and
+    /// those that it must have read by now.
+    pub fn ready(&self, now: ClockTime, chain: &[(PartKey, u64)]) -> u64 {
+        let is_ready = |key: &PartKey| {
+            let until = self.parts.get(key).and_then(|part| part.expected_until);
+            until.is_none_or(|until| now + EXPECT_SPAN >= until + READ_SPAN)
+        };
+        let ready = chain.iter().take_while(|(key, _)| is_ready(key)).count();
+        self.held(&chain[..ready])
+    }
+
     /// Returns the number of remembered parts.
     pub fn len(&self) -> usize {
         self.parts.len()
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -181,6 +181,10 @@
     pub wait_ms: u64,
     /// Prompt tokens that the target is believed to hold, for the log.
     pub held: u64,
+    /// Prompt tokens that any holder is believed to have, for the log.
+    pub held_anywhere: u64,
+    /// Prompt tokens that the target will read, for the log.
+    pub read: u64,
 }
 
 /// How an attempt ended.
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -1,6 +1,6 @@
 //! Where to, and what follows from an attempt.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use godwitroad_base::{
     ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, TargetName, ZoneName, rendezvous,
@@ -242,9 +242,11 @@
         plan.version = request.arrival.model.as_ref().and_then(|m| record.versions.get(m)).copied();
         plan.salt = plan.version.map(|_| prompt.salt.clone());
         plan.held = options[choice.index].held;
+        plan.held_anywhere = held_anywhere;
+        plan.read = choice.read;
         if plan.salt.is_some() {
             plan.fetch = choice.source.map(|source| source.address);
-            plan.keep = self.keep(now, rules, prompt);
+            plan.keep = self.keep(now, rules, record, prompt);
             let parts = self.parts.entry(FeedSource::Target(record.name.clone())).or_default();
             parts.expect(now, &prompt.chain);
         }
@@ -265,14 +267,17 @@
         }
     }
 
-    // The target that a prompt nobody holds belongs to: the owner of its shared parts in this zone, if there is one.
+    // The target that a prompt nobody holds belongs to: the owner of its shared parts in this region, if there is one.
     fn homes(&self, request: &ForwardRequest, records: &[TargetRecord]) -> Option<usize> {
         let parts = &request.arrival.prompt;
         let shared = parts.get(parts.len().checked_sub(2)?)?;
         let key = xxh3_64(shared.id.as_bytes());
-        let near = |zone: &ZoneName| self.distance(&self.settings.place.zone, zone);
-        let nearest = records.iter().map(|record| near(&record.zone)).min()?;
-        let options = records.iter().enumerate().filter(|(_, record)| near(&record.zone) == nearest);
+        // Engines of the whole region share the parts: a way between its zones is short.
+        let is_near =
+            |zone| self.distance(&self.settings.place.zone, zone) != PlaceDistance::Far;
+        let any_near = records.iter().any(|record| is_near(&record.zone));
+        let options =
+            records.iter().enumerate().filter(|(_, record)| !any_near || is_near(&record.zone));
         options
             .max_by_key(|(_, record)| rendezvous::score(key, record.name.as_str()))
             .map(|(index, _)| index)
@@ -296,17 +301,19 @@
                 && record.name != target.name
                 && !self.health.is_silent(now, record)
         });
-        let held = |source: FeedSource, address, zone: &ZoneName| PartSource {
+        let ready = |source: FeedSource, address, zone: &ZoneName, link_mbps| PartSource {
             address,
-            held: self.held_by(&source, prompt),
+            held: self.parts.get(&source).map_or(0, |parts| parts.ready(now, &prompt.chain)),
             distance: self.distance(&target.zone, zone),
+            link_mbps,
         };
         let engines = peers.map(|record| {
-            held(FeedSource::Target(record.name.clone()), record.address, &record.zone)
+            let source = FeedSource::Target(record.name.clone());
+            ready(source, record.address, &record.zone, f64::INFINITY)
+        });
+        let kept = rules.kept_cache().map(|kept| {
+            ready(FeedSource::Kept(kept.address), kept.address, &kept.zone, kept.link_mbps)
         });
-        let kept = rules
-            .kept_cache()
-            .map(|kept| held(FeedSource::Kept(kept.address), kept.address, &kept.zone));
         engines.chain(kept).filter(|source| source.held > 0).collect()
     }
 
@@ -315,9 +322,14 @@
         &mut self,
         now: ClockTime,
         rules: &ForwardRules,
+        target: &TargetRecord,
         prompt: &SaltedPrompt,
-    ) -> Option<std::net::SocketAddr> {
+    ) -> Option<SocketAddr> {
         let kept = rules.kept_cache()?;
+        // A transfer between regions takes ten times as long and would hold up all others.
+        if self.distance(&target.zone, &kept.zone) == PlaceDistance::Far {
+            return None;
+        }
         let shared = &prompt.chain[..prompt.chain.len().checked_sub(1)?];
         let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
         // A store that doesn't tell of its entries doesn't answer transfers either.
@@ -351,6 +363,8 @@
             work,
             wait_ms: wait_ms as u64,
             held: 0,
+            held_anywhere: 0,
+            read: 0,
         }
     }
 
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -127,14 +127,17 @@
         let step = self.with(|state| state.finish(now, request, plan, outcome));
         self.metrics.count(outcome_name(outcome), 1);
         let detail = format!(
-            "target={} address={} outcome={outcome:?} next={step:?} attempt={} offers={} wait_estimate_ms={} held={} \
-             fetch={:?} keep={:?} version={:?} time_left_ms={} elapsed_ms={}",
+            "target={} address={} outcome={outcome:?} next={step:?} attempt={} offers={} wait_estimate_ms={} prompt={:?} \
+             held={} held_anywhere={} read={} fetch={:?} keep={:?} version={:?} time_left_ms={} elapsed_ms={}",
             plan.target,
             plan.address,
             request.attempts,
             request.tried.len(),
             plan.wait_ms,
+            request.arrival.tokens,
             plan.held,
+            plan.held_anywhere,
+            plan.read,
             plan.fetch,
             plan.keep,
             plan.version,
