--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -60,16 +60,16 @@
         ChoiceSettings {
             read_per_ms: 80.0,
             again_ms: 0.1,
-            copy_ms: 0.008,
-            distance_ms: [0.0, 12.0, 45.0],
+            copy_ms: 0.02,
+            distance_ms: [0.0, 6.0, 30.0],
             transfer_factor: [1.0, 2.0, 10.0],
-            batch_ms: 0.8,
-            memory_ms: 900.0,
+            batch_ms: 1.6,
+            memory_ms: 2000.0,
             plain_ms: 30.0,
             old_ms: 600.0,
             home_ms: 50.0,
             fill_ms: 25.0,
-            noise: 0.05,
+            noise: 0.02,
         }
     }
 }
