--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -6,10 +6,15 @@
 //! on the other side of a cut, so each of them keeps an equal part of the limit to itself: both sides reserve the
 //! other's part, and the sum stays within the limit.
 //!
-//! A router that starts again has forgotten what it admitted. It assumes that it had used its whole part just before,
-//! which wears off within a window. Ordinary use is far below the limit, so that nothing is refused for this.
+//! A router that starts again has forgotten what it admitted. It assumes that it had used its whole part evenly over the
+//! window before, which wears off within a window. Ordinary use is far below the limit, so that nothing is refused for
+//! this. An account that comes near its limit may have used all of it just before; it is marked as busy in the store,
+//! under a lease of one window, and a router that finds the mark at its start assumes so for a whole window.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use godwitroad_base::{AccountName, ClockSpan, ClockTime};
 
@@ -49,6 +54,9 @@
 /// Admitted requests of late, from which the present rate is taken.
 const RATE_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
+/// The part of its limit from which an account is busy. Ordinary use stays below it.
+const BUSY_PART: f64 = 0.75;
+
 /// The longest wait that a refused caller is told.
 const MAX_WAIT: ClockSpan = ClockSpan::from_ms(2_000);
 
@@ -65,6 +73,7 @@
     settings: AllowanceSettings,
     started: ClockTime,
     counts: BTreeMap<AccountName, UsageCount>,
+    busy_at_start: BTreeSet<AccountName>,
 }
 
 impl UsageCount {
@@ -95,7 +104,7 @@
 impl AllowanceTable {
     /// Returns empty counts.
     pub fn new(now: ClockTime, settings: AllowanceSettings) -> AllowanceTable {
-        AllowanceTable { settings, started: now, counts: BTreeMap::new() }
+        AllowanceTable { settings, started: now, counts: BTreeMap::new(), busy_at_start: BTreeSet::new() }
     }
 
     /// Returns the units that an account may use in a window.
@@ -137,6 +146,36 @@
         Ok(())
     }
 
+    /// Notes an account that was marked as busy when this router started.
+    pub fn busy_at_start(&mut self, account: AccountName) {
+        self.busy_at_start.insert(account);
+    }
+
+    /// Returns the accounts that are so near their limits that they should be marked as busy.
+    pub fn busy<'a>(
+        &mut self,
+        now: ClockTime,
+        rules: &[Arc<AccountRule>],
+        peers: impl Iterator<Item = (&'a PeerNote, ClockSpan)> + Clone,
+        members: usize,
+    ) -> Vec<AccountName> {
+        let mut busy = Vec::new();
+        for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
+            let own = self.counts.get_mut(&rule.name).map_or(0, |count| {
+                count.expire(now, self.settings.window);
+                count.total
+            });
+            let used = own + self.used_by_peers(rule, peers.clone());
+            // Notes hold assumed use after a start, which is no reason for a mark.
+            let assumed = self.assumed(now, &rule.name, self.limit(rule)) * (members as u64 - 1)
+                / members as u64;
+            if used.saturating_sub(assumed) as f64 >= self.limit(rule) as f64 * BUSY_PART {
+                busy.push(rule.name.clone());
+            }
+        }
+        busy
+    }
+
     /// Gives back the units of a request that didn't run.
     pub fn give_back(&mut self, account: &AccountName, units: u64) {
         let Some(count) = self.counts.get_mut(account) else { return };
@@ -149,16 +188,22 @@
 
     fn used(&mut self, now: ClockTime, rule: &AccountRule, members: u64) -> u64 {
         let window = self.settings.window;
-        let assumed = self.assumed(now, self.limit(rule) / members);
+        let assumed = self.assumed(now, &rule.name, self.limit(rule) / members);
         let Some(count) = self.counts.get_mut(&rule.name) else { return assumed };
         count.expire(now, window);
         count.total + assumed
     }
 
-    fn assumed(&self, now: ClockTime, part: u64) -> u64 {
+    fn assumed(&self, now: ClockTime, account: &AccountName, part: u64) -> u64 {
         let window = self.settings.window.as_ms();
         let left = window.saturating_sub(now.since(self.started).as_ms());
-        if self.settings.restarted { part * left / window.max(1) } else { 0 }
+        if !self.settings.restarted || left == 0 {
+            0
+        } else if self.busy_at_start.contains(account) {
+            part
+        } else {
+            part * left / window
+        }
     }
 
     fn used_by_peers<'a>(
@@ -176,7 +221,7 @@
     pub fn report(
         &mut self,
         now: ClockTime,
-        rules: &[std::sync::Arc<AccountRule>],
+        rules: &[Arc<AccountRule>],
         members: usize,
     ) -> Vec<(u32, u64, u32)> {
         let mut lines = Vec::new();
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns the peers that were heard a short time ago, with the age of their notes.
-    pub fn heard(&self, now: ClockTime) -> impl Iterator<Item = (&PeerNote, ClockSpan)> {
+    pub fn heard(&self, now: ClockTime) -> impl Iterator<Item = (&PeerNote, ClockSpan)> + Clone {
         self.peers.values().filter(move |peer| peer.is_heard(now)).filter_map(move |peer| {
             Some((peer.note.as_ref()?, now.since(peer.heard?)))
         })
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use godwitroad_base::{
-    ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, TargetName, VmName,
+    AccountName, ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, TargetName, VmName,
     ZoneName,
 };
 use godwitroad_orders::{
@@ -109,6 +109,13 @@
     },
     /// The store tells who owns the orders.
     TermOwner(Option<VmName>),
+    /// The store tells that an account is marked as busy, or that the mark has ended.
+    BusyMark {
+        /// The account.
+        account: AccountName,
+        /// Whether it is marked.
+        marked: bool,
+    },
     /// The store tells whether the owner of the orders is active.
     TermMark(bool),
     /// The store answered a call for the ownership of orders.
@@ -154,6 +161,8 @@
         /// The fencing number.
         fence: u64,
     },
+    /// Mark an account as busy in the store while it stays so.
+    MarkBusy(AccountName),
     /// Tell the peers at once.
     TellPeers,
     /// A line for the log: a stable name and the details.
@@ -185,6 +194,10 @@
     told_loading: BTreeSet<TargetName>,
     random: SeededRandom,
     sequence: u64,
+    // Accounts near their limits, and since when.
+    busy_since: BTreeMap<AccountName, ClockTime>,
+    // Accounts that are marked as busy in the store, or are about to be.
+    marked: BTreeSet<AccountName>,
     stopping: Option<ClockTime>,
     was_ready: bool,
 }
@@ -250,6 +263,8 @@
             told_loading: BTreeSet::new(),
             random: SeededRandom::new(settings.seed),
             sequence: 0,
+            busy_since: BTreeMap::new(),
+            marked: BTreeSet::new(),
             stopping: None,
             was_ready: false,
             settings,
@@ -278,6 +293,11 @@
         self.term.lease(now)
     }
 
+    /// Forgets a mark that could not be written, so that it is tried again.
+    pub fn unmark(&mut self, account: &AccountName) {
+        self.marked.remove(account);
+    }
+
     /// Returns the number of listed targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
@@ -335,6 +355,7 @@
             ForwardEvent::Note(note) => self.take_note(now, note),
             ForwardEvent::Parts { source, batch } => self.take_parts(source, batch),
             ForwardEvent::TermOwner(owner) => self.term.observe(now, owner),
+            ForwardEvent::BusyMark { account, marked } => self.take_busy(account, marked),
             ForwardEvent::TermMark(active) => self.term.observe_mark(active),
             ForwardEvent::Term(answer) => {
                 if !matches!(answer, TermAnswer::Renewed { .. }) {
@@ -482,6 +503,7 @@
         }
         self.loading.retain(|_, until| now < *until);
         self.loads.set_peers(self.peers.heard(now).map(|(note, _)| note));
+        self.mark_busy(now, actions);
     }
 
     fn note_readiness(&mut self, now: ClockTime, actions: &mut Vec<ForwardAction>) {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -26,6 +26,7 @@
     orders, owner,
     port::PlatformPort,
     settings::ProxySettings,
+    store,
     telemetry::{NodeLog, NodeMetrics},
 };
 
@@ -93,6 +94,9 @@
                 ForwardAction::Weight { action, fence } => {
                     spawn(orders::carry_out(self.clone(), action, fence));
                 }
+                ForwardAction::MarkBusy(account) => {
+                    spawn(store::keep_mark(self.clone(), account));
+                }
                 ForwardAction::TellPeers => self.tell_peers.notify_one(),
                 ForwardAction::Notice(event, detail) => {
                     self.metrics.count(event, 1);
