Tests of attempts, targets and placement; a third of the targets at most changes at once

The test of targets that load found that three targets of a service were all taken out of service at once.

--- /dev/null
+++ b/crates/forward/tests/placement.rs
@@ -0,0 +1,165 @@
+//! Guards against prompts that are read twice, and against cache entries of another account or of older weights.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use godwitroad_forward::{
+    FeedSource, ForwardArrival, ForwardEvent, PartBatch, PartEvent, PartKey, PlaceDistance,
+    SendPlan,
+};
+use support::{TestRouter, arrival, at, prompt, router, rules, target};
+
+fn place(router: &mut TestRouter, now: u64, arrival: ForwardArrival) -> SendPlan {
+    let mut request = router.state.admit(at(now), arrival).unwrap();
+    router.state.place(at(now), &mut request).unwrap()
+}
+
+fn holds(router: &mut TestRouter, now: u64, source: FeedSource, salt: &str, parts: &[(&str, u64)]) {
+    let events = parts
+        .iter()
+        .map(|(id, tokens)| PartEvent { key: PartKey::new(salt, id), tokens: *tokens });
+    let batch = PartBatch { epoch: 1, next: 9, gap: false, events: events.collect() };
+    router.handle(now, ForwardEvent::Parts { source, batch: Some(batch) });
+}
+
+const SHARED: [(&str, u64); 2] = [("root", 2_500), ("s", 3_800)];
+const SALT: &str = "m.1.";
+
+fn engine(name: &str) -> FeedSource {
+    FeedSource::Target(name.into())
+}
+
+#[test]
+fn a_request_goes_to_the_holder_of_its_prompt() {
+    let mut router = router(0);
+    holds(&mut router, 10, engine("model-b"), SALT, &SHARED);
+    let plan = place(&mut router, 20, prompt("s", "o"));
+    assert_eq!((plan.target.as_str(), plan.held, plan.fetch), ("model-b", 6_300, None));
+}
+
+#[test]
+fn a_busy_holder_hands_its_parts_on() {
+    let mut router = router(0);
+    holds(&mut router, 10, engine("model-b"), SALT, &SHARED);
+    let plans: Vec<SendPlan> = (0..30)
+        .map(|round| place(&mut router, 20, prompt("s", &format!("o{round}"))))
+        .collect();
+    let moved = plans.iter().filter(|plan| plan.target.as_str() != "model-b");
+    let holder = "10.2.0.21:8080".parse().ok();
+    assert!(moved.clone().count() > 5);
+    assert!(moved.clone().all(|plan| plan.fetch == holder || plan.held > 0));
+}
+
+#[test]
+fn requests_of_one_prompt_that_nobody_holds_meet_at_one_target() {
+    let chosen: Vec<_> = (1..6)
+        .map(|seed| {
+            let mut settings = support::settings("vm-1", seed);
+            settings.seed = seed.into();
+            let mut router = TestRouter::new(0, settings);
+            router.handle(0, ForwardEvent::Rules(Arc::new(rules(1))));
+            for (last, zone) in ["a", "a", "b", "c"].into_iter().enumerate() {
+                let name = format!("model-{last}");
+                let record = target(&name, "models", zone, 20 + last as u8);
+                router.handle(0, ForwardEvent::Target(record));
+            }
+            router.handle(0, ForwardEvent::StoreAnswered { read_from: at(0) });
+            place(&mut router, 10, prompt("fresh", "o")).target
+        })
+        .collect();
+    assert!(chosen.windows(2).all(|pair| pair[0] == pair[1]), "{chosen:?}");
+}
+
+#[test]
+fn isolated_accounts_and_versions_share_nothing() {
+    let mut router = router(0);
+    let mut isolated = rules(2);
+    let mut account = support::account("two", 0);
+    account.isolated = true;
+    isolated.accounts[1] = Arc::new(account);
+    router.handle(5, ForwardEvent::Rules(Arc::new(isolated)));
+    let mut own = prompt("s", "o");
+    own.key = arrival("/stream/x", Some("key-two")).key;
+    let isolated = place(&mut router, 10, own).salt;
+    let shared = place(&mut router, 10, prompt("s", "o")).salt;
+    assert_ne!(isolated, shared);
+    for (name, zone, last) in [("model-a", "a", 20), ("model-b", "b", 21), ("model-c", "c", 22)] {
+        let mut record = target(name, "models", zone, last);
+        record.versions = BTreeMap::from([("m".into(), 2)]);
+        router.handle(20, ForwardEvent::Target(record));
+    }
+    let newer = place(&mut router, 30, prompt("s", "o"));
+    assert_eq!(newer.version, Some(2));
+    assert_ne!(newer.salt, shared);
+}
+
+#[test]
+fn entries_of_a_target_that_started_again_are_forgotten() {
+    let mut router = router(0);
+    holds(&mut router, 10, engine("model-b"), SALT, &SHARED);
+    let mut record = target("model-b", "models", "b", 21);
+    record.born = 2;
+    router.handle(20, ForwardEvent::Target(record));
+    assert_eq!(place(&mut router, 30, prompt("s", "o")).held, 0);
+}
+
+#[test]
+fn a_gap_in_the_events_ends_the_belief_in_what_came_before() {
+    let mut router = router(0);
+    holds(&mut router, 10, engine("model-b"), SALT, &SHARED);
+    let gap = PartBatch { epoch: 1, next: 20, gap: true, events: Vec::new() };
+    let source = engine("model-b");
+    router.handle(20, ForwardEvent::Parts { source, batch: Some(gap) });
+    assert_eq!(place(&mut router, 30, prompt("s", "o")).held, 0);
+}
+
+#[test]
+fn copies_are_kept_only_where_transfers_are_short() {
+    let mut router = router(0);
+    let kept: FeedSource = FeedSource::Kept("172.20.0.2:8080".parse().unwrap());
+    holds(&mut router, 10, kept, SALT, &[]);
+    for round in 0..20 {
+        let plan = place(&mut router, 20, prompt(&format!("s{round}"), "o"));
+        // The store of cache entries is in the zone of `model-c`, in the other region.
+        assert_eq!(plan.keep.is_some(), plan.target.as_str() == "model-c", "{plan:?}");
+    }
+}
+
+#[test]
+fn a_store_of_entries_that_does_not_answer_is_left_alone() {
+    let mut router = router(0);
+    let kept: FeedSource = FeedSource::Kept("172.20.0.2:8080".parse().unwrap());
+    holds(&mut router, 10, kept.clone(), SALT, &SHARED);
+    router.handle(20, ForwardEvent::Parts { source: kept, batch: None });
+    let plan = place(&mut router, 30, prompt("s", "o"));
+    assert_eq!((plan.fetch, plan.keep), (None, None));
+}
+
+#[test]
+fn distances_order_as_expected() {
+    assert!(PlaceDistance::Zone < PlaceDistance::Region);
+    assert!(PlaceDistance::Region < PlaceDistance::Far);
+}
+
+#[test]
+fn a_fleet_under_heavy_load_refuses_early_instead_of_answering_all_late() {
+    let mut router = router(0);
+    let (mut taken, mut refused) = (0, 0);
+    for round in 0..400 {
+        let arrival = prompt(&format!("s{round}"), &format!("o{round}"));
+        let mut request = router.state.admit(at(50), arrival).unwrap();
+        match router.state.place(at(50), &mut request) {
+            Ok(plan) => {
+                // The objective is 500 ms; nothing is started that would take far longer.
+                assert!(plan.wait_ms <= 800, "{plan:?}");
+                taken += 1;
+            }
+            Err(refusal) => {
+                assert!(refusal.reason.is_not_run() && refusal.retry_after.is_some());
+                refused += 1;
+            }
+        }
+    }
+    assert!(taken > 20 && refused > 100, "{taken} taken, {refused} refused");
+}
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -12,13 +12,13 @@
     RouteRule, ServiceRule, TargetRecord,
 };
 
-pub const HOST: &str = "models.example";
+pub(crate) const HOST: &str = "models.example";
 
-pub fn at(ms: u64) -> ClockTime {
+pub(crate) fn at(ms: u64) -> ClockTime {
     ClockTime::from_ms(ms)
 }
 
-pub fn route(prefix: &str, service: &str) -> RouteRule {
+pub(crate) fn route(prefix: &str, service: &str) -> RouteRule {
     RouteRule {
         name: prefix.into(),
         host: HOST.into(),
@@ -35,7 +35,7 @@
     }
 }
 
-pub fn account(name: &str, rate: u64) -> AccountRule {
+pub(crate) fn account(name: &str, rate: u64) -> AccountRule {
     AccountRule {
         name: name.into(),
         priority: None,
@@ -47,7 +47,7 @@
     }
 }
 
-pub fn engine() -> EngineRule {
+pub(crate) fn engine() -> EngineRule {
     EngineRule {
         slots: 64,
         memory_tokens: 120_000,
@@ -59,7 +59,7 @@
 }
 
 /// A configuration with routes to a plain service and to a model service, and the accounts `one` and `two`.
-pub fn rules(version: u64) -> ForwardRules {
+pub(crate) fn rules(version: u64) -> ForwardRules {
     let plain = ServiceRule { max_connections: 100, engine: None, kept: None };
     let models = ServiceRule { max_connections: 300, engine: Some(engine()), kept: None };
     let kept = KeptCache {
@@ -92,11 +92,11 @@
     }
 }
 
-pub fn place(vm: &str, zone: &str, last: u8) -> PeerPlace {
+pub(crate) fn place(vm: &str, zone: &str, last: u8) -> PeerPlace {
     PeerPlace { vm: vm.into(), zone: zone.into(), address: Ipv4Addr::new(10, 1, 0, last).into() }
 }
 
-pub fn settings(vm: &str, last: u8) -> ForwardSettings {
+pub(crate) fn settings(vm: &str, last: u8) -> ForwardSettings {
     let regions = [("a", "north"), ("b", "north"), ("c", "south")];
     let mut settings = ForwardSettings {
         place: place(vm, "a", last),
@@ -110,7 +110,7 @@
     settings
 }
 
-pub fn target(name: &str, service: &str, zone: &str, last: u8) -> TargetRecord {
+pub(crate) fn target(name: &str, service: &str, zone: &str, last: u8) -> TargetRecord {
     let versions = if service == "models" {
         BTreeMap::from([("m".into(), 1)])
     } else {
@@ -129,28 +129,28 @@
 }
 
 /// A router with the configuration and some targets.
-pub struct TestRouter {
-    pub state: ForwardState,
-    pub actions: Vec<ForwardAction>,
+pub(crate) struct TestRouter {
+    pub(crate) state: ForwardState,
+    pub(crate) actions: Vec<ForwardAction>,
 }
 
 impl TestRouter {
-    pub fn new(now: u64, settings: ForwardSettings) -> TestRouter {
+    pub(crate) fn new(now: u64, settings: ForwardSettings) -> TestRouter {
         let state = ForwardState::new(at(now), settings);
         TestRouter { state, actions: Vec::new() }
     }
 
-    pub fn handle(&mut self, now: u64, event: ForwardEvent) {
+    pub(crate) fn handle(&mut self, now: u64, event: ForwardEvent) {
         self.state.handle(at(now), event, &mut self.actions);
     }
 
-    pub fn note(&mut self, now: u64) -> PeerNote {
+    pub(crate) fn note(&mut self, now: u64) -> PeerNote {
         self.state.note(at(now), false)
     }
 }
 
 /// A router that is in touch with the store and knows plain and model targets.
-pub fn router(now: u64) -> TestRouter {
+pub(crate) fn router(now: u64) -> TestRouter {
     let mut router = TestRouter::new(now, settings("vm-1", 1));
     router.handle(now, ForwardEvent::Rules(Arc::new(rules(1))));
     for (index, zone) in ["a", "b", "c"].into_iter().enumerate() {
@@ -164,7 +164,7 @@
     router
 }
 
-pub fn arrival(path: &str, key: Option<&str>) -> ForwardArrival {
+pub(crate) fn arrival(path: &str, key: Option<&str>) -> ForwardArrival {
     ForwardArrival {
         id: format!("request-{path}").into(),
         host: HOST.into(),
@@ -174,7 +174,7 @@
     }
 }
 
-pub fn prompt(session: &str, own: &str) -> ForwardArrival {
+pub(crate) fn prompt(session: &str, own: &str) -> ForwardArrival {
     let part = |id: &str, tokens| PromptPart { id: id.into(), tokens };
     ForwardArrival {
         model: Some("m".into()),
--- /dev/null
+++ b/crates/forward/tests/targets.rs
@@ -0,0 +1,165 @@
+//! Guards against work for targets that leave, that are gone, that load, or whose weights are outdated.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use godwitroad_base::TargetName;
+use godwitroad_forward::{AttemptOutcome, ForwardEvent, RefusalReason, TargetRecord};
+use support::{TestRouter, arrival, at, prompt, router, target};
+
+// The targets that a number of requests at one time would go to.
+fn chosen(router: &mut TestRouter, now: u64, model: bool) -> BTreeSet<TargetName> {
+    let mut names = BTreeSet::new();
+    router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
+    for round in 0..60 {
+        let arrival = if model {
+            prompt(&format!("s{round}"), &format!("o{round}"))
+        } else {
+            arrival("/any/x", Some("key-one"))
+        };
+        let mut request = router.state.admit(at(now), arrival).unwrap();
+        if let Ok(plan) = router.state.place(at(now), &mut request) {
+            names.insert(plan.target.clone());
+        }
+    }
+    names
+}
+
+fn names(list: &[&str]) -> BTreeSet<TargetName> {
+    list.iter().map(|name| TargetName::from(*name)).collect()
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new() {
+    let mut router = router(0);
+    let leaving = TargetRecord { draining: true, ..target("plain-a", "plain", "a", 10) };
+    router.handle(10, ForwardEvent::Target(leaving));
+    assert_eq!(chosen(&mut router, 20, false), names(&["plain-b", "plain-c"]));
+}
+
+#[test]
+fn a_request_that_waits_for_a_retry_avoids_a_target_that_left_meanwhile() {
+    let mut router = router(0);
+    let mut request = router.state.admit(at(10), arrival("/any/x", Some("key-one"))).unwrap();
+    let first = router.state.place(at(10), &mut request).unwrap();
+    router.state.finish(at(20), &mut request, &first, AttemptOutcome::Failed);
+    for name in ["plain-a", "plain-b", "plain-c"] {
+        router.handle(30, ForwardEvent::TargetGone(name.into()));
+    }
+    let refusal = router.state.place(at(40), &mut request).unwrap_err();
+    // The first attempt may have run, so that "not run" would be false.
+    assert_eq!(refusal.reason, RefusalReason::TargetFailed);
+}
+
+#[test]
+fn an_entry_that_ends_while_the_store_answers_means_gone() {
+    let mut router = router(0);
+    router.handle(10, ForwardEvent::TargetGone("plain-a".into()));
+    assert_eq!(chosen(&mut router, 20, false), names(&["plain-b", "plain-c"]));
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_have_time_to_come_back() {
+    let mut router = router(0);
+    router.handle(1_000, ForwardEvent::StoreFailed);
+    router.handle(4_500, ForwardEvent::StoreAnswered { read_from: at(4_490) });
+    for name in ["plain-a", "plain-b"] {
+        router.handle(4_510, ForwardEvent::TargetGone(name.into()));
+    }
+    assert_eq!(chosen(&mut router, 4_600, false).len(), 3);
+    router.handle(5_500, ForwardEvent::Target(target("plain-a", "plain", "a", 10)));
+    router.handle(6_600, ForwardEvent::Tick);
+    assert_eq!(chosen(&mut router, 6_600, false), names(&["plain-a", "plain-c"]));
+}
+
+#[test]
+fn a_short_gap_of_this_routers_own_excuses_nothing() {
+    let mut router = router(0);
+    router.handle(1_000, ForwardEvent::StoreFailed);
+    router.handle(2_500, ForwardEvent::StoreAnswered { read_from: at(2_490) });
+    router.handle(2_510, ForwardEvent::TargetGone("plain-a".into()));
+    assert_eq!(chosen(&mut router, 2_520, false), names(&["plain-b", "plain-c"]));
+}
+
+#[test]
+fn a_target_that_fails_rests_and_returns() {
+    let mut router = router(0);
+    for now in [10, 20, 30, 40] {
+        let mut request = router.state.admit(at(now), arrival("/any/x", Some("key-one"))).unwrap();
+        for _ in 0..3 {
+            let Ok(plan) = router.state.place(at(now), &mut request) else { break };
+            let failed = plan.target == "plain-a".into();
+            let outcome = if failed {
+                AttemptOutcome::NotSent
+            } else {
+                AttemptOutcome::Complete { status: 200 }
+            };
+            router.state.finish(at(now), &mut request, &plan, outcome);
+            if !failed {
+                break;
+            }
+        }
+    }
+    assert!(!chosen(&mut router, 60, false).contains("plain-a"));
+    assert!(chosen(&mut router, 4_000, false).contains("plain-a"));
+}
+
+fn serves(name: &str, zone: &str, last: u8, version: u64) -> TargetRecord {
+    let versions = BTreeMap::from([("m".into(), version)]);
+    TargetRecord { versions, ..target(name, "models", zone, last) }
+}
+
+fn name_weights(router: &mut TestRouter, now: u64, version: u64) {
+    router.handle(now, ForwardEvent::Named { model: "m".into(), version });
+}
+
+#[test]
+fn outdated_weights_serve_nothing() {
+    let mut router = router(0);
+    name_weights(&mut router, 100, 2);
+    router.handle(2_000, ForwardEvent::Target(serves("model-a", "a", 20, 2)));
+    let early = chosen(&mut router, 2_100, true);
+    assert!(early.len() > 1, "{early:?}");
+    // A newer version doesn't make the oldest weights young again.
+    name_weights(&mut router, 6_000, 3);
+    assert_eq!(chosen(&mut router, 9_500, true), names(&["model-a"]));
+}
+
+#[test]
+fn a_router_that_starts_late_learns_how_old_the_namings_are() {
+    let mut older = router(0);
+    name_weights(&mut older, 100, 2);
+    name_weights(&mut older, 6_000, 3);
+    let mut settings = support::settings("vm-2", 2);
+    settings.allowance.restarted = true;
+    let mut young = TestRouter::new(9_000, settings);
+    young.handle(9_000, ForwardEvent::Rules(support::rules(1).into()));
+    young.handle(9_000, ForwardEvent::Target(serves("model-a", "a", 20, 2)));
+    young.handle(9_000, ForwardEvent::Target(serves("model-b", "b", 21, 1)));
+    // The store only tells the newest version.
+    name_weights(&mut young, 9_000, 3);
+    young.handle(9_010, ForwardEvent::StoreAnswered { read_from: at(9_000) });
+    let note = older.note(9_400);
+    young.handle(9_410, ForwardEvent::Note(note));
+    assert_eq!(chosen(&mut young, 9_500, true), names(&["model-a"]));
+}
+
+#[test]
+fn targets_that_are_about_to_load_are_avoided() {
+    let mut owner = router(0);
+    owner.handle(10, ForwardEvent::Term(godwitroad_orders::TermAnswer::Acquired {
+        lease: 1,
+        fence: 5,
+        granted: at(5),
+    }));
+    name_weights(&mut owner, 20, 2);
+    owner.handle(30, ForwardEvent::Term(godwitroad_orders::TermAnswer::Marked { active: true }));
+    let mut note = owner.note(40);
+    // More than a third of the targets at once would cost too much capacity.
+    assert_eq!(note.loading.len(), 1);
+    let mut other = router(0);
+    note.place.vm = "vm-9".into();
+    other.handle(50, ForwardEvent::Note(note));
+    assert_eq!(chosen(&mut other, 60, true).len(), 2);
+}
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -136,6 +136,9 @@
     postponed: BTreeMap<TargetName, ClockTime>,
 }
 
+/// The part of the targets, as a divisor, that may be out of service at once.
+const MOST_PART: usize = 3;
+
 /// The pause for a target that did not change in time.
 const POSTPONE: ClockSpan = ClockSpan::from_ms(3_000);
 
@@ -180,7 +183,8 @@
     pub fn next(&mut self, now: ClockTime, targets: &[WeightTarget]) -> Vec<WeightAction> {
         self.settle(now, targets);
         let loads = self.loads_at_once(targets.len());
-        self.start(now, targets, loads + self.settings.drains_at_once);
+        let places = loads + self.settings.drains_at_once;
+        self.start(now, targets, places.min(targets.len() / MOST_PART).max(1));
         let settings = self.settings;
         let work = |name: &TargetName| {
             targets.iter().find(|target| target.name == *name).map_or(0, |target| target.work)
