One bucket an account for the whole fleet, shared by the routers that are heard

Change: a bucket that fills at the rate, cut in parts when routers fall silent, empty after a restart. Marks, windows and the memory of earlier runs are gone.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -1,30 +1,28 @@
 //! What client accounts may use over all routers together.
 //!
-//! An account may use `rate x window + burst` units in any window. Each router counts what it admitted in the last
-//! window and tells its peers a few times a second. A router admits a request while its own count and the peers'
-//! counts, brought forward by their age, stay below the limit. Peers that are not heard may be admitting on their own
-//! on the other side of a cut, so each of them keeps an equal part of the limit to itself, or what it had used when it
-//! was last heard if that is more: both sides reserve the other's part, and the sum stays within the limit.
+//! An account has one bucket for the whole fleet: it fills at the account's rate up to its burst, and every admitted
+//! request takes its units out. Each router keeps the bucket as it sees it. It takes out its own requests at once and
+//! its peers' when their notes tell of them; what peers may have admitted since their last notes is held back.
 //!
-//! A router that starts again has forgotten what it admitted. It assumes for a window that it had used its whole part
-//! just before; the other routers' counts leave enough room for it. Where most routers start again together, that would
-//! refuse everything, so each assumes that its use was spread evenly over the window before, which wears off. An account that comes near its limit may have used all of it just before; it is marked as busy in the store,
-//! under a lease of one window, and a router that finds the mark at its start assumes so for a whole window.
+//! A router that is not heard may be on the other side of a cut and admit on its own. Each router therefore counts only
+//! the part of the rate, of the burst and of the present level that belongs to the routers that it hears; the other
+//! side does the same, and the parts never add up to more than the whole. When a router is heard again its part joins
+//! the rate and the burst, but not the level, which the other side may have used.
+//!
+//! A router that starts again begins with an empty bucket. As the bucket fills at the full rate, which ordinary use
+//! stays below, hardly anything is refused for this, and a restart of all routers never refills an allowance.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, VmName};
 
 use crate::{
-    peers::{PEER_SILENCE, PeerState, PeerTable},
+    peers::{PEER_SILENCE, PeerNote, PeerTable},
     rules::AccountRule,
     tag_of,
 };
 
-/// The settings of the counts.
+/// The settings of the buckets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AllowanceSettings {
     /// The window over which the operator counts.
@@ -39,97 +37,175 @@
 
 impl Default for AllowanceSettings {
     fn default() -> AllowanceSettings {
-        AllowanceSettings { window: ClockSpan::from_secs(8), restarted: true, overage: 0.0, slack: 0 }
+        let window = ClockSpan::from_secs(8);
+        AllowanceSettings { window, restarted: true, overage: 0.0, slack: 0 }
     }
 }
 
-/// The span of one count; counts are kept in such steps to bound their number.
-const STEP: ClockSpan = ClockSpan::from_ms(100);
-
-/// Admitted requests of late, from which the present rate is taken.
-const RATE_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
-
-/// The part of what the heard routers may admit from which an account is busy. Ordinary use stays below it.
-const BUSY_PART: f64 = 0.75;
-
-/// The part of a limit, as a divisor, that a router may admit before it tells its peers at once.
-const NEWS_PART: u64 = 50;
+/// An account's use at one router, as its notes tell it.
+pub type UsageLine = (u32, u64, u32);
 
-/// The part of the tolerance that is used. Histories of cuts and kills let through up to two thirds of it besides.
-const TOLERANCE_PART: f64 = 0.25;
+/// The span over which the present rate of admission is measured.
+const RATE_SPAN: ClockSpan = ClockSpan::from_ms(500);
 
 /// The time between a router's last note and its end, mostly.
 const LAST_SPAN: ClockSpan = ClockSpan::from_ms(200);
 
+/// The part of a burst, as a divisor, that a router may admit before it tells its peers at once.
+const NEWS_PART: f64 = 8.0;
+
+/// The part of the tolerance that is used. Histories of cuts and kills let through some of the rest.
+const TOLERANCE_PART: f64 = 0.15;
+
 /// The longest wait that a refused caller is told.
 const MAX_WAIT: ClockSpan = ClockSpan::from_ms(2_000);
 
-#[derive(Clone, Debug, Default)]
-struct UsageCount {
-    // One entry a step, oldest first.
-    steps: VecDeque<(ClockTime, u64)>,
+/// Own admissions, and how many a second lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnUse {
+    total: u64,
+    told: u64,
+    // The rate of the span before and the admissions of the present one.
+    rate: u64,
+    span_from: ClockTime,
+    in_span: u64,
+}
+
+#[derive(Clone, Debug)]
+struct AccountBucket {
+    // Below zero after a request that was larger than what was left.
+    level: f64,
+    filled: ClockTime,
+    heard: usize,
+    own: OwnUse,
+    // The totals that the peers told last.
+    peers: BTreeMap<VmName, PeerUse>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerUse {
+    incarnation: u64,
     total: u64,
-    // Admitted since the peers were told.
-    untold: u64,
+    rate: u32,
+    heard: ClockTime,
 }
 
-/// The counts of this router by account.
+/// The buckets as this router sees them.
 #[derive(Clone, Debug)]
 pub struct AllowanceTable {
     settings: AllowanceSettings,
-    started: ClockTime,
-    counts: BTreeMap<AccountName, UsageCount>,
-    busy_at_start: BTreeSet<AccountName>,
+    buckets: BTreeMap<AccountName, AccountBucket>,
     has_news: bool,
 }
 
-impl UsageCount {
+impl OwnUse {
     fn add(&mut self, now: ClockTime, units: u64) {
+        self.roll(now);
         self.total += units;
-        self.untold += units;
-        match self.steps.back_mut() {
-            Some((step, sum)) if now.since(*step) < STEP => *sum += units,
-            _ => self.steps.push_back((now, units)),
+        self.in_span += units;
+    }
+
+    fn roll(&mut self, now: ClockTime) {
+        let passed = now.since(self.span_from);
+        if passed >= RATE_SPAN {
+            self.rate = self.in_span * 1_000 / passed.as_ms();
+            self.in_span = 0;
+            self.span_from = now;
         }
     }
 
-    // A step counts until its youngest request has left the window.
-    fn expire(&mut self, now: ClockTime, window: ClockSpan) {
-        while let Some(&(step, units)) = self.steps.front()
-            && now.since(step) > window + STEP
-        {
-            self.steps.pop_front();
-            self.total -= units;
+    fn rate(&self) -> u64 {
+        self.rate.max(self.in_span * 1_000 / RATE_SPAN.as_ms())
+    }
+}
+
+impl AccountBucket {
+    // Fills the bucket up to now, and shares it when routers fall silent.
+    fn fill(&mut self, now: ClockTime, rule: &AccountRule, burst: f64, fleet: (usize, usize)) {
+        let (heard, members) = fleet;
+        let part = heard as f64 / members as f64;
+        if heard < self.heard && self.level > 0.0 {
+            self.level *= heard as f64 / self.heard as f64;
         }
+        self.heard = heard;
+        let passed = now.since(self.filled).as_ms() as f64 / 1_000.0;
+        self.filled = now;
+        self.level = (self.level + rule.rate as f64 * part * passed).min(burst * part);
     }
 
-    fn lately(&self, now: ClockTime) -> u64 {
-        let recent = self.steps.iter().rev().take_while(|(step, _)| now.since(*step) < RATE_SPAN);
-        recent.map(|(_, units)| units).sum()
+    // What peers may have admitted since their last notes.
+    fn held_back(&self, now: ClockTime, members: usize) -> f64 {
+        let part = self.level.max(0.0) / members as f64;
+        let silence = PEER_SILENCE.as_ms() as f64;
+        let recent = self.peers.values().filter(|peer| now.since(peer.heard) < PEER_SILENCE);
+        recent
+            .map(|peer| {
+                let age = now.since(peer.heard).as_ms() as f64;
+                (f64::from(peer.rate) * age / 1_000.0).max(part * age / silence)
+            })
+            .sum()
+    }
+
+    fn hear(&mut self, now: ClockTime, note: &PeerNote, line: Option<&UsageLine>) {
+        let (total, rate) = line.map_or((0, 0), |(_, total, rate)| (*total, *rate));
+        let now_told = PeerUse { incarnation: note.incarnation, total, rate, heard: now };
+        let Some(last) = self.peers.insert(note.place.vm.clone(), now_told) else { return };
+        if now.since(last.heard) >= PEER_SILENCE {
+            // It used its own part while it was not heard.
+            return;
+        }
+        let used = if last.incarnation == note.incarnation {
+            total.saturating_sub(last.total)
+        } else {
+            // What it admitted between its last note and its end is not told any more.
+            total + u64::from(last.rate) * LAST_SPAN.as_ms() / 1_000
+        };
+        self.level -= used as f64;
     }
 }
 
 impl AllowanceTable {
-    /// Returns empty counts.
-    pub fn new(now: ClockTime, settings: AllowanceSettings) -> AllowanceTable {
-        AllowanceTable { settings, started: now, counts: BTreeMap::new(), busy_at_start: BTreeSet::new(), has_news: false }
+    /// Returns full buckets at the first start of the fleet, and empty ones otherwise.
+    pub fn new(settings: AllowanceSettings) -> AllowanceTable {
+        AllowanceTable { settings, buckets: BTreeMap::new(), has_news: false }
     }
 
-    /// Returns the units that an account may use in a window.
+    /// Returns the units that an account may use at once.
     ///
-    /// A part of what the operator tolerates beyond the limit is used, so that counts that lag refuse nobody who is
+    /// A part of what the operator tolerates beyond the limit is added, so that counts that lag refuse nobody who is
     /// within the limit; the rest covers what the lag lets through.
-    pub fn limit(&self, rule: &AccountRule) -> u64 {
-        let exact = rule.rate.saturating_mul(self.settings.window.as_ms()) / 1_000 + rule.burst;
+    fn burst(&self, rule: &AccountRule) -> f64 {
+        let exact = rule.rate * self.settings.window.as_ms() / 1_000 + rule.burst;
         let slack = if rule.by_tokens { self.settings.slack as f64 } else { 0.0 };
-        exact + ((exact as f64 * self.settings.overage + slack) * TOLERANCE_PART) as u64
+        rule.burst as f64 + (exact as f64 * self.settings.overage + slack) * TOLERANCE_PART
+    }
+
+    fn bucket(
+        &mut self,
+        now: ClockTime,
+        rule: &AccountRule,
+        peers: &PeerTable,
+    ) -> &mut AccountBucket {
+        let heard = peers.heard(now).count() + 1;
+        let members = peers.len() + 1;
+        let burst = self.burst(rule);
+        let full = if self.settings.restarted { 0.0 } else { burst };
+        let bucket = self.buckets.entry(rule.name.clone()).or_insert_with(|| AccountBucket {
+            level: full,
+            filled: now,
+            heard: members,
+            own: OwnUse::default(),
+            peers: BTreeMap::new(),
+        });
+        bucket.fill(now, rule, burst, (heard, members));
+        bucket
     }
 
-    /// Admits a request of `units`, or returns when the caller should come back.
+    /// Admits a request of `units`.
     ///
     /// # Errors
     ///
-    /// Returns the time after which enough of the window has passed, if the limit is reached.
+    /// Returns the time after which enough has flowed in, if the bucket is empty.
     pub fn admit(
         &mut self,
         now: ClockTime,
@@ -140,162 +216,58 @@
         if rule.rate == 0 && rule.burst == 0 {
             return Ok(());
         }
-        let limit = self.limit(rule);
-        let others = self.used_by_peers(now, rule, peers) + self.reserved(now, rule, peers);
-        let used = self.used(now, rule, peers) + others;
-        if used >= limit {
-            let heard = peers.heard(now).count() as u64 + 1;
-            let rate = (rule.rate / (peers.len() as u64 + 1) * heard).max(1);
-            let wait = ClockSpan::from_ms((used - limit + units) * 1_000 / rate);
+        let burst = self.burst(rule);
+        let members = peers.len() + 1;
+        let bucket = self.bucket(now, rule, peers);
+        let free = bucket.level - bucket.held_back(now, members);
+        if free <= 0.0 {
+            let part = bucket.heard as f64 / members as f64;
+            let rate = (rule.rate as f64 * part).max(1.0);
+            let wait = ClockSpan::from_ms(((units as f64 - free) * 1_000.0 / rate) as u64);
             return Err(wait.min(MAX_WAIT));
         }
-        let count = self.counts.entry(rule.name.clone()).or_default();
-        count.add(now, units);
-        self.has_news |= count.untold >= limit / NEWS_PART;
+        bucket.level -= units as f64;
+        bucket.own.add(now, units);
+        let untold = (bucket.own.total - bucket.own.told) as f64;
+        self.has_news |= untold >= burst / NEWS_PART;
         Ok(())
     }
 
-    /// Returns whether the peers should be told at once what was admitted.
-    pub fn has_news(&self) -> bool {
-        self.has_news
-    }
-
-    /// Notes an account that was marked as busy when this router started.
-    pub fn busy_at_start(&mut self, account: AccountName) {
-        self.busy_at_start.insert(account);
-    }
-
-    /// Returns the accounts that are so near their limits that they should be marked as busy.
-    pub fn busy(
-        &mut self,
-        now: ClockTime,
-        rules: &[Arc<AccountRule>],
-        peers: &PeerTable,
-    ) -> Vec<AccountName> {
-        let mut busy = Vec::new();
-        for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
-            let own = self.counts.get_mut(&rule.name).map_or(0, |count| {
-                count.expire(now, self.settings.window);
-                count.total
-            });
-            let used = own + self.used_by_peers(now, rule, peers);
-            // Notes hold assumed use after a start, which is no reason for a mark.
-            let assumed = self.assumed(now, rule, peers) * peers.len() as u64;
-            let free = self.limit(rule).saturating_sub(self.reserved(now, rule, peers));
-            if used.saturating_sub(assumed) as f64 >= free as f64 * BUSY_PART {
-                busy.push(rule.name.clone());
-            }
-        }
-        busy
-    }
-
     /// Gives back the units of a request that didn't run.
     pub fn give_back(&mut self, account: &AccountName, units: u64) {
-        let Some(count) = self.counts.get_mut(account) else { return };
-        if let Some((_, sum)) = count.steps.back_mut() {
-            let back = units.min(*sum);
-            *sum -= back;
-            count.total -= back;
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            // The totals only grow, so that a peer never takes a lost note for a gift.
+            bucket.level += units as f64;
         }
     }
 
-    fn used(&mut self, now: ClockTime, rule: &AccountRule, peers: &PeerTable) -> u64 {
-        let window = self.settings.window;
-        let assumed = self.assumed(now, rule, peers);
-        let Some(count) = self.counts.get_mut(&rule.name) else { return assumed };
-        count.expire(now, window);
-        count.total + assumed
+    /// Returns whether the peers should be told at once what was admitted.
+    pub fn has_news(&self) -> bool {
+        self.has_news
     }
 
-    fn assumed(&self, now: ClockTime, rule: &AccountRule, peers: &PeerTable) -> u64 {
-        let part = self.limit(rule) / (peers.len() as u64 + 1);
-        let window = self.settings.window.as_ms();
-        let left = window.saturating_sub(now.since(self.started).as_ms());
-        if !self.settings.restarted || left == 0 {
-            return 0;
-        }
-        let fresh = peers.heard(now).filter(|(note, _)| u64::from(note.uptime_ms) < window).count();
-        let is_herd = fresh > peers.len() / 2;
-        if !is_herd || self.busy_at_start.contains(&rule.name) {
-            part
-        } else {
-            part * left / window
+    /// Takes what a peer tells of its use.
+    pub fn hear(&mut self, now: ClockTime, rules: &[Arc<AccountRule>], peers: &PeerTable, note: &PeerNote) {
+        for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
+            let tag = tag_of(rule.name.as_str());
+            let line = note.usage.iter().find(|(account, ..)| *account == tag);
+            self.bucket(now, rule, peers).hear(now, note, line);
         }
     }
 
-    // What the peers that are heard have used.
-    fn used_by_peers(&self, now: ClockTime, rule: &AccountRule, peers: &PeerTable) -> u64 {
-        let tag = tag_of(rule.name.as_str());
-        let part = self.limit(rule) / (peers.len() as u64 + 1);
-        let silence = PEER_SILENCE.as_ms();
-        let heard = peers.iter().filter(|peer| peer.is_heard(now));
-        heard
-            .map(|peer| {
-                let age = now.since(peer.heard.unwrap_or(now)).as_ms();
-                let line = peer.note.as_ref().and_then(|note| line_of(&note.usage, tag));
-                let told = line.map_or(0, |(units, rate)| units + u64::from(rate) * age / 1_000);
-                // As its note grows old, it may have been cut off and be using its part.
-                let told = told.max(part * age.min(silence) / silence);
-                told + self.lost_by(now, peer, tag, part)
-            })
-            .sum()
-    }
-
-    // What earlier runs of a peer used beyond the equal part that the run after them assumes.
-    fn lost_by(&self, now: ClockTime, peer: &PeerState, tag: u32, part: u64) -> u64 {
-        let recent = peer.earlier.iter().filter(|(heard, _)| self.is_recent(now, *heard));
-        let lines = recent.filter_map(|(_, usage)| line_of(usage, tag));
-        let last = |rate: u32| u64::from(rate) * LAST_SPAN.as_ms() / 1_000;
-        lines.map(|(units, rate)| (units + last(rate)).saturating_sub(part)).sum()
-    }
-
-    // What the peers that are not heard may use, and may have used.
-    fn reserved(&self, now: ClockTime, rule: &AccountRule, peers: &PeerTable) -> u64 {
-        let tag = tag_of(rule.name.as_str());
-        let part = self.limit(rule) / (peers.len() as u64 + 1);
-        let silent = peers.iter().filter(|peer| !peer.is_heard(now));
-        silent
-            .map(|peer| {
-                let last = peer.heard.filter(|heard| self.is_recent(now, *heard));
-                let note = last.and(peer.note.as_ref());
-                let used = note.and_then(|note| line_of(&note.usage, tag));
-                // It went on for some time before it could notice the silence.
-                let went_on = |rate: u32| u64::from(rate) * PEER_SILENCE.as_ms() / 1_000;
-                let used = used.map_or(part, |(units, rate)| (units + went_on(rate)).max(part));
-                used + self.lost_by(now, peer, tag, part)
-            })
-            .sum()
-    }
-
-    fn is_recent(&self, now: ClockTime, heard: ClockTime) -> bool {
-        now.since(heard) <= self.settings.window
-    }
-
-    /// Returns what this router tells its peers: the account's tag, units in the window, units per second lately.
-    pub fn report(
-        &mut self,
-        now: ClockTime,
-        rules: &[Arc<AccountRule>],
-        peers: &PeerTable,
-    ) -> Vec<(u32, u64, u32)> {
+    /// Returns what this router tells its peers: each account's tag, the units admitted since the start, and the units
+    /// a second lately.
+    pub fn report(&mut self, now: ClockTime) -> Vec<UsageLine> {
         self.has_news = false;
         let mut lines = Vec::new();
-        for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
-            let used = self.used(now, rule, peers);
-            let rate = self.counts.get_mut(&rule.name).map_or(0, |count| {
-                count.untold = 0;
-                count.lately(now)
-            });
-            if used > 0 {
-                let rate = u32::try_from(rate).unwrap_or(u32::MAX);
-                lines.push((tag_of(rule.name.as_str()), used, rate));
+        for (name, bucket) in &mut self.buckets {
+            bucket.own.roll(now);
+            bucket.own.told = bucket.own.total;
+            if bucket.own.total > 0 {
+                let rate = u32::try_from(bucket.own.rate()).unwrap_or(u32::MAX);
+                lines.push((tag_of(name.as_str()), bucket.own.total, rate));
             }
         }
         lines
     }
 }
-
-fn line_of(usage: &[(u32, u64, u32)], tag: u32) -> Option<(u64, u32)> {
-    let line = usage.iter().find(|(account, ..)| *account == tag);
-    line.map(|(_, units, rate)| (*units, *rate))
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -20,7 +20,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use allowance::{AllowanceSettings, AllowanceTable};
+pub use allowance::{AllowanceSettings, AllowanceTable, UsageLine};
 pub use choice::{
     ChoiceSettings, PartSource, PlaceDistance, PromptNeed, TargetChoice, TargetOption, choose,
 };
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,6 +9,8 @@
 use godwitroad_base::{ClockSpan, ClockTime, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use crate::allowance::UsageLine;
+
 /// A router as it is listed or heard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerPlace {
@@ -29,8 +31,6 @@
     pub sequence: u64,
     /// The sender's start: the time of day in Unix milliseconds, which only tells two runs apart.
     pub incarnation: u64,
-    /// The time since its start in milliseconds.
-    pub uptime_ms: u32,
     /// The version of the configuration in force there.
     pub version: u64,
     /// The age of its proof of that version in milliseconds.
@@ -39,8 +39,8 @@
     pub stopping: bool,
     /// Work under way at targets: the target's tag, requests, tokens of memory, tokens yet to be read.
     pub loads: Vec<(u32, u16, u32, u32)>,
-    /// What accounts used: the account's tag, units in the current window, units per second lately.
-    pub usage: Vec<(u32, u64, u32)>,
+    /// What accounts used: the account's tag, units since the sender's start, units per second lately.
+    pub usage: Vec<UsageLine>,
     /// Tags of targets that are about to load weights, from the router that gives the orders.
     pub loading: Vec<u32>,
     /// The latest namings of weights: the model's tag, the version, the age in milliseconds.
@@ -58,8 +58,6 @@
     pub heard: Option<ClockTime>,
     /// Its last note.
     pub note: Option<PeerNote>,
-    /// When earlier runs of it were last heard, and what accounts had used there, oldest first.
-    pub earlier: Vec<(ClockTime, Vec<(u32, u64, u32)>)>,
 }
 
 /// All peers by VM.
@@ -72,9 +70,6 @@
 /// as both sides of a cut go on together until they notice it.
 pub const PEER_SILENCE: ClockSpan = ClockSpan::from_ms(1_000);
 
-/// Earlier runs that are remembered of a peer; one that restarts more often is mostly down.
-const MAX_EARLIER: usize = 4;
-
 impl PeerState {
     /// Returns whether the peer was heard a short time ago.
     pub fn is_heard(&self, now: ClockTime) -> bool {
@@ -85,10 +80,10 @@
 impl PeerTable {
     /// Adds a peer that is listed, or moves it to its new address.
     pub fn list(&mut self, place: PeerPlace) {
-        let state = PeerState { place: place.clone(), heard: None, note: None, earlier: Vec::new() };
+        let state = PeerState { place: place.clone(), heard: None, note: None };
         let entry = self.peers.entry(place.vm.clone()).or_insert(state);
         if entry.place.address != place.address {
-            *entry = PeerState { place, heard: None, note: None, earlier: Vec::new() };
+            *entry = PeerState { place, heard: None, note: None };
         }
     }
 
@@ -97,26 +92,21 @@
         self.peers.remove(vm);
     }
 
+    /// Returns whether a note is newer than the last one of its sender.
+    pub fn is_news(&self, note: &PeerNote) -> bool {
+        let last = self.peers.get(&note.place.vm).and_then(|peer| peer.note.as_ref());
+        last.is_none_or(|last| (note.incarnation, note.sequence) > (last.incarnation, last.sequence))
+    }
+
     /// Takes a note and returns whether it is newer than the last one.
     pub fn hear(&mut self, now: ClockTime, note: PeerNote) -> bool {
+        let is_news = self.is_news(&note);
         self.list(note.place.clone());
-        let Some(peer) = self.peers.get_mut(&note.place.vm) else { return false };
-        let is_new = peer.note.as_ref().is_none_or(|last| {
-            (note.incarnation, note.sequence) > (last.incarnation, last.sequence)
-        });
-        if is_new {
-            if let (Some(last), Some(heard)) = (&peer.note, peer.heard)
-                && last.incarnation != note.incarnation
-            {
-                if peer.earlier.len() >= MAX_EARLIER {
-                    peer.earlier.remove(0);
-                }
-                peer.earlier.push((heard, last.usage.clone()));
-            }
+        if let Some(peer) = self.peers.get_mut(&note.place.vm).filter(|_| is_news) {
             peer.heard = Some(now);
             peer.note = Some(note);
         }
-        is_new
+        is_news
     }
 
     /// Returns all peers in the order of their names.
--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime};
+use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_pick::{RetryBudget, RetrySettings};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{ForwardAction, ForwardState};
+use super::ForwardState;
 use crate::{
     AccountRule, ForwardArrival, ForwardRefusal, ForwardRequest, ForwardRules,
     RefusalReason, RouteRule,
@@ -25,9 +25,6 @@
 /// When a caller of a stopping router should come back: at once, to another one.
 const STOPPING_WAIT: ClockSpan = ClockSpan::from_ms(20);
 
-/// How much later each further router marks a busy account, so that mostly one does.
-const MARK_PAUSE: ClockSpan = ClockSpan::from_ms(60);
-
 /// The part of the fleet's retries that this router uses. Requests are spread unevenly over the routers, and a
 /// router that just left may have used its own part.
 const RETRY_PART: f64 = 0.6;
@@ -122,46 +119,6 @@
         self.allowance.has_news()
     }
 
-    /// Returns whether an account is so near its limit that its mark must stay.
-    pub fn is_busy(&mut self, now: ClockTime, account: &AccountName) -> bool {
-        self.busy_accounts(now).contains(account)
-    }
-
-    fn busy_accounts(&mut self, now: ClockTime) -> Vec<AccountName> {
-        let Some(rules) = &self.rules else { return Vec::new() };
-        self.allowance.busy(now, &rules.accounts, &self.peers)
-    }
-
-    pub(super) fn mark_busy(&mut self, now: ClockTime, actions: &mut Vec<ForwardAction>) {
-        if self.store_failing.is_some() {
-            return;
-        }
-        let place = &self.settings.place;
-        let before = self.peers.heard(now).filter(|(note, _)| note.place.vm < place.vm).count();
-        let wait = ClockSpan::from_ms(MARK_PAUSE.as_ms() * before as u64);
-        let busy = self.busy_accounts(now);
-        self.busy_since.retain(|account, _| busy.contains(account));
-        for account in busy {
-            let since = *self.busy_since.entry(account.clone()).or_insert(now);
-            if !self.marked.contains(&account) && now.since(since) >= wait {
-                self.marked.insert(account.clone());
-                actions.push(ForwardAction::Notice("account_busy", format!("account={account}")));
-                actions.push(ForwardAction::MarkBusy(account));
-            }
-        }
-    }
-
-    pub(super) fn take_busy(&mut self, account: AccountName, marked: bool) {
-        if !marked {
-            self.marked.remove(&account);
-            return;
-        }
-        if !self.was_listed {
-            self.allowance.busy_at_start(account.clone());
-        }
-        self.marked.insert(account);
-    }
-
     pub(super) fn retry_settings(&self) -> RetrySettings {
         let bounds = &self.settings.retries;
         let members = self.member_count() as f64;
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -3,7 +3,7 @@
 use godwitroad_base::{ClockSpan, ClockTime, rendezvous};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FeedSource, ForwardAction, ForwardState};
+use super::{FeedSource, ForwardState};
 use crate::{PeerNote, PeerPlace, PeerState, tag_of};
 
 /// The time for which a peer's notice counts that a target is about to load; the owner repeats it while it holds.
@@ -23,8 +23,7 @@
     pub fn note(&mut self, now: ClockTime, introduce: bool) -> PeerNote {
         self.sequence += 1;
         let rules = self.rules.clone();
-        let accounts = rules.as_ref().map_or(&[][..], |rules| &rules.accounts);
-        let mut usage = self.allowance.report(now, accounts, &self.peers);
+        let mut usage = self.allowance.report(now);
         // The largest users matter most where not all fit.
         usage.sort_by_key(|(_, units, _)| std::cmp::Reverse(*units));
         usage.truncate(MAX_LINES);
@@ -43,7 +42,6 @@
             place: self.settings.place.clone(),
             sequence: self.sequence,
             incarnation: self.settings.incarnation,
-            uptime_ms: u32::try_from(now.since(self.started).as_ms()).unwrap_or(u32::MAX),
             version: rules.map_or(0, |rules| rules.version),
             proof_age_ms: self.contact.age(now).and_then(|age| u32::try_from(age.as_ms()).ok()),
             stopping: self.stopping.is_some(),
@@ -65,12 +63,7 @@
         self.region_of(&place.zone) != self.region_of(&self.settings.place.zone)
     }
 
-    pub(super) fn take_note(
-        &mut self,
-        now: ClockTime,
-        note: PeerNote,
-        actions: &mut Vec<ForwardAction>,
-    ) {
+    pub(super) fn take_note(&mut self, now: ClockTime, note: PeerNote) {
         if note.place.vm == self.settings.place.vm {
             return;
         }
@@ -81,6 +74,12 @@
         }
         let (version, proof, loading) = (note.version, note.proof_age_ms, note.loading.clone());
         let named = note.named.clone();
+        // Before the peer counts as heard: a peer that comes back brings no level with it.
+        if let Some(rules) = &self.rules
+            && self.peers.is_news(&note)
+        {
+            self.allowance.hear(now, &rules.accounts, &self.peers, &note);
+        }
         if !self.peers.hear(now, note) {
             return;
         }
@@ -99,7 +98,6 @@
             self.contact.borrow(now - (ClockSpan::from_ms(age.into()) + NOTE_DELAY));
         }
         self.loads.set_peers(self.peers.heard(now).map(|(note, _)| note));
-        self.mark_busy(now, actions);
     }
 
     /// Returns the holders of cache entries whose changes this router reads.
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use godwitroad_base::{
-    AccountName, ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, TargetName, VmName,
+    ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, TargetName, VmName,
     ZoneName,
 };
 use godwitroad_orders::{
@@ -109,13 +109,6 @@
     },
     /// The store tells who owns the orders.
     TermOwner(Option<VmName>),
-    /// The store tells that an account is marked as busy, or that the mark has ended.
-    BusyMark {
-        /// The account.
-        account: AccountName,
-        /// Whether it is marked.
-        marked: bool,
-    },
     /// The store tells whether the owner of the orders is active.
     TermMark(bool),
     /// The store answered a call for the ownership of orders.
@@ -161,8 +154,6 @@
         /// The fencing number.
         fence: u64,
     },
-    /// Mark an account as busy in the store while it stays so.
-    MarkBusy(AccountName),
     /// Tell the peers at once.
     TellPeers,
     /// A line for the log: a stable name and the details.
@@ -194,11 +185,6 @@
     told_loading: BTreeSet<TargetName>,
     random: SeededRandom,
     sequence: u64,
-    started: ClockTime,
-    // Accounts near their limits, and since when.
-    busy_since: BTreeMap<AccountName, ClockTime>,
-    // Accounts that are marked as busy in the store, or are about to be.
-    marked: BTreeSet<AccountName>,
     stopping: Option<ClockTime>,
     was_ready: bool,
 }
@@ -243,7 +229,7 @@
 
 impl ForwardState {
     /// Returns the state of a router that knows nothing yet.
-    pub fn new(now: ClockTime, settings: ForwardSettings) -> ForwardState {
+    pub fn new(settings: ForwardSettings) -> ForwardState {
         ForwardState {
             rules: None,
             contact: ConfigContact::default(),
@@ -251,7 +237,7 @@
             store_back: None,
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
-            allowance: AllowanceTable::new(now, settings.allowance),
+            allowance: AllowanceTable::new(settings.allowance),
             retries: BTreeMap::new(),
             parts: BTreeMap::new(),
             loads: LoadTable::default(),
@@ -264,9 +250,6 @@
             told_loading: BTreeSet::new(),
             random: SeededRandom::new(settings.seed),
             sequence: 0,
-            started: now,
-            busy_since: BTreeMap::new(),
-            marked: BTreeSet::new(),
             stopping: None,
             was_ready: false,
             settings,
@@ -295,11 +278,6 @@
         self.term.lease(now)
     }
 
-    /// Forgets a mark that could not be written, so that it is tried again.
-    pub fn unmark(&mut self, account: &AccountName) {
-        self.marked.remove(account);
-    }
-
     /// Returns the number of listed targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
@@ -354,10 +332,9 @@
                 }
             }
             ForwardEvent::PeerGone(vm) => self.peers.remove(&vm),
-            ForwardEvent::Note(note) => self.take_note(now, note, actions),
+            ForwardEvent::Note(note) => self.take_note(now, note),
             ForwardEvent::Parts { source, batch } => self.take_parts(source, batch),
             ForwardEvent::TermOwner(owner) => self.term.observe(now, owner),
-            ForwardEvent::BusyMark { account, marked } => self.take_busy(account, marked),
             ForwardEvent::TermMark(active) => self.term.observe_mark(active),
             ForwardEvent::Term(answer) => {
                 if !matches!(answer, TermAnswer::Renewed { .. }) {
@@ -505,7 +482,6 @@
         }
         self.loading.retain(|_, until| now < *until);
         self.loads.set_peers(self.peers.heard(now).map(|(note, _)| note));
-        self.mark_busy(now, actions);
     }
 
     fn note_readiness(&mut self, now: ClockTime, actions: &mut Vec<ForwardAction>) {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -26,7 +26,6 @@
     orders, owner,
     port::PlatformPort,
     settings::ProxySettings,
-    store,
     telemetry::{NodeLog, NodeMetrics},
 };
 
@@ -52,7 +51,7 @@
     /// Returns the core of a router that knows nothing yet.
     pub(crate) fn new(port: P, settings: ProxySettings, log: NodeLog) -> SharedCore<P> {
         let clock = NodeClock::start();
-        let state = ForwardState::new(clock.now(), settings.forward.clone());
+        let state = ForwardState::new(settings.forward.clone());
         Rc::new(ProxyCore {
             port,
             settings: RefCell::new(settings),
@@ -94,9 +93,6 @@
                 ForwardAction::Weight { action, fence } => {
                     spawn(orders::carry_out(self.clone(), action, fence));
                 }
-                ForwardAction::MarkBusy(account) => {
-                    spawn(store::keep_mark(self.clone(), account));
-                }
                 ForwardAction::TellPeers => self.tell_peers.notify_one(),
                 ForwardAction::Notice(event, detail) => {
                     self.metrics.count(event, 1);
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::SystemTime};
 
 use bytes::Bytes;
-use godwitroad_base::{AccountName, ClockSpan, ModelName, TargetName, VmName};
+use godwitroad_base::{ClockSpan, ModelName, TargetName, VmName};
 use godwitroad_forward::{
     ForwardArrival, ForwardRules, LoadReport, PartBatch, PeerPlace, SendPlan, TargetRecord,
 };
@@ -91,13 +91,6 @@
         /// Whether the owner gives orders.
         active: bool,
     },
-    /// Mark an account as busy.
-    MarkBusy {
-        /// The account.
-        account: AccountName,
-        /// The lease under which the mark lives.
-        lease: u64,
-    },
     /// End a lease.
     End {
         /// The lease.
@@ -141,13 +134,6 @@
     Owner(Option<VmName>),
     /// Whether the owner of orders is active.
     Mark(bool),
-    /// An account is marked as busy, or its mark has ended.
-    Busy {
-        /// The account.
-        account: AccountName,
-        /// Whether it is marked.
-        marked: bool,
-    },
     /// An entry that can't be read. It changes nothing.
     Unreadable {
         /// The key.
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime, TargetName, VmName};
+use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName};
 use godwitroad_forward::ForwardEvent;
 
 use crate::{
@@ -78,7 +78,6 @@
 struct ListedNames {
     targets: BTreeSet<TargetName>,
     peers: BTreeSet<VmName>,
-    busy: BTreeSet<AccountName>,
     owner: bool,
 }
 
@@ -174,10 +173,6 @@
     for vm in before.peers.difference(&seen.peers) {
         core.handle(ForwardEvent::PeerGone(vm.clone()));
     }
-    for account in before.busy.difference(&seen.busy) {
-        let account = account.clone();
-        core.handle(ForwardEvent::BusyMark { account, marked: false });
-    }
     if !seen.owner {
         core.handle(ForwardEvent::TermOwner(None));
     }
@@ -217,14 +212,6 @@
                 ForwardEvent::TermOwner(owner)
             }
             StoreItem::Mark(active) => ForwardEvent::TermMark(active),
-            StoreItem::Busy { account, marked } => {
-                if marked {
-                    listed.busy.insert(account.clone());
-                } else {
-                    listed.busy.remove(&account);
-                }
-                ForwardEvent::BusyMark { account, marked }
-            }
             StoreItem::Unreadable { key, error } => {
                 core.log.warn("store_entry_unreadable", &format!("key={key} error={error}"));
                 continue;
@@ -309,40 +296,6 @@
     }
 }
 
-/// Marks an account as busy for as long as it is.
-pub(crate) async fn keep_mark<P: PlatformPort>(core: SharedCore<P>, account: AccountName) {
-    let length = core.settings.borrow().forward.allowance.window;
-    let Some(lease) = write_mark(&core, &account, length).await else {
-        core.with(|state| state.unmark(&account));
-        return;
-    };
-    let renewal = ClockSpan::from_ms(length.as_ms() / 3);
-    loop {
-        core.sleep(renewal).await;
-        let is_busy = core.with(|state| state.is_busy(core.now(), &account));
-        if !is_busy || core.is_stopping() {
-            return;
-        }
-        if let Ok(StoreAnswer::Conflict) = call(&core, &StoreCall::Renew { lease }).await {
-            return;
-        }
-    }
-}
-
-async fn write_mark<P: PlatformPort>(
-    core: &SharedCore<P>,
-    account: &AccountName,
-    length: ClockSpan,
-) -> Option<u64> {
-    let granted = call(core, &StoreCall::Grant { length }).await;
-    let Ok(StoreAnswer::Granted { lease, .. }) = granted else { return None };
-    let mark = StoreCall::MarkBusy { account: account.clone(), lease };
-    match call(core, &mark).await {
-        Ok(StoreAnswer::Written { .. }) => Some(lease),
-        Ok(_) | Err(_) => None,
-    }
-}
-
 /// Removes this router's own entry.
 pub(crate) async fn sign_off<P: PlatformPort>(core: &SharedCore<P>) {
     let vm = core.settings.borrow().forward.place.vm.clone();
