--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -15,9 +15,9 @@
     time::Duration,
 };
 
-use godwitroad_edge::NodeClock;
 use godwitroad_base::{ClockTime, ModelName, RegionName, RequestId, VmName};
 use godwitroad_config::KeyHash;
+use godwitroad_edge::NodeClock;
 use godwitroad_router::{
     AttemptReport, CallerReply, DispatchOrder, PeerMessage, PeerPlace, RequestArrival,
     RouterAction, RouterEvent, StateNotice,
--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -247,7 +247,13 @@
     }
 
     /// Takes what a peer tells of its use.
-    pub fn hear(&mut self, now: ClockTime, rules: &[Arc<AccountRule>], peers: &PeerTable, note: &PeerNote) {
+    pub fn hear(
+        &mut self,
+        now: ClockTime,
+        rules: &[Arc<AccountRule>],
+        peers: &PeerTable,
+        note: &PeerNote,
+    ) {
         for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
             let tag = tag_of(rule.name.as_str());
             let line = note.usage.iter().find(|(account, ..)| *account == tag);
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -92,11 +92,8 @@
     pub fn set_peers<'a>(&mut self, notes: impl Iterator<Item = &'a PeerNote>) {
         self.peers.clear();
         for (tag, requests, memory, unread) in notes.flat_map(|note| note.loads.iter().copied()) {
-            let work = WorkSum {
-                requests: requests.into(),
-                memory: memory.into(),
-                unread: unread.into(),
-            };
+            let work =
+                WorkSum { requests: requests.into(), memory: memory.into(), unread: unread.into() };
             self.peers.entry(tag).or_default().add(work);
         }
     }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -95,7 +95,9 @@
     /// Returns whether a note is newer than the last one of its sender.
     pub fn is_news(&self, note: &PeerNote) -> bool {
         let last = self.peers.get(&note.place.vm).and_then(|peer| peer.note.as_ref());
-        last.is_none_or(|last| (note.incarnation, note.sequence) > (last.incarnation, last.sequence))
+        last.is_none_or(|last| {
+            (note.incarnation, note.sequence) > (last.incarnation, last.sequence)
+        })
     }
 
     /// Takes a note and returns whether it is newer than the last one.
@@ -116,9 +118,10 @@
 
     /// Returns the peers that were heard a short time ago, with the age of their notes.
     pub fn heard(&self, now: ClockTime) -> impl Iterator<Item = (&PeerNote, ClockSpan)> + Clone {
-        self.peers.values().filter(move |peer| peer.is_heard(now)).filter_map(move |peer| {
-            Some((peer.note.as_ref()?, now.since(peer.heard?)))
-        })
+        self.peers
+            .values()
+            .filter(move |peer| peer.is_heard(now))
+            .filter_map(move |peer| Some((peer.note.as_ref()?, now.since(peer.heard?))))
     }
 
     /// Returns the number of known peers.
--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -8,8 +8,8 @@
 
 use super::ForwardState;
 use crate::{
-    AccountRule, ForwardArrival, ForwardRefusal, ForwardRequest, ForwardRules,
-    RefusalReason, RouteRule,
+    AccountRule, ForwardArrival, ForwardRefusal, ForwardRequest, ForwardRules, RefusalReason,
+    RouteRule,
 };
 
 /// When a caller should come back to a fleet one router of which knows no configuration; others may know it.
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -116,7 +116,12 @@
             }
         }
         if let Some(kept) = rules.kept_cache()
-            && self.reads(now, &kept.address.to_string(), Some(&kept.zone), kept.event_calls as usize)
+            && self.reads(
+                now,
+                &kept.address.to_string(),
+                Some(&kept.zone),
+                kept.event_calls as usize,
+            )
         {
             feeds.push(FeedSource::Kept(kept.address));
         }
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -436,12 +436,7 @@
         }
     }
 
-    fn target_gone(
-        &mut self,
-        now: ClockTime,
-        name: TargetName,
-        actions: &mut Vec<ForwardAction>,
-    ) {
+    fn target_gone(&mut self, now: ClockTime, name: TargetName, actions: &mut Vec<ForwardAction>) {
         let outage = self.is_after_outage(now);
         if self.roster.remove(now, &name, outage) {
             self.forget_target(&name);
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -73,7 +73,9 @@
             }
             let told = WeightNaming { version, seen: now, before: age, is_assumed: false };
             match namings.binary_search_by_key(&version, |naming| naming.version) {
-                Ok(at) if namings[at].is_assumed || age > namings[at].age(now) => namings[at] = told,
+                Ok(at) if namings[at].is_assumed || age > namings[at].age(now) => {
+                    namings[at] = told
+                }
                 Ok(_) => {}
                 // A version that was replaced before this router started still tells the age of older weights.
                 Err(at) if at < namings.len() && namings.len() < MAX_NAMINGS => {
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -180,7 +180,8 @@
     // Whether a target's weights were replaced so long ago that they must no longer serve.
     fn is_outdated(&self, now: ClockTime, request: &ForwardRequest, record: &TargetRecord) -> bool {
         let limit = self.settings.version_span.saturating_sub(VERSION_MARGIN);
-        self.age_of_weights(now, request.arrival.model.as_ref(), record).is_some_and(|age| age >= limit)
+        self.age_of_weights(now, request.arrival.model.as_ref(), record)
+            .is_some_and(|age| age >= limit)
     }
 
     // The part of an answer's worth that is lost because the target's weights have been replaced.
@@ -273,8 +274,7 @@
         let shared = parts.get(parts.len().checked_sub(2)?)?;
         let key = xxh3_64(shared.id.as_bytes());
         // Engines of the whole region share the parts: a way between its zones is short.
-        let is_near =
-            |zone| self.distance(&self.settings.place.zone, zone) != PlaceDistance::Far;
+        let is_near = |zone| self.distance(&self.settings.place.zone, zone) != PlaceDistance::Far;
         let any_near = records.iter().any(|record| is_near(&record.zone));
         let options =
             records.iter().enumerate().filter(|(_, record)| !any_near || is_near(&record.zone));
@@ -359,7 +359,8 @@
             keep: None,
             priority: request.priority(),
             time_left: request.time_left(now),
-            fresh_connection: !request.is_repeatable(),
+            // A second try must not meet a late answer on a kept connection again.
+            fresh_connection: !request.is_repeatable() || request.may_have_run,
             work,
             wait_ms: wait_ms as u64,
             held: 0,
@@ -395,8 +396,7 @@
     /// Returns how long to wait for the next event of a stream before it is continued elsewhere. A stream that can't
     /// be continued waits until its time is over: silence alone is no reason to end it.
     pub fn silence(&self, request: &ForwardRequest) -> ClockSpan {
-        let continues =
-            request.route.resumable && request.attempts < request.route.max_attempts;
+        let continues = request.route.resumable && request.attempts < request.route.max_attempts;
         if continues { STREAM_SILENCE } else { request.route.timeout }
     }
 
--- a/crates/forward/tests/admission.rs
+++ b/crates/forward/tests/admission.rs
@@ -19,7 +19,11 @@
     no_route = { "/nowhere/x", Some("key-one"), Some(RefusalReason::RouteUnknown) },
     prefix_without_slash = { "/anything", Some("key-one"), Some(RefusalReason::RouteUnknown) },
 )]
-fn only_the_owner_of_a_key_is_served(path: &str, key: Option<&str>, refused: Option<RefusalReason>) {
+fn only_the_owner_of_a_key_is_served(
+    path: &str,
+    key: Option<&str>,
+    refused: Option<RefusalReason>,
+) {
     let mut router = router(0);
     let admitted = router.state.admit(at(10), arrival(path, key));
     assert_eq!(admitted.err().map(|refusal| refusal.reason), refused);
--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -135,8 +135,8 @@
                 break;
             }
             // Callers crowd on a few routers.
-            let index = (self.random.below(ROUTERS as u64).min(self.random.below(ROUTERS as u64)))
-                as usize;
+            let index =
+                (self.random.below(ROUTERS as u64).min(self.random.below(ROUTERS as u64))) as usize;
             let Some(router) = &mut self.nodes[index] else { continue };
             self.asked += tokens;
             if router.state.admit(at(now), request(tokens)).is_ok() {
@@ -209,12 +209,15 @@
 #[test]
 fn a_lower_limit_holds_at_once() {
     let mut router = support::router(0);
-    router.handle(10, ForwardEvent::Rules({
-        let mut lower = ForwardRules::clone(&document());
-        lower.version = 2;
-        lower.accounts = vec![Arc::new(account("one", 100))];
-        Arc::new(lower)
-    }));
+    router.handle(
+        10,
+        ForwardEvent::Rules({
+            let mut lower = ForwardRules::clone(&document());
+            lower.version = 2;
+            lower.accounts = vec![Arc::new(account("one", 100))];
+            Arc::new(lower)
+        }),
+    );
     assert!(router.state.admit(at(20), request(1_000)).is_ok());
     let refusal = router.state.admit(at(30), request(1_000)).unwrap_err();
     assert_eq!(refusal.reason.status(), 429);
--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -16,9 +16,8 @@
 }
 
 fn holds(router: &mut TestRouter, now: u64, source: FeedSource, salt: &str, parts: &[(&str, u64)]) {
-    let events = parts
-        .iter()
-        .map(|(id, tokens)| PartEvent { key: PartKey::new(salt, id), tokens: *tokens });
+    let events =
+        parts.iter().map(|(id, tokens)| PartEvent { key: PartKey::new(salt, id), tokens: *tokens });
     let batch = PartBatch { epoch: 1, next: 9, gap: false, events: events.collect() };
     router.handle(now, ForwardEvent::Parts { source, batch: Some(batch) });
 }
@@ -42,9 +41,8 @@
 fn a_busy_holder_hands_its_parts_on() {
     let mut router = router(0);
     holds(&mut router, 10, engine("model-b"), SALT, &SHARED);
-    let plans: Vec<SendPlan> = (0..30)
-        .map(|round| place(&mut router, 20, prompt("s", &format!("o{round}"))))
-        .collect();
+    let plans: Vec<SendPlan> =
+        (0..30).map(|round| place(&mut router, 20, prompt("s", &format!("o{round}")))).collect();
     let moved = plans.iter().filter(|plan| plan.target.as_str() != "model-b");
     let holder = "10.2.0.21:8080".parse().ok();
     assert!(moved.clone().count() > 5);
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -111,11 +111,8 @@
 }
 
 pub(crate) fn target(name: &str, service: &str, zone: &str, last: u8) -> TargetRecord {
-    let versions = if service == "models" {
-        BTreeMap::from([("m".into(), 1)])
-    } else {
-        BTreeMap::new()
-    };
+    let versions =
+        if service == "models" { BTreeMap::from([("m".into(), 1)]) } else { BTreeMap::new() };
     TargetRecord {
         name: name.into(),
         service: service.into(),
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -148,11 +148,14 @@
 #[test]
 fn targets_that_are_about_to_load_are_avoided() {
     let mut owner = router(0);
-    owner.handle(10, ForwardEvent::Term(godwitroad_orders::TermAnswer::Acquired {
-        lease: 1,
-        fence: 5,
-        granted: at(5),
-    }));
+    owner.handle(
+        10,
+        ForwardEvent::Term(godwitroad_orders::TermAnswer::Acquired {
+            lease: 1,
+            fence: 5,
+            granted: at(5),
+        }),
+    );
     name_weights(&mut owner, 20, 2);
     owner.handle(30, ForwardEvent::Term(godwitroad_orders::TermAnswer::Marked { active: true }));
     let mut note = owner.note(40);
--- a/crates/forward/tests/withdrawal.rs
+++ b/crates/forward/tests/withdrawal.rs
@@ -43,8 +43,7 @@
     fn new(seed: u64) -> Fleet {
         let mut random = SeededRandom::new(seed);
         let nodes = (0..ROUTERS).map(|index| {
-            let mut router =
-                TestRouter::new(settings(&format!("vm-{index}"), index as u8 + 1));
+            let mut router = TestRouter::new(settings(&format!("vm-{index}"), index as u8 + 1));
             for other in 0..ROUTERS {
                 let place = place(&format!("vm-{other}"), "a", other as u8 + 1);
                 router.handle(0, ForwardEvent::PeerListed(place));
--- a/crates/orders/src/term.rs
+++ b/crates/orders/src/term.rs
@@ -200,12 +200,7 @@
         Some(TermAction::Acquire)
     }
 
-    fn next_as_owner(
-        &self,
-        now: ClockTime,
-        held: &HeldTerm,
-        has_work: bool,
-    ) -> Option<TermAction> {
+    fn next_as_owner(&self, now: ClockTime, held: &HeldTerm, has_work: bool) -> Option<TermAction> {
         if now.since(held.renewed) >= self.settings.renewal {
             return Some(TermAction::Renew { lease: held.lease });
         }
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -167,7 +167,9 @@
     // The end-to-end headers that decide routing can't be declared to be the connection's own.
     let named: Vec<HeaderName> = headers
         .keys()
-        .filter(|name| is_listed(name.as_str()) && **name != HOST && !name.as_str().starts_with("x-"))
+        .filter(|name| {
+            is_listed(name.as_str()) && **name != HOST && !name.as_str().starts_with("x-")
+        })
         .cloned()
         .collect();
     for name in named {
--- a/crates/proxy/src/client/pool.rs
+++ b/crates/proxy/src/client/pool.rs
@@ -75,9 +75,9 @@
 // The time for which the target keeps the connection, or `None` if it closes it at once.
 fn idle_time(headers: &HeaderMap) -> Option<Duration> {
     let closes = headers.get_all(CONNECTION).iter().any(|value| {
-        value.to_str().is_ok_and(|text| {
-            text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close"))
-        })
+        value
+            .to_str()
+            .is_ok_and(|text| text.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
     });
     if closes {
         return None;
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -103,9 +103,7 @@
     let request = core.port.feed_request(since, WAIT);
     let until = core.after(ClockSpan::from_ms(WAIT.as_ms() + ANSWER_MARGIN.as_ms()));
     match core.client.call(address, request, until).await {
-        Ok((StatusCode::OK, body)) => {
-            core.port.read_feed(&body).map_err(|error| error.to_string())
-        }
+        Ok((StatusCode::OK, body)) => core.port.read_feed(&body).map_err(|error| error.to_string()),
         Ok((status, _)) => Err(format!("status {status}")),
         Err(error) => Err(error.to_string()),
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -52,9 +52,10 @@
     limits: &CallerLimits,
 ) -> ConnectionService {
     let handler_core = core.clone();
-    let app = App::new().default_service(web::to(move |request: HttpRequest, body: web::Payload| {
-        answer::answer(handler_core.clone(), request, body)
-    }));
+    let app =
+        App::new().default_service(web::to(move |request: HttpRequest, body: web::Payload| {
+            answer::answer(handler_core.clone(), request, body)
+        }));
     connection_service(core, app, limits).await
 }
 
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -106,8 +106,7 @@
     mut after: u64,
 ) {
     loop {
-        let wait =
-            if pauses.is_failing() { SHORT_WAIT } else { core.settings.borrow().watch_wait };
+        let wait = if pauses.is_failing() { SHORT_WAIT } else { core.settings.borrow().watch_wait };
         let call = StoreCall::Watch { after, wait };
         let from = core.now();
         let time = ClockSpan::from_ms(wait.as_ms() + WATCH_MARGIN.as_ms());
@@ -133,10 +132,7 @@
     }
 }
 
-async fn read_all<P: PlatformPort>(
-    core: &SharedCore<P>,
-    listed: &mut ListedNames,
-) -> Result<u64> {
+async fn read_all<P: PlatformPort>(core: &SharedCore<P>, listed: &mut ListedNames) -> Result<u64> {
     let from = core.now();
     let mut seen = ListedNames::default();
     let mut first = None;
@@ -162,11 +158,7 @@
     Ok(first.unwrap_or(0))
 }
 
-fn end_missing<P: PlatformPort>(
-    core: &SharedCore<P>,
-    before: &ListedNames,
-    seen: &ListedNames,
-) {
+fn end_missing<P: PlatformPort>(core: &SharedCore<P>, before: &ListedNames, seen: &ListedNames) {
     for name in before.targets.difference(&seen.targets) {
         core.handle(ForwardEvent::TargetGone(name.clone()));
     }
--- a/crates/proxy/src/telemetry/log.rs
+++ b/crates/proxy/src/telemetry/log.rs
@@ -37,11 +37,8 @@
             // A full queue is an expected error; reporting it would add to the load.
             .error_handler(|_| {})
             .build_arc()?;
-        let logger = Logger::builder()
-            .name(name)
-            .level_filter(LevelFilter::All)
-            .sink(sink)
-            .build_arc()?;
+        let logger =
+            Logger::builder().name(name).level_filter(LevelFilter::All).sink(sink).build_arc()?;
         Ok(NodeLog { logger })
     }
 
