--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -417,7 +417,7 @@
             record.born,
         );
         match self.roster.put(record) {
-            RosterChange::Same => return,
+            RosterChange::Same => {}
             RosterChange::Started => {
                 self.parts.remove(&FeedSource::Target(name.clone()));
                 self.health.restart(now, &name);
--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -11,8 +11,8 @@
 use support::{TestRouter, arrival, at, prompt, router, rules, target};
 
 fn place(router: &mut TestRouter, now: u64, arrival: ForwardArrival) -> SendPlan {
-    let mut request = router.state.admit(at(now), arrival).unwrap();
-    router.state.place(at(now), &mut request).unwrap()
+    let mut request = router.state.admit(at(now), arrival).expect("an open route");
+    router.state.place(at(now), &mut request).expect("a target")
 }
 
 fn holds(router: &mut TestRouter, now: u64, source: FeedSource, salt: &str, parts: &[(&str, u64)]) {
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -63,7 +63,7 @@
     let plain = ServiceRule { max_connections: 100, engine: None, kept: None };
     let models = ServiceRule { max_connections: 300, engine: Some(engine()), kept: None };
     let kept = KeptCache {
-        address: "172.20.0.2:8080".parse().unwrap(),
+        address: "172.20.0.2:8080".parse().expect("an address"),
         zone: "c".into(),
         link_mbps: 33_000.0,
         event_calls: 12,
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -18,7 +18,7 @@
         } else {
             arrival("/any/x", Some("key-one"))
         };
-        let mut request = router.state.admit(at(now), arrival).unwrap();
+        let mut request = router.state.admit(at(now), arrival).expect("an open route");
         if let Ok(plan) = router.state.place(at(now), &mut request) {
             names.insert(plan.target.clone());
         }
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -4,7 +4,6 @@
 //! is asked again after a pause.
 
 use std::{
-    cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
@@ -35,12 +34,11 @@
 
 /// Reads the holders that the decision state names for as long as the process runs.
 pub(crate) async fn run<P: PlatformPort>(core: SharedCore<P>) {
-    let tasks: RefCell<BTreeMap<FeedSource, (SocketAddr, AbortHandle)>> = RefCell::default();
+    let mut tasks: BTreeMap<FeedSource, (SocketAddr, AbortHandle)> = BTreeMap::new();
     loop {
         let wanted: BTreeSet<FeedSource> =
             core.read(|state| state.feeds(core.now())).into_iter().collect();
-        let mut tasks_now = tasks.borrow_mut();
-        tasks_now.retain(|source, (address, task)| {
+        tasks.retain(|source, (address, task)| {
             let keeps = wanted.contains(source) && address_of(&core, source) == Some(*address);
             if !keeps {
                 task.abort();
@@ -49,12 +47,11 @@
         });
         for source in wanted {
             let Some(address) = address_of(&core, &source) else { continue };
-            tasks_now.entry(source.clone()).or_insert_with(|| {
+            tasks.entry(source.clone()).or_insert_with(|| {
                 let task = spawn(read(core.clone(), source, address));
                 (address, task.abort_handle())
             });
         }
-        drop(tasks_now);
         core.sleep(CHECK_PAUSE).await;
     }
 }
