--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{ClockSpan, ClockTime};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime};
 use godwitroad_pick::{RetryBudget, RetrySettings};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Returns the account whose key came with a request, for the log.
+    pub fn account_name(&self, arrival: &ForwardArrival) -> Option<AccountName> {
+        let account = self.rules.as_ref()?.account_of(arrival.key.as_ref()?)?;
+        Some(account.name.clone())
+    }
+
     /// Returns whether the peers should be told at once what was admitted.
     pub fn has_news(&self) -> bool {
         self.allowance.has_news()
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use godwitroad_base::ClockSpan;
 use godwitroad_forward::{AttemptOutcome, ForwardRequest, NextStep, SendPlan};
 use http::{
     HeaderMap, Method, Request, StatusCode, Uri,
@@ -99,8 +100,14 @@
         match error {
             SendError::NotSent => AttemptOutcome::NotSent,
             SendError::Failed => AttemptOutcome::Failed,
-            SendError::TimeOver if Instant::now() < self.ends() => AttemptOutcome::Failed,
-            SendError::TimeOver => AttemptOutcome::TimeOver,
+            SendError::TimeOver => {
+                let left = self.request().time_left(self.core.now());
+                if left > ClockSpan::ZERO {
+                    AttemptOutcome::Failed
+                } else {
+                    AttemptOutcome::TimeOver
+                }
+            }
         }
     }
 
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -68,9 +68,16 @@
     };
     let open = OpenRequest::new(core.clone());
     let id = arrival.id.clone();
+    let about = format!(
+        " host={} path={} account={} tokens={:?}",
+        arrival.host,
+        arrival.path,
+        core.read(|state| state.account_name(&arrival)).unwrap_or_else(|| "-".into()),
+        arrival.tokens,
+    );
     match core.admit(arrival) {
         Ok(admitted) => forward(&core, admitted, payload, open).await,
-        Err(refusal) => refused(&core, &id, None, refusal),
+        Err(refusal) => refused(&core, &id, &about, refusal),
     }
 }
 
@@ -326,7 +333,16 @@
         log_delivered(core, request, head.status.as_u16());
         return delivered(core, &head, |response| response.body(body));
     }
-    refused(core, &request.arrival.id, Some(request), refusal)
+    let about = format!(
+        " route={} service={} account={} units={} offers={} elapsed_ms={}",
+        request.route.name,
+        request.service,
+        request.account.as_ref().map_or("-", |account| account.name.as_str()),
+        request.units,
+        request.tried.len(),
+        core.now().since(request.arrived).as_ms(),
+    );
+    refused(core, &request.arrival.id, &about, refusal)
 }
 
 fn log_delivered<P: PlatformPort>(core: &SharedCore<P>, request: &ForwardRequest, status: u16) {
@@ -343,7 +359,7 @@
 fn refused<P: PlatformPort>(
     core: &SharedCore<P>,
     id: &str,
-    request: Option<&ForwardRequest>,
+    about: &str,
     refusal: ForwardRefusal,
 ) -> HttpResponse {
     let reason = refusal.reason;
@@ -353,17 +369,6 @@
         let version = state.rules().map_or(0, |rules| rules.version);
         (version, state.proof_age(now).map(|age| age.as_ms()), state.member_count())
     });
-    let about = request.map_or_else(String::new, |request| {
-        format!(
-            " route={} service={} account={} units={} offers={} elapsed_ms={}",
-            request.route.name,
-            request.service,
-            request.account.as_ref().map_or("-", |account| account.name.as_str()),
-            request.units,
-            request.tried.len(),
-            now.since(request.arrived).as_ms(),
-        )
-    });
     let detail = format!(
         "status={} reason={} retry_after_ms={:?} config_version={version} proof_age_ms={proof:?} members={members}{about}",
         reason.status(),
