--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -22,9 +22,12 @@
 /// What an answer may take beyond its wait.
 const ANSWER_MARGIN: ClockSpan = ClockSpan::from_ms(500);
 
-/// The pause after changes, so that those that come together cost one call. Placement bears this delay: a router
-/// knows its own requests at once.
-const GATHER_PAUSE: ClockSpan = ClockSpan::from_ms(120);
+/// The pause after changes for each holder that is read, so that those that come together cost one call. Placement
+/// bears this delay: a router knows its own requests at once.
+const GATHER_PAUSE_MS: u64 = 12;
+
+/// The longest pause after changes.
+const LONGEST_GATHER_PAUSE_MS: u64 = 600;
 
 /// The pause after a failure.
 const FAILURE_PAUSE: ClockSpan = ClockSpan::from_ms(600);
@@ -56,6 +59,11 @@
     }
 }
 
+fn gather_pause<P: PlatformPort>(core: &SharedCore<P>) -> ClockSpan {
+    let holders = core.read(|state| state.target_count()) as u64;
+    ClockSpan::from_ms((holders * GATHER_PAUSE_MS).min(LONGEST_GATHER_PAUSE_MS))
+}
+
 fn address_of<P: PlatformPort>(core: &SharedCore<P>, source: &FeedSource) -> Option<SocketAddr> {
     match source {
         FeedSource::Kept(address) => Some(*address),
@@ -73,7 +81,7 @@
         let pause = match &batch {
             Ok(batch) => {
                 since = Some(batch.next);
-                (!batch.events.is_empty()).then_some(GATHER_PAUSE)
+                (!batch.events.is_empty()).then(|| gather_pause(&core))
             }
             Err(_) => {
                 since = None;
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -25,8 +25,12 @@
 /// The wait of the first watch after an outage: its answer is needed as a proof.
 const SHORT_WAIT: ClockSpan = ClockSpan::from_ms(1);
 
-/// The pause after changes, so that those that come together cost one call.
-const GATHER_PAUSE: ClockSpan = ClockSpan::from_ms(100);
+/// The pause after changes for each router of the fleet, so that those that come together cost one call. Every change
+/// wakes every router, so the pause grows with the fleet.
+const GATHER_PAUSE_MS: u64 = 12;
+
+/// The longest pause after changes; a change must be in force within seconds.
+const LONGEST_GATHER_PAUSE_MS: u64 = 600;
 
 /// The pause after a failed call; it doubles up to the longest one.
 const FIRST_PAUSE: ClockSpan = ClockSpan::from_ms(150);
@@ -119,7 +123,9 @@
                 pauses.answered(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: from });
                 if changed {
-                    core.sleep(GATHER_PAUSE).await;
+                    let members = core.read(|state| state.member_count()) as u64;
+                    let pause = (members * GATHER_PAUSE_MS).min(LONGEST_GATHER_PAUSE_MS);
+                    core.sleep(ClockSpan::from_ms(pause)).await;
                 }
             }
             Ok(StoreAnswer::HistoryGone) => {
