One router a region proves the configuration for the others

Cause: a proof counts from the start of a watch, so that with watches of 1.8 s every proof was 1.8 to 3.6 s old when the store went away, and keyed requests were refused from 0.9 s into an outage on.

--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -3,7 +3,8 @@
 //! A withdrawn key must stop working within a bound on every router, also on one that has lost the store. A router
 //! therefore serves a keyed request only while a linearizable answer proves that it knew the newest configuration a
 //! short time ago. The proof counts from the moment at which the read started, as the answer may have been made at
-//! any time after that. A peer that holds the same version may lend its own proof.
+//! any time after that. A peer that holds the same version may lend its own proof: in each region one router asks the
+//! store often, and the others borrow its proofs.
 
 use godwitroad_base::{ClockSpan, ClockTime};
 
@@ -14,6 +15,12 @@
     pub proof_span: ClockSpan,
     /// Whether keyed requests are refused without a proof.
     pub strict: bool,
+    /// How long a watch waits for changes. Two waits must fit the span of the proof, and a connection that went
+    /// silent shows only after one.
+    pub wait: ClockSpan,
+    /// How long the watch of a router waits that proves for its region. A proof counts from the start of its watch,
+    /// so that short watches give young proofs; the notes hand them to the others.
+    pub prover_wait: ClockSpan,
 }
 
 /// What this router can prove about its configuration.
@@ -25,7 +32,12 @@
 
 impl Default for ContactSettings {
     fn default() -> ContactSettings {
-        ContactSettings { proof_span: ClockSpan::from_ms(4_500), strict: true }
+        ContactSettings {
+            proof_span: ClockSpan::from_ms(4_500),
+            strict: true,
+            wait: ClockSpan::from_ms(1_800),
+            prover_wait: ClockSpan::from_ms(500),
+        }
     }
 }
 
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -12,6 +12,9 @@
 /// What a borrowed proof ages on its way, at most; datagrams are not held longer.
 const NOTE_DELAY: ClockSpan = ClockSpan::from_ms(300);
 
+/// The age of a router's proof from which it no longer proves for others.
+const PROVER_AGE_MS: u32 = 2_000;
+
 /// The most usage and load lines in one note, so that it fits one datagram.
 const MAX_LINES: usize = 40;
 
@@ -58,6 +61,29 @@
         self.peers.iter()
     }
 
+    /// Returns how long the next watch for changes waits.
+    pub fn watch_wait(&self, now: ClockTime) -> ClockSpan {
+        let contact = &self.settings.contact;
+        let needs_proof = self.rules.as_ref().is_some_and(|rules| rules.needs_keys());
+        if needs_proof && contact.strict && self.is_prover(now) {
+            contact.prover_wait.min(contact.wait)
+        } else {
+            contact.wait
+        }
+    }
+
+    // The first router of the region that is in touch with the store proves for the others.
+    fn is_prover(&self, now: ClockTime) -> bool {
+        let own = &self.settings.place;
+        let lends = |note: &PeerNote| {
+            !note.stopping
+                && !self.is_far(&note.place)
+                && note.proof_age_ms.is_some_and(|age| age < PROVER_AGE_MS)
+        };
+        let others = self.peers.heard(now).map(|(note, _)| note).filter(|note| lends(note));
+        self.stopping.is_none() && others.map(|note| &note.place.vm).all(|vm| own.vm < *vm)
+    }
+
     /// Returns whether a peer is in another region, where bytes cost more and notes may be rarer.
     pub fn is_far(&self, place: &PeerPlace) -> bool {
         self.region_of(&place.zone) != self.region_of(&self.settings.place.zone)
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -20,8 +20,6 @@
     pub seeds: Vec<IpAddr>,
     /// The time from the request to stop until the process is ended.
     pub grace: ClockSpan,
-    /// The longest wait of a watch for changes; two of them must fit the span of the configuration's proof.
-    pub watch_wait: ClockSpan,
     /// The length of the lease of this router's own entry.
     pub entry_lease: ClockSpan,
     /// The settings of the decisions.
@@ -38,7 +36,6 @@
             metrics: any(7601),
             seeds: Vec::new(),
             grace: ClockSpan::from_secs(8),
-            watch_wait: ClockSpan::from_ms(1_800),
             entry_lease: ClockSpan::from_secs(600),
             forward: ForwardSettings::default(),
         }
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -110,7 +110,11 @@
     mut after: u64,
 ) {
     loop {
-        let wait = if pauses.is_failing() { SHORT_WAIT } else { core.settings.borrow().watch_wait };
+        let wait = if pauses.is_failing() {
+            SHORT_WAIT
+        } else {
+            core.read(|state| state.watch_wait(core.now()))
+        };
         let call = StoreCall::Watch { after, wait };
         let from = core.now();
         let time = ClockSpan::from_ms(wait.as_ms() + WATCH_MARGIN.as_ms());
