--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -27,10 +27,10 @@
 
 /// The pause after changes for each router of the fleet, so that those that come together cost one call. Every change
 /// wakes every router, so the pause grows with the fleet.
-const GATHER_PAUSE_MS: u64 = 12;
+const GATHER_PAUSE_MS: u64 = 20;
 
 /// The longest pause after changes; a change must be in force within seconds.
-const LONGEST_GATHER_PAUSE_MS: u64 = 600;
+const LONGEST_GATHER_PAUSE_MS: u64 = 1_000;
 
 /// The pause after a failed call; it doubles up to the longest one.
 const FIRST_PAUSE: ClockSpan = ClockSpan::from_ms(150);
