--- /dev/null
+++ b/crates/forward/src/state/finish.rs
@@ -0,0 +1,155 @@
+//! What follows from the outcome of an attempt.
+
+use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName};
+use godwitroad_pick::RetryBudget;
+
+use super::{
+    ForwardAction, ForwardState,
+    place::{LEAST_TIME, NO_TARGET_WAIT},
+};
+use crate::{
+    AttemptOutcome, ForwardRefusal, ForwardRequest, LoadReport, NextStep, RefusalReason, SendPlan,
+    WorkSum,
+};
+
+/// The most targets that one request is offered to, rejections and failed connections included.
+const MAX_OFFERS: usize = 4;
+
+/// The multiple of a route's objective after which a request that may run again is given up at a silent target. Long
+/// enough that a target that is only busy has answered.
+const PATIENCE_FACTOR: u64 = 3;
+
+/// The pause in a stream after which a stream that may be continued is given up at a silent target; callers leave
+/// after two seconds.
+const STREAM_SILENCE: ClockSpan = ClockSpan::from_ms(1_200);
+
+impl ForwardState {
+    /// Returns how long to wait for the head of an answer before the request is tried elsewhere.
+    pub fn patience(&self, now: ClockTime, request: &ForwardRequest) -> ClockSpan {
+        let left = request.time_left(now);
+        if !request.is_repeatable() || request.attempts >= request.route.max_attempts {
+            return left;
+        }
+        left.min(ClockSpan::from_ms(request.route.objective.as_ms() * PATIENCE_FACTOR))
+    }
+
+    /// Returns how long to wait for the next event of a stream before it is continued elsewhere. A stream that can't
+    /// be continued waits until its time is over: silence alone is no reason to end it.
+    pub fn silence(&self, request: &ForwardRequest) -> ClockSpan {
+        let continues = request.route.resumable && request.attempts < request.route.max_attempts;
+        if continues { STREAM_SILENCE } else { request.route.timeout }
+    }
+
+    /// Notes that a target has begun to answer: it has read the prompt.
+    pub fn begin_answer(&mut self, now: ClockTime, plan: &mut SendPlan, load: Option<LoadReport>) {
+        let read = WorkSum { unread: plan.work.unread, ..WorkSum::default() };
+        plan.work.unread = 0;
+        self.loads.end(&plan.target, read);
+        if let Some(load) = load {
+            self.loads.report(now, &plan.target, load);
+        }
+        self.health.succeeded(now, &plan.target);
+    }
+
+    /// Notes the version of the weights that an answer was made on.
+    pub fn learn_version(&mut self, target: &TargetName, model: &ModelName, version: u64) {
+        self.roster.learn_version(target, model, version);
+    }
+
+    /// Takes the outcome of an attempt and returns what follows.
+    pub fn finish(
+        &mut self,
+        now: ClockTime,
+        request: &mut ForwardRequest,
+        plan: &SendPlan,
+        outcome: AttemptOutcome,
+    ) -> NextStep {
+        self.loads.end(&plan.target, plan.work);
+        match outcome {
+            AttemptOutcome::Complete { status } => {
+                request.may_have_run = true;
+                if status >= 500 && request.is_repeatable() && self.may_retry(now, request) {
+                    return NextStep::Again;
+                }
+                NextStep::Deliver
+            }
+            AttemptOutcome::Rejected { .. } => {
+                request.attempts -= 1;
+                let is_open = request.tried.len() < MAX_OFFERS;
+                if is_open && self.may_retry(now, request) {
+                    return NextStep::Again;
+                }
+                self.end_step(request, RefusalReason::TargetsRefused)
+            }
+            AttemptOutcome::NotSent => {
+                request.attempts -= 1;
+                self.target_failed(now, plan, outcome);
+                // Nothing arrived, so that another try takes nothing from the fleet's retries.
+                if request.tried.len() < MAX_OFFERS && request.time_left(now) >= LEAST_TIME {
+                    return NextStep::Again;
+                }
+                self.end_step(request, RefusalReason::NoTarget)
+            }
+            AttemptOutcome::Failed => {
+                request.may_have_run = true;
+                self.target_failed(now, plan, outcome);
+                if request.is_repeatable() && self.may_retry(now, request) {
+                    return NextStep::Again;
+                }
+                NextStep::End(ForwardRefusal::new(RefusalReason::TargetFailed))
+            }
+            AttemptOutcome::CallerLeft | AttemptOutcome::TimeOver => {
+                request.may_have_run = true;
+                NextStep::End(ForwardRefusal::new(RefusalReason::TargetTimeout))
+            }
+        }
+    }
+
+    fn target_failed(&mut self, now: ClockTime, plan: &SendPlan, outcome: AttemptOutcome) {
+        if self.health.failed(now, &plan.target) {
+            let detail = format!("target={} outcome={outcome:?}", plan.target);
+            self.notices.push(ForwardAction::Notice("target_on_probation", detail));
+        }
+    }
+
+    fn may_retry(&mut self, now: ClockTime, request: &ForwardRequest) -> bool {
+        if request.attempts >= request.route.max_attempts || request.time_left(now) < LEAST_TIME {
+            return false;
+        }
+        let settings = self.retry_settings();
+        let budget = self.retries.entry(request.service.clone());
+        budget.or_insert_with(|| RetryBudget::new(settings)).take()
+    }
+
+    fn end_step(&mut self, request: &ForwardRequest, reason: RefusalReason) -> NextStep {
+        let refusal = ForwardRefusal::after(reason, NO_TARGET_WAIT);
+        NextStep::End(self.end(request, refusal))
+    }
+
+    pub(super) fn give_up(
+        &mut self,
+        request: &ForwardRequest,
+        reason: RefusalReason,
+    ) -> ForwardRefusal {
+        self.end(request, ForwardRefusal::new(reason))
+    }
+
+    // A request that an earlier attempt may have run can't be called "not run".
+    pub(super) fn end(
+        &mut self,
+        request: &ForwardRequest,
+        refusal: ForwardRefusal,
+    ) -> ForwardRefusal {
+        if request.may_have_run {
+            let reason = match refusal.reason {
+                RefusalReason::TimeOver => RefusalReason::TargetTimeout,
+                _ => RefusalReason::TargetFailed,
+            };
+            return ForwardRefusal::new(reason);
+        }
+        if let Some(account) = &request.account {
+            self.allowance.give_back(&account.name, request.units);
+        }
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/forward/src/state/health.rs
@@ -0,0 +1,74 @@
+//! The health of targets by name.
+
+use std::collections::BTreeMap;
+
+use godwitroad_base::{ClockTime, SeededRandom, TargetName};
+use godwitroad_pick::{HealthSettings, HealthState, TargetHealth, TargetId};
+
+use crate::TargetRecord;
+
+/// The health of targets by name.
+#[derive(Debug)]
+pub(super) struct HealthTable {
+    health: TargetHealth,
+    ids: BTreeMap<TargetName, TargetId>,
+    free: Vec<TargetId>,
+}
+
+impl HealthTable {
+    pub(super) fn new(settings: HealthSettings) -> HealthTable {
+        let health = TargetHealth::new(settings);
+        HealthTable { health, ids: BTreeMap::new(), free: Vec::new() }
+    }
+
+    fn id(&mut self, name: &TargetName) -> TargetId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let next = u16::try_from(self.ids.len()).unwrap_or(u16::MAX);
+        let id = self.free.pop().unwrap_or(TargetId(next));
+        self.ids.insert(name.clone(), id);
+        id
+    }
+
+    pub(super) fn restart(&mut self, now: ClockTime, name: &TargetName) {
+        // A target that was never seen failing starts with its full share.
+        if let Some(id) = self.ids.get(name) {
+            self.health.restart(now, *id);
+        }
+    }
+
+    pub(super) fn forget(&mut self, name: &TargetName) {
+        if let Some(id) = self.ids.remove(name) {
+            self.health.set_leaving(ClockTime::ZERO, id, true);
+            self.health.set_leaving(ClockTime::ZERO, id, false);
+            self.free.push(id);
+        }
+    }
+
+    /// Returns whether a target failed so lately that it gets nothing.
+    pub(super) fn is_silent(&self, now: ClockTime, record: &TargetRecord) -> bool {
+        let state = self.ids.get(&record.name).map(|id| self.health.state(now, *id));
+        matches!(state, Some(HealthState::Probation { .. }))
+    }
+
+    pub(super) fn admits(
+        &self,
+        now: ClockTime,
+        name: &TargetName,
+        random: &mut SeededRandom,
+    ) -> bool {
+        self.ids.get(name).is_none_or(|id| self.health.admits(now, *id, random))
+    }
+
+    pub(super) fn succeeded(&mut self, now: ClockTime, name: &TargetName) {
+        if let Some(id) = self.ids.get(name) {
+            self.health.note_success(now, *id);
+        }
+    }
+
+    pub(super) fn failed(&mut self, now: ClockTime, name: &TargetName) -> bool {
+        let id = self.id(name);
+        self.health.note_failure(now, id)
+    }
+}
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -4,9 +4,12 @@
 //! [`ForwardState::place`] for each attempt, and [`ForwardState::finish`] for its outcome.
 
 mod admit;
+mod finish;
 mod fleet;
+mod health;
 mod orders;
 mod place;
+mod targets;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -27,11 +30,11 @@
 use crate::{
     AllowanceSettings, AllowanceTable, ChoiceSettings, ConfigContact, ContactSettings,
     ForwardRefusal, ForwardRules, HeldParts, LoadTable, PartBatch, PeerNote, PeerPlace, PeerTable,
-    RefusalReason, RosterChange, TargetRecord, TargetRoster,
+    RefusalReason, TargetRecord, TargetRoster,
 };
 
+use health::HealthTable;
 use orders::WeightNaming;
-use place::HealthTable;
 
 /// The bounds of retries over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -184,6 +187,8 @@
     loading: BTreeMap<u32, ClockTime>,
     told_loading: BTreeSet<TargetName>,
     random: SeededRandom,
+    // Lines for the log that came up between two events.
+    notices: Vec<ForwardAction>,
     sequence: u64,
     stopping: Option<ClockTime>,
     was_ready: bool,
@@ -249,6 +254,7 @@
             loading: BTreeMap::new(),
             told_loading: BTreeSet::new(),
             random: SeededRandom::new(settings.seed),
+            notices: Vec::new(),
             sequence: 0,
             stopping: None,
             was_ready: false,
@@ -355,6 +361,7 @@
             }
             ForwardEvent::Tick => self.tick(now, actions),
         }
+        actions.append(&mut self.notices);
         self.drive_orders(now, actions);
         self.note_readiness(now, actions);
     }
@@ -384,76 +391,6 @@
         self.rules = Some(rules);
     }
 
-    fn store_answered(&mut self, now: ClockTime, read_from: ClockTime) {
-        self.contact.prove(read_from);
-        self.was_listed = true;
-        if let Some(since) = self.store_failing.take()
-            && now.since(since) >= LAPSE_OUTAGE
-        {
-            self.store_back = Some(now);
-        }
-    }
-
-    // Leases may have lapsed while the store was away; see `TargetRoster::remove`.
-    fn is_after_outage(&self, now: ClockTime) -> bool {
-        let long = self.store_failing.is_some_and(|since| now.since(since) >= LAPSE_OUTAGE);
-        long || self.store_back.is_some_and(|back| now.since(back) < crate::LAPSE_GRACE)
-    }
-
-    fn take_target(
-        &mut self,
-        now: ClockTime,
-        record: TargetRecord,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let name = record.name.clone();
-        let detail = format!(
-            "target={name} service={} address={} zone={} draining={} versions={:?} born={}",
-            record.service,
-            record.address,
-            record.zone,
-            record.draining,
-            record.versions.iter().map(|(m, v)| format!("{m}:{v}")).collect::<Vec<_>>(),
-            record.born,
-        );
-        match self.roster.put(record) {
-            RosterChange::Same => {}
-            RosterChange::Started => {
-                self.parts.remove(&FeedSource::Target(name.clone()));
-                self.health.restart(now, &name);
-                actions.push(ForwardAction::Notice("target_started", detail));
-            }
-            RosterChange::Reloaded => {
-                // New weights discard what the target had cached.
-                if let Some(parts) = self.parts.get_mut(&FeedSource::Target(name)) {
-                    parts.clear();
-                }
-                actions.push(ForwardAction::Notice("target_reloaded", detail));
-            }
-            RosterChange::Draining => {
-                actions.push(ForwardAction::Notice("target_draining", detail));
-            }
-        }
-    }
-
-    fn target_gone(&mut self, now: ClockTime, name: TargetName, actions: &mut Vec<ForwardAction>) {
-        let outage = self.is_after_outage(now);
-        if self.roster.remove(now, &name, outage) {
-            self.forget_target(&name);
-            let detail = format!("target={name}");
-            actions.push(ForwardAction::Notice("target_gone", detail));
-        } else if outage {
-            let detail = format!("target={name} grace_ms={}", crate::LAPSE_GRACE);
-            actions.push(ForwardAction::Notice("target_lapsed", detail));
-        }
-    }
-
-    fn forget_target(&mut self, name: &TargetName) {
-        self.parts.remove(&FeedSource::Target(name.clone()));
-        self.loads.forget(name);
-        self.health.forget(name);
-    }
-
     fn take_parts(&mut self, source: FeedSource, batch: Option<PartBatch>) {
         match batch {
             Some(batch) => {
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -1,41 +1,28 @@
 //! Where to, and what follows from an attempt.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use godwitroad_base::{
-    ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, TargetName, ZoneName, rendezvous,
+    ClockSpan, ClockTime, ModelName, RegionName, TargetName, ZoneName, rendezvous,
 };
-use godwitroad_pick::{HealthSettings, HealthState, RetryBudget, TargetHealth, TargetId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{FeedSource, ForwardState};
 use crate::{
-    AttemptOutcome, EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, LoadReport, NextStep,
-    PartKey, PartSource, PlaceDistance, PromptNeed, RefusalReason, SendPlan, TargetOption,
-    TargetRecord, WorkSum, choose, tag_of,
+    EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, PartKey, PartSource, PlaceDistance,
+    PromptNeed, RefusalReason, SendPlan, TargetOption, TargetRecord, WorkSum, choose, tag_of,
 };
 
 /// When a caller should come back if no target is usable; a restart or a load takes about this long.
-const NO_TARGET_WAIT: ClockSpan = ClockSpan::from_ms(400);
+pub(super) const NO_TARGET_WAIT: ClockSpan = ClockSpan::from_ms(400);
 
 /// The shortest time that is worth handing to a target.
-const LEAST_TIME: ClockSpan = ClockSpan::from_ms(20);
-
-/// The most targets that one request is offered to, rejections and failed connections included.
-const MAX_OFFERS: usize = 4;
+pub(super) const LEAST_TIME: ClockSpan = ClockSpan::from_ms(20);
 
 /// The multiple of a route's objective beyond which a request isn't started: its answer would be far too late, and
 /// it would delay all others.
 const OVERLOAD_FACTOR: f64 = 1.6;
 
-/// The multiple of a route's objective after which a request that may run again is given up at a silent target. Long
-/// enough that a target that is only busy has answered.
-const PATIENCE_FACTOR: u64 = 3;
-
-/// The pause in a stream after which a stream that may be continued is given up at a silent target; callers leave
-/// after two seconds.
-const STREAM_SILENCE: ClockSpan = ClockSpan::from_ms(1_200);
-
 /// The time before the end of `version_span` at which replaced weights serve no new request: a request may wait at
 /// the target before it begins.
 const VERSION_MARGIN: ClockSpan = ClockSpan::from_ms(1_500);
@@ -49,67 +36,6 @@
 /// Shared tokens from which a copy in the store of cache entries is worth its transfer.
 const KEEP_TOKENS: u64 = 512;
 
-/// The health of targets by name.
-#[derive(Debug)]
-pub(super) struct HealthTable {
-    health: TargetHealth,
-    ids: BTreeMap<TargetName, TargetId>,
-    free: Vec<TargetId>,
-}
-
-impl HealthTable {
-    pub(super) fn new(settings: HealthSettings) -> HealthTable {
-        let health = TargetHealth::new(settings);
-        HealthTable { health, ids: BTreeMap::new(), free: Vec::new() }
-    }
-
-    fn id(&mut self, name: &TargetName) -> TargetId {
-        if let Some(id) = self.ids.get(name) {
-            return *id;
-        }
-        let next = u16::try_from(self.ids.len()).unwrap_or(u16::MAX);
-        let id = self.free.pop().unwrap_or(TargetId(next));
-        self.ids.insert(name.clone(), id);
-        id
-    }
-
-    pub(super) fn restart(&mut self, now: ClockTime, name: &TargetName) {
-        // A target that was never seen failing starts with its full share.
-        if let Some(id) = self.ids.get(name) {
-            self.health.restart(now, *id);
-        }
-    }
-
-    pub(super) fn forget(&mut self, name: &TargetName) {
-        if let Some(id) = self.ids.remove(name) {
-            self.health.set_leaving(ClockTime::ZERO, id, true);
-            self.health.set_leaving(ClockTime::ZERO, id, false);
-            self.free.push(id);
-        }
-    }
-
-    /// Returns whether a target failed so lately that it gets nothing.
-    pub(super) fn is_silent(&self, now: ClockTime, record: &TargetRecord) -> bool {
-        let state = self.ids.get(&record.name).map(|id| self.health.state(now, *id));
-        matches!(state, Some(HealthState::Probation { .. }))
-    }
-
-    fn admits(&self, now: ClockTime, name: &TargetName, random: &mut SeededRandom) -> bool {
-        self.ids.get(name).is_none_or(|id| self.health.admits(now, *id, random))
-    }
-
-    fn succeeded(&mut self, now: ClockTime, name: &TargetName) {
-        if let Some(id) = self.ids.get(name) {
-            self.health.note_success(now, *id);
-        }
-    }
-
-    fn failed(&mut self, now: ClockTime, name: &TargetName) -> bool {
-        let id = self.id(name);
-        self.health.note_failure(now, id)
-    }
-}
-
 /// The declared prompt under the salt of one version.
 struct SaltedPrompt {
     salt: Arc<str>,
@@ -384,120 +310,6 @@
         Err(ForwardRefusal::after(RefusalReason::Overloaded, wait))
     }
 
-    /// Returns how long to wait for the head of an answer before the request is tried elsewhere.
-    pub fn patience(&self, now: ClockTime, request: &ForwardRequest) -> ClockSpan {
-        let left = request.time_left(now);
-        if !request.is_repeatable() || request.attempts >= request.route.max_attempts {
-            return left;
-        }
-        left.min(ClockSpan::from_ms(request.route.objective.as_ms() * PATIENCE_FACTOR))
-    }
-
-    /// Returns how long to wait for the next event of a stream before it is continued elsewhere. A stream that can't
-    /// be continued waits until its time is over: silence alone is no reason to end it.
-    pub fn silence(&self, request: &ForwardRequest) -> ClockSpan {
-        let continues = request.route.resumable && request.attempts < request.route.max_attempts;
-        if continues { STREAM_SILENCE } else { request.route.timeout }
-    }
-
-    /// Notes that a target has begun to answer: it has read the prompt.
-    pub fn begin_answer(&mut self, now: ClockTime, plan: &mut SendPlan, load: Option<LoadReport>) {
-        let read = WorkSum { unread: plan.work.unread, ..WorkSum::default() };
-        plan.work.unread = 0;
-        self.loads.end(&plan.target, read);
-        if let Some(load) = load {
-            self.loads.report(now, &plan.target, load);
-        }
-        self.health.succeeded(now, &plan.target);
-    }
-
-    /// Notes the version of the weights that an answer was made on.
-    pub fn learn_version(&mut self, target: &TargetName, model: &ModelName, version: u64) {
-        self.roster.learn_version(target, model, version);
-    }
-
-    /// Takes the outcome of an attempt and returns what follows.
-    pub fn finish(
-        &mut self,
-        now: ClockTime,
-        request: &mut ForwardRequest,
-        plan: &SendPlan,
-        outcome: AttemptOutcome,
-    ) -> NextStep {
-        self.loads.end(&plan.target, plan.work);
-        match outcome {
-            AttemptOutcome::Complete { status } => {
-                request.may_have_run = true;
-                if status >= 500 && request.is_repeatable() && self.may_retry(now, request) {
-                    return NextStep::Again;
-                }
-                NextStep::Deliver
-            }
-            AttemptOutcome::Rejected { .. } => {
-                request.attempts -= 1;
-                let is_open = request.tried.len() < MAX_OFFERS;
-                if is_open && self.may_retry(now, request) {
-                    return NextStep::Again;
-                }
-                self.end_step(request, RefusalReason::TargetsRefused)
-            }
-            AttemptOutcome::NotSent => {
-                request.attempts -= 1;
-                self.health.failed(now, &plan.target);
-                // Nothing arrived, so that another try takes nothing from the fleet's retries.
-                if request.tried.len() < MAX_OFFERS && request.time_left(now) >= LEAST_TIME {
-                    return NextStep::Again;
-                }
-                self.end_step(request, RefusalReason::NoTarget)
-            }
-            AttemptOutcome::Failed => {
-                request.may_have_run = true;
-                self.health.failed(now, &plan.target);
-                if request.is_repeatable() && self.may_retry(now, request) {
-                    return NextStep::Again;
-                }
-                NextStep::End(ForwardRefusal::new(RefusalReason::TargetFailed))
-            }
-            AttemptOutcome::CallerLeft | AttemptOutcome::TimeOver => {
-                request.may_have_run = true;
-                NextStep::End(ForwardRefusal::new(RefusalReason::TargetTimeout))
-            }
-        }
-    }
-
-    fn may_retry(&mut self, now: ClockTime, request: &ForwardRequest) -> bool {
-        if request.attempts >= request.route.max_attempts || request.time_left(now) < LEAST_TIME {
-            return false;
-        }
-        let settings = self.retry_settings();
-        let budget = self.retries.entry(request.service.clone());
-        budget.or_insert_with(|| RetryBudget::new(settings)).take()
-    }
-
-    fn end_step(&mut self, request: &ForwardRequest, reason: RefusalReason) -> NextStep {
-        let refusal = ForwardRefusal::after(reason, NO_TARGET_WAIT);
-        NextStep::End(self.end(request, refusal))
-    }
-
-    fn give_up(&mut self, request: &ForwardRequest, reason: RefusalReason) -> ForwardRefusal {
-        self.end(request, ForwardRefusal::new(reason))
-    }
-
-    // A request that an earlier attempt may have run can't be called "not run".
-    fn end(&mut self, request: &ForwardRequest, refusal: ForwardRefusal) -> ForwardRefusal {
-        if request.may_have_run {
-            let reason = match refusal.reason {
-                RefusalReason::TimeOver => RefusalReason::TargetTimeout,
-                _ => RefusalReason::TargetFailed,
-            };
-            return ForwardRefusal::new(reason);
-        }
-        if let Some(account) = &request.account {
-            self.allowance.give_back(&account.name, request.units);
-        }
-        refusal
-    }
-
     pub(super) fn distance(&self, from: &ZoneName, to: &ZoneName) -> PlaceDistance {
         if from == to {
             PlaceDistance::Zone
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -114,11 +114,38 @@
         admitted
     }
 
+    /// Chooses a target for the next attempt and logs the choice with its inputs.
     pub(crate) fn place(
         &self,
         request: &mut ForwardRequest,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
-        self.with(|state| state.place(self.now(), request))
+        let now = self.now();
+        let (plan, version, proof) = self.with(|state| {
+            let version = state.rules().map_or(0, |rules| rules.version);
+            (state.place(now, request), version, state.proof_age(now).map(ClockSpan::as_ms))
+        });
+        let plan = plan?;
+        let detail = format!(
+            "route={} account={} config_version={version} proof_age_ms={proof:?} target={} address={} offer={} \
+             wait_estimate_ms={} prompt={:?} held={} held_anywhere={} read={} fetch={:?} keep={:?} weights={:?} \
+             time_left_ms={}",
+            request.route.name,
+            plan.account.as_ref().map_or("-", |account| account.as_str()),
+            plan.target,
+            plan.address,
+            request.tried.len(),
+            plan.wait_ms,
+            request.arrival.tokens,
+            plan.held,
+            plan.held_anywhere,
+            plan.read,
+            plan.fetch,
+            plan.keep,
+            plan.version,
+            plan.time_left.as_ms(),
+        );
+        self.log.request("request_placed", &request.arrival.id, &detail);
+        Ok(plan)
     }
 
     /// Ends an attempt, logs it and returns what follows.
@@ -132,21 +159,9 @@
         let step = self.with(|state| state.finish(now, request, plan, outcome));
         self.metrics.count(outcome_name(outcome), 1);
         let detail = format!(
-            "target={} address={} outcome={outcome:?} next={step:?} attempt={} offers={} wait_estimate_ms={} prompt={:?} \
-             held={} held_anywhere={} read={} fetch={:?} keep={:?} version={:?} time_left_ms={} elapsed_ms={}",
+            "target={} outcome={outcome:?} next={step:?} attempt={} elapsed_ms={}",
             plan.target,
-            plan.address,
             request.attempts,
-            request.tried.len(),
-            plan.wait_ms,
-            request.arrival.tokens,
-            plan.held,
-            plan.held_anywhere,
-            plan.read,
-            plan.fetch,
-            plan.keep,
-            plan.version,
-            request.time_left(now).as_ms(),
             now.since(request.arrived).as_ms(),
         );
         self.log.request("attempt_ended", &request.arrival.id, &detail);
