--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -67,7 +67,7 @@
             memory_ms: 2000.0,
             plain_ms: 30.0,
             old_ms: 600.0,
-            home_ms: 50.0,
+            home_ms: 90.0,
             fill_ms: 25.0,
             noise: 0.02,
         }
--- a/crates/forward/src/parts.rs
+++ b/crates/forward/src/parts.rs
@@ -71,8 +71,8 @@
 /// The time for which a part counts that was sent to an engine but not confirmed.
 const EXPECT_SPAN: ClockSpan = ClockSpan::from_ms(3_000);
 
-/// The time in which an engine reads a long prompt.
-const READ_SPAN: ClockSpan = ClockSpan::from_ms(250);
+/// The time in which an engine reads a prompt of usual length.
+const READ_SPAN: ClockSpan = ClockSpan::from_ms(120);
 
 /// The most parts that are remembered of one holder; engines of today hold a few hundred.
 const MAX_PARTS: usize = 8_192;
