Give a stream that starts anew the head of the target that makes it

Found by reading the diff: a stream that broke before its first event and ran anew elsewhere kept the head, and so the stamp, of the first target. Test: platform/tests/member.rs, anew (failed before: i-model-1 in place of i-model-2).

--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -203,7 +203,8 @@
         let exchange = match opened {
             Ok(exchange) if is_stream(&exchange) => {
                 match begin_stream(attempt, exchange, payload.clone()).await {
-                    Ok((head, first, stream)) => {
+                    Ok((first, stream)) => {
+                        let head = stream.head().clone();
                         let body = StreamBody::new(first, stream, open);
                         return delivered(core, &head, |response| response.body(body));
                     }
@@ -238,11 +239,18 @@
 }
 
 /// The head of a target's answer.
-struct AnswerHead {
+#[derive(Clone, Debug)]
+pub(super) struct AnswerHead {
     status: http::StatusCode,
     headers: HeaderMap,
 }
 
+impl AnswerHead {
+    pub(super) fn of(exchange: &TargetExchange) -> AnswerHead {
+        AnswerHead { status: exchange.status, headers: exchange.headers.clone() }
+    }
+}
+
 type WholeAnswer = Option<(AnswerHead, Bytes)>;
 
 async fn read_answer<P: PlatformPort>(
@@ -252,7 +260,7 @@
 ) -> (ForwardRequest, NextStep, WholeAnswer) {
     match exchange.read_whole(attempt.ends()).await {
         Ok(body) => {
-            let head = AnswerHead { status: exchange.status, headers: exchange.headers.clone() };
+            let head = AnswerHead::of(&exchange);
             core.client.keep(exchange);
             let status = head.status.as_u16();
             let (request, step) = attempt.finish(AttemptOutcome::Complete { status });
@@ -267,7 +275,7 @@
     }
 }
 
-type BegunStream<P> = (AnswerHead, Bytes, CallerStream<P>);
+type BegunStream<P> = (Bytes, CallerStream<P>);
 
 // Waits for the first event, so that a stream that breaks off before it still gets a status of its own.
 async fn begin_stream<P: PlatformPort>(
@@ -275,7 +283,6 @@
     exchange: TargetExchange,
     payload: Rc<CallerPayload>,
 ) -> std::result::Result<BegunStream<P>, (ForwardRequest, NextStep)> {
-    let head = AnswerHead { status: exchange.status, headers: exchange.headers.clone() };
     let core = attempt.core().clone();
     let (id, arrived) = (attempt.request().arrival.id.clone(), attempt.request().arrived);
     let mut stream = CallerStream::new(attempt, exchange, payload);
@@ -284,7 +291,7 @@
             let elapsed = core.now().since(arrived).as_ms();
             core.metrics.record("streams.first_event_ms", elapsed);
             core.log.request("stream_began", &id, &format!("elapsed_ms={elapsed}"));
-            Ok((head, first.unwrap_or_default(), stream))
+            Ok((first.unwrap_or_default(), stream))
         }
         Err(_) => Err(stream.given_up().expect("a stream breaks off only with a reason")),
     }
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -13,7 +13,7 @@
 
 use super::{
     attempt::{ActiveAttempt, CallerPayload, is_stream},
-    caller::OpenRequest,
+    caller::{AnswerHead, OpenRequest},
     events::EventSplitter,
 };
 use crate::{client::TargetExchange, core::SharedCore, port::PlatformPort};
@@ -29,6 +29,8 @@
     payload: Rc<CallerPayload>,
     attempt: Option<(ActiveAttempt<P>, TargetExchange)>,
     splitter: EventSplitter,
+    // The head of the answer whose events are passed on first.
+    head: AnswerHead,
     given_up: Option<(ForwardRequest, NextStep)>,
 }
 
@@ -38,11 +40,13 @@
         exchange: TargetExchange,
         payload: Rc<CallerPayload>,
     ) -> CallerStream<P> {
+        let head = AnswerHead::of(&exchange);
         CallerStream {
             core: attempt.core().clone(),
             payload,
             attempt: Some((attempt, exchange)),
             splitter: EventSplitter::default(),
+            head,
             given_up: None,
         }
     }
@@ -100,6 +104,10 @@
             let resume = self.splitter.last().or(attempt.request().arrival.last_event);
             let outcome = match attempt.open(&self.payload, resume).await {
                 Ok(exchange) if is_stream(&exchange) => {
+                    // Without an event so far the whole answer is the new target's.
+                    if self.splitter.last().is_none() {
+                        self.head = AnswerHead::of(&exchange);
+                    }
                     self.attempt = Some((attempt, exchange));
                     return Ok(());
                 }
@@ -112,6 +120,11 @@
         Err(BrokenStream)
     }
 
+    /// Returns the head of the answer.
+    pub(super) fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
     /// Returns the request of a stream that was given up, with the reason.
     pub(super) fn given_up(&mut self) -> Option<(ForwardRequest, NextStep)> {
         self.given_up.take()
