--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,7 +25,7 @@
     ChoiceSettings, PartSource, PlaceDistance, PromptNeed, TargetChoice, TargetOption, choose,
 };
 pub use contact::{ConfigContact, ContactSettings};
-pub use load::{LoadReport, LoadTable, WorkSum};
+pub use load::{LoadLine, LoadReport, LoadTable, WorkSum};
 pub use parts::{HeldParts, PartBatch, PartEvent, PartKey, PromptPart};
 pub use peers::{PEER_SILENCE, PeerNote, PeerPlace, PeerState, PeerTable};
 pub use request::{
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -20,6 +20,10 @@
     pub unread: u64,
 }
 
+/// A router's work at one target, as its notes tell it: the target's tag, requests, tokens of memory, tokens yet to be
+/// read.
+pub type LoadLine = (u32, u16, u32, u32);
+
 /// A target's own word on its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadReport {
@@ -49,6 +53,12 @@
 /// The age after which a target's own word no longer counts.
 const REPORT_SPAN: ClockSpan = ClockSpan::from_ms(400);
 
+fn work_of(line: &LoadLine) -> (u32, WorkSum) {
+    let (tag, requests, memory, unread) = *line;
+    let sum = WorkSum { requests: requests.into(), memory: memory.into(), unread: unread.into() };
+    (tag, sum)
+}
+
 impl WorkSum {
     fn add(&mut self, other: WorkSum) {
         self.requests += other.requests;
@@ -88,12 +98,20 @@
         self.targets.remove(target);
     }
 
-    /// Replaces the sums of the peers' work by what their last notes say.
+    /// Adds up the peers' work anew from what their last notes say, as peers may have fallen silent.
     pub fn set_peers<'a>(&mut self, notes: impl Iterator<Item = &'a PeerNote>) {
         self.peers.clear();
-        for (tag, requests, memory, unread) in notes.flat_map(|note| note.loads.iter().copied()) {
-            let work =
-                WorkSum { requests: requests.into(), memory: memory.into(), unread: unread.into() };
+        notes.for_each(|note| self.change_peer(&[], &note.loads));
+    }
+
+    /// Replaces what one peer told before by what it tells now.
+    pub fn change_peer(&mut self, before: &[LoadLine], now: &[LoadLine]) {
+        for (tag, work) in before.iter().map(work_of) {
+            if let Some(sum) = self.peers.get_mut(&tag) {
+                sum.take(work);
+            }
+        }
+        for (tag, work) in now.iter().map(work_of) {
             self.peers.entry(tag).or_default().add(work);
         }
     }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,7 +9,7 @@
 use godwitroad_base::{ClockSpan, ClockTime, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::allowance::UsageLine;
+use crate::{allowance::UsageLine, load::LoadLine};
 
 /// A router as it is listed or heard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -37,8 +37,8 @@
     pub proof_age_ms: Option<u32>,
     /// Whether it takes no new requests.
     pub stopping: bool,
-    /// Work under way at targets: the target's tag, requests, tokens of memory, tokens yet to be read.
-    pub loads: Vec<(u32, u16, u32, u32)>,
+    /// Work under way at targets.
+    pub loads: Vec<LoadLine>,
     /// What accounts used: the account's tag, units since the sender's start, units per second lately.
     pub usage: Vec<UsageLine>,
     /// Tags of targets that are about to load weights, from the router that gives the orders.
@@ -92,6 +92,12 @@
         self.peers.remove(vm);
     }
 
+    /// Returns what a peer told last of its work, if it was heard a short time ago.
+    pub fn loads_of(&self, now: ClockTime, vm: &VmName) -> &[LoadLine] {
+        let peer = self.peers.get(vm).filter(|peer| peer.is_heard(now));
+        peer.and_then(|peer| peer.note.as_ref()).map_or(&[], |note| &note.loads)
+    }
+
     /// Returns whether a note is newer than the last one of its sender.
     pub fn is_news(&self, note: &PeerNote) -> bool {
         let last = self.peers.get(&note.place.vm).and_then(|peer| peer.note.as_ref());
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -106,6 +106,10 @@
         {
             self.allowance.hear(now, &rules.accounts, &self.peers, &note);
         }
+        if self.peers.is_news(&note) {
+            let before = self.peers.loads_of(now, &note.place.vm);
+            self.loads.change_peer(before, &note.loads);
+        }
         if !self.peers.hear(now, note) {
             return;
         }
@@ -123,7 +127,6 @@
         {
             self.contact.borrow(now - (ClockSpan::from_ms(age.into()) + NOTE_DELAY));
         }
-        self.loads.set_peers(self.peers.heard(now).map(|(note, _)| note));
     }
 
     /// Returns the holders of cache entries whose changes this router reads.
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -323,6 +323,8 @@
         event: ForwardEvent,
         actions: &mut Vec<ForwardAction>,
     ) {
+        // The rest comes often and changes nothing about the orders.
+        let may_order = !matches!(event, ForwardEvent::Note(_) | ForwardEvent::Parts { .. });
         match event {
             ForwardEvent::Rules(rules) => self.take_rules(now, rules, actions),
             ForwardEvent::StoreAnswered { read_from } => self.store_answered(now, read_from),
@@ -362,7 +364,9 @@
             ForwardEvent::Tick => self.tick(now, actions),
         }
         actions.append(&mut self.notices);
-        self.drive_orders(now, actions);
+        if may_order {
+            self.drive_orders(now, actions);
+        }
         self.note_readiness(now, actions);
     }
 
