--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -39,7 +39,9 @@
     pub(crate) metrics: NodeMetrics,
     pub(crate) tell_peers: Notify,
     pub(crate) open_requests: Cell<usize>,
-    pub(crate) stopping: watch::Sender<bool>,
+    pub(crate) stopping: Cell<bool>,
+    /// Tells the connections of callers to end as soon as they are idle.
+    pub(crate) closing: watch::Sender<bool>,
     clock: NodeClock,
     state: RefCell<ForwardState>,
 }
@@ -60,7 +62,8 @@
             metrics: NodeMetrics::default(),
             tell_peers: Notify::new(),
             open_requests: Cell::new(0),
-            stopping: watch::Sender::new(false),
+            stopping: Cell::new(false),
+            closing: watch::Sender::new(false),
             clock,
             state: RefCell::new(state),
         })
@@ -175,7 +178,7 @@
 
     /// Returns whether the process is to end.
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stopping.get()
     }
 
     /// Waits for a span.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -22,6 +22,10 @@
 /// refusal.
 const LEAVE_TIME: ClockSpan = ClockSpan::from_ms(2_700);
 
+/// The time after which idle connections are closed. Until then an answer ends its connection, so that few are left;
+/// a request that crosses the close may be lost to a caller that doesn't repeat it.
+const CLOSE_TIME: ClockSpan = ClockSpan::from_ms(2_500);
+
 /// The part of the grace time that is kept for the end of the process itself.
 const END_MARGIN: ClockSpan = ClockSpan::from_ms(400);
 
@@ -92,13 +96,16 @@
 async fn stop<P: PlatformPort>(core: &SharedCore<P>) {
     let started = core.now();
     core.log.event("stopping", &format!("open_requests={}", core.open_requests.get()));
-    core.stopping.send_replace(true);
+    core.stopping.set(true);
     core.handle(ForwardEvent::Stop);
     core.tell_peers.notify_one();
     let grace = core.settings.borrow().grace.saturating_sub(END_MARGIN);
     store::sign_off(core).await;
     loop {
         let passed = core.now().since(started);
+        if passed >= CLOSE_TIME {
+            core.closing.send_replace(true);
+        }
         let is_ordering = core.read(|state| state.is_ordering(core.now()));
         let is_done = passed >= LEAVE_TIME && core.open_requests.get() == 0 && !is_ordering;
         if is_done || passed >= grace {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -139,19 +139,19 @@
     B: actix_web::body::MessageBody + 'static,
 {
     let span = |span: godwitroad_base::ClockSpan| Duration::from_millis(span.as_ms());
-    let stopping = core.stopping.subscribe();
+    let closing = core.closing.subscribe();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(span(limits.idle_time)))
         .client_request_timeout(span(limits.head_time))
         .client_disconnect_timeout(DISCONNECT_TIME)
         // A caller that closes its side has left; its request must not go on.
         .h1_allow_half_closed(false)
-        // Idle connections end at a stop, so that their next request goes to another router.
+        // Idle connections end late in a stop, so that their next request goes to another router.
         .graceful_shutdown_signal(move || {
-            let mut stopping = stopping.clone();
+            let mut closing = closing.clone();
             async move {
                 // The sender lives as long as the process.
-                let _ = stopping.wait_for(|stopping| *stopping).await;
+                let _ = closing.wait_for(|closing| *closing).await;
             }
         })
         .h1(map_config(app, |()| AppConfig::default()));
