Remove what the forwarding decisions no longer use, make the retry budget in one place

Dead since the allowances became buckets and the rollout counts work itself: the age of the store's answer, a target's own requests, the size of the held parts. The budget of retries was created by the same expression in two places, and a note was checked three times for being new. No behaviour changes.

--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -63,11 +63,6 @@
         self.proven.map(|proven| now.since(proven))
     }
 
-    /// Returns the age of the store's newest answer to this router itself.
-    pub fn store_age(&self, now: ClockTime) -> Option<ClockSpan> {
-        self.store.map(|store| now.since(store))
-    }
-
     /// Returns whether keyed requests may run.
     pub fn is_fresh(&self, now: ClockTime, settings: &ContactSettings) -> bool {
         !settings.strict || self.age(now).is_some_and(|age| age < settings.proof_span)
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -1,6 +1,6 @@
 //! The work under way at each target.
 //!
-//! A target's own word on its load comes with answers and lags. What counts is the work that the routers have sent
+//! A target's load report comes with answers and lags. What counts is the work that the routers have sent
 //! and not yet seen end: this router knows its own at once and its peers' from their notes.
 
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
 /// read.
 pub type LoadLine = (u32, u16, u32, u32);
 
-/// A target's own word on its load.
+/// A target's report of its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadReport {
     /// Running requests.
@@ -50,7 +50,7 @@
     peers: BTreeMap<u32, WorkSum>,
 }
 
-/// The age after which a target's own word no longer counts.
+/// The age after which a target's report no longer counts.
 const REPORT_SPAN: ClockSpan = ClockSpan::from_ms(400);
 
 fn work_of(line: &LoadLine) -> (u32, WorkSum) {
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Takes a target's own word.
+    /// Takes a target's report.
     pub fn report(&mut self, now: ClockTime, target: &TargetName, report: LoadReport) {
         let entry = self.targets.entry(target.clone()).or_default();
         entry.own_at_report = entry.own.requests;
@@ -136,9 +136,4 @@
         let busy = self.targets.iter().filter(|(_, entry)| entry.own.requests > 0);
         busy.map(|(target, entry)| (target, entry.own))
     }
-
-    /// Returns the number of requests of this router under way at a target.
-    pub fn own_requests(&self, target: &TargetName) -> u64 {
-        self.targets.get(target).map_or(0, |entry| entry.own.requests)
-    }
 }
--- a/crates/forward/src/parts.rs
+++ b/crates/forward/src/parts.rs
@@ -5,7 +5,7 @@
 //! weights or for another isolated account is never found. The index counts tokens, as parts differ widely in length.
 //!
 //! Engines tell what they store and drop, late and with gaps. What this router has sent fills the gap until the
-//! engine's own word comes; a part that the engine never confirms is forgotten.
+//! engine confirms it; a part that the engine never confirms is forgotten.
 
 use std::collections::BTreeMap;
 
@@ -78,8 +78,8 @@
 const MAX_PARTS: usize = 8_192;
 
 impl HeldParts {
-    /// Takes an engine's changes. Returns whether the engine started again since the last ones.
-    pub fn take(&mut self, batch: &PartBatch) -> bool {
+    /// Takes an engine's changes.
+    pub fn take(&mut self, batch: &PartBatch) {
         let restarted = self.epoch.is_some_and(|epoch| epoch != batch.epoch);
         // After a gap an entry may stand for a part that was dropped; only what is told from here on counts.
         if restarted || batch.gap {
@@ -94,7 +94,6 @@
                 self.parts.insert(event.key, part);
             }
         }
-        restarted
     }
 
     /// Notes parts that a request will leave at the engine.
@@ -146,14 +145,4 @@
         let ready = chain.iter().take_while(|(key, _)| is_ready(key)).count();
         self.held(&chain[..ready])
     }
-
-    /// Returns the number of remembered parts.
-    pub fn len(&self) -> usize {
-        self.parts.len()
-    }
-
-    /// Returns whether nothing is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
-    }
 }
--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{AccountName, ClockSpan, ClockTime};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, ServiceName};
 use godwitroad_pick::{RetryBudget, RetrySettings};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -53,11 +53,7 @@
         let service = service.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
         let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
         let units = self.take_allowance(now, account.as_deref(), &arrival)?;
-        let budget = self.retry_settings();
-        self.retries
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(budget))
-            .note_request();
+        self.retry_budget(&service).note_request();
         Ok(ForwardRequest {
             arrival,
             route,
@@ -125,12 +121,14 @@
         self.allowance.has_news()
     }
 
-    pub(super) fn retry_settings(&self) -> RetrySettings {
+    /// Returns this router's part of the fleet's retries for a service.
+    pub(super) fn retry_budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let bounds = &self.settings.retries;
         let members = self.member_count() as f64;
-        RetrySettings {
+        let settings = RetrySettings {
             share: bounds.share * RETRY_PART,
             reserve: (bounds.reserve * RETRY_PART / members).max(1.0),
-        }
+        };
+        self.retries.entry(service.clone()).or_insert_with(|| RetryBudget::new(settings))
     }
 }
--- a/crates/forward/src/state/finish.rs
+++ b/crates/forward/src/state/finish.rs
@@ -1,7 +1,6 @@
 //! What follows from the outcome of an attempt.
 
 use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName};
-use godwitroad_pick::RetryBudget;
 
 use super::{
     ForwardAction, ForwardState,
@@ -116,9 +115,7 @@
         if request.attempts >= request.route.max_attempts || request.time_left(now) < LEAST_TIME {
             return false;
         }
-        let settings = self.retry_settings();
-        let budget = self.retries.entry(request.service.clone());
-        budget.or_insert_with(|| RetryBudget::new(settings)).take()
+        self.retry_budget(&request.service).take()
     }
 
     fn end_step(&mut self, request: &ForwardRequest, reason: RefusalReason) -> NextStep {
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -100,13 +100,11 @@
         }
         let (version, proof, loading) = (note.version, note.proof_age_ms, note.loading.clone());
         let named = note.named.clone();
-        // Before the peer counts as heard: a peer that comes back brings no level with it.
-        if let Some(rules) = &self.rules
-            && self.peers.is_news(&note)
-        {
-            self.allowance.hear(now, &rules.accounts, &self.peers, &note);
-        }
         if self.peers.is_news(&note) {
+            // Before the peer counts as heard: a peer that comes back brings no level with it.
+            if let Some(rules) = &self.rules {
+                self.allowance.hear(now, &rules.accounts, &self.peers, &note);
+            }
             let before = self.peers.loads_of(now, &note.place.vm);
             self.loads.change_peer(before, &note.loads);
         }
