--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -21,7 +21,7 @@
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, VmName};
 
 use crate::{
-    peers::{PEER_SILENCE, PeerNote, PeerTable},
+    peers::{PeerNote, PeerTable},
     rules::AccountRule,
     tag_of,
 };
@@ -55,11 +55,11 @@
 /// The time between a router's last note and its end, mostly.
 const LAST_SPAN: ClockSpan = ClockSpan::from_ms(200);
 
-/// The age of a peer's last note from which it may be cut off: a note and its delay late.
-const DOUBT_FROM: ClockSpan = ClockSpan::from_ms(300);
+/// The part of a peer's silence from which it may be cut off: a note and its delay late.
+const DOUBT_FROM: f64 = 0.3;
 
-/// The age of a peer's last note from which its whole part is held back.
-const DOUBT_UNTIL: ClockSpan = ClockSpan::from_ms(600);
+/// The part of a peer's silence from which its whole part is held back.
+const DOUBT_UNTIL: f64 = 0.6;
 
 /// The part of a burst, as a divisor, that a router may admit before it tells its peers at once.
 const NEWS_PART: f64 = 8.0;
@@ -108,6 +108,8 @@
     total: u64,
     rate: u32,
     heard: ClockTime,
+    // The silence after which it counts as not heard.
+    silence: ClockSpan,
     // What was left in the bucket then.
     left: f64,
 }
@@ -146,13 +148,12 @@
 impl PeerUse {
     // What the peer may have admitted since it was heard: as much as lately, or, if it is cut off, its own part.
     fn held_back(&self, now: ClockTime, size: BucketSize, members: usize) -> f64 {
-        let age = now.since(self.heard);
-        let seconds = age.as_ms() as f64 / 1_000.0;
+        let seconds = now.since(self.heard).as_ms() as f64 / 1_000.0;
         let lately = f64::from(self.rate) * seconds;
         let part = (self.left + size.rate * seconds) / members as f64;
-        let overdue = age.saturating_sub(DOUBT_FROM).as_ms() as f64;
-        let doubt = overdue / DOUBT_UNTIL.saturating_sub(DOUBT_FROM).as_ms() as f64;
-        lately.max(part * doubt.min(1.0))
+        let silent = seconds * 1_000.0 / self.silence.as_ms().max(1) as f64;
+        let doubt = (silent - DOUBT_FROM) / (DOUBT_UNTIL - DOUBT_FROM);
+        lately.max(part * doubt.clamp(0.0, 1.0))
     }
 }
 
@@ -166,7 +167,7 @@
 
     // What peers may have admitted since their last notes.
     fn held_back(&self, now: ClockTime, members: usize) -> f64 {
-        let recent = self.peers.values().filter(|peer| now.since(peer.heard) < PEER_SILENCE);
+        let recent = self.peers.values().filter(|peer| now.since(peer.heard) < peer.silence);
         recent.map(|peer| peer.held_back(now, self.size, members)).sum()
     }
 
@@ -178,12 +179,19 @@
         };
     }
 
-    fn hear(&mut self, now: ClockTime, note: &PeerNote, line: Option<&UsageLine>) {
+    fn hear(
+        &mut self,
+        now: ClockTime,
+        note: &PeerNote,
+        line: Option<&UsageLine>,
+        silence: ClockSpan,
+    ) {
         let (total, rate) = line.map_or((0, 0), |(_, total, rate)| (*total, *rate));
         let left = self.level.max(0.0);
-        let now_told = PeerUse { incarnation: note.incarnation, total, rate, heard: now, left };
+        let incarnation = note.incarnation;
+        let now_told = PeerUse { incarnation, total, rate, heard: now, silence, left };
         let Some(last) = self.peers.insert(note.place.vm.clone(), now_told) else { return };
-        if now.since(last.heard) >= PEER_SILENCE {
+        if now.since(last.heard) >= last.silence {
             // It used its own part while it was not heard.
             return;
         }
@@ -300,7 +308,9 @@
         bucket.level -= units as f64;
         bucket.own.add(now, units);
         let untold = (bucket.own.total - bucket.own.told) as f64;
-        self.has_news |= untold >= size.burst / NEWS_PART;
+        // While much is left, the next note is soon enough.
+        let is_scarce = bucket.level < size.burst / 2.0;
+        self.has_news |= is_scarce && untold >= size.burst / NEWS_PART;
         Ok(())
     }
 
@@ -317,18 +327,19 @@
         self.has_news
     }
 
-    /// Takes what a peer tells of its use.
+    /// Takes what a peer tells of its use; `silence` is the time after which it counts as not heard.
     pub fn hear(
         &mut self,
         now: ClockTime,
         rules: &[Arc<AccountRule>],
         peers: &PeerTable,
         note: &PeerNote,
+        silence: ClockSpan,
     ) {
         for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
             let tag = tag_of(rule.name.as_str());
             let line = note.usage.iter().find(|(account, ..)| *account == tag);
-            self.bucket(now, rule, peers).hear(now, note, line);
+            self.bucket(now, rule, peers).hear(now, note, line, silence);
         }
     }
 
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -3,8 +3,8 @@
 //! A withdrawn key must stop working within a bound on every router, also on one that has lost the store. A router
 //! therefore serves a keyed request only while a linearizable answer proves that it knew the newest configuration a
 //! short time ago. The proof counts from the moment at which the read started, as the answer may have been made at
-//! any time after that. A peer that holds the same version may lend its own proof: in each region one router asks the
-//! store often, and the others borrow its proofs.
+//! any time after that. A peer that holds the same version may lend its own proof: a few routers follow the store, and the
+//! others borrow their proofs.
 
 use godwitroad_base::{ClockSpan, ClockTime};
 
@@ -15,19 +15,18 @@
     pub proof_span: ClockSpan,
     /// Whether keyed requests are refused without a proof.
     pub strict: bool,
-    /// How long a watch waits for changes. Two waits must fit the span of the proof, and a connection that went
-    /// silent shows only after one.
+    /// How long a watch waits for changes. Two waits must fit the span of the proof, and a connection that went silent
+    /// shows only after one.
     pub wait: ClockSpan,
-    /// How long the watch of a router waits that proves for its region. A proof counts from the start of its watch,
-    /// so that short watches give young proofs; the notes hand them to the others.
-    pub prover_wait: ClockSpan,
+    /// How long the watch of the first router waits that follows the store. A proof counts from the start of the
+    /// watch, so that a short one gives young proofs; the notes hand them to the others.
+    pub first_wait: ClockSpan,
 }
 
 /// What this router can prove about its configuration.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigContact {
     proven: Option<ClockTime>,
-    store: Option<ClockTime>,
 }
 
 impl Default for ContactSettings {
@@ -35,8 +34,8 @@
         ContactSettings {
             proof_span: ClockSpan::from_ms(4_500),
             strict: true,
-            wait: ClockSpan::from_ms(1_800),
-            prover_wait: ClockSpan::from_ms(500),
+            wait: ClockSpan::from_ms(1_000),
+            first_wait: ClockSpan::from_ms(500),
         }
     }
 }
@@ -44,20 +43,15 @@
 impl ConfigContact {
     /// Notes an answer of the store to a read that started at `read_from`.
     pub fn prove(&mut self, read_from: ClockTime) {
-        self.store = self.store.max(Some(read_from));
         self.proven = self.proven.max(Some(read_from));
     }
 
-    /// Notes the proof of a peer that holds the same version.
+    /// Notes the proof of a peer that holds the same version. It stays true when a newer version shows up: that one was
+    /// confirmed later.
     pub fn borrow(&mut self, proven: ClockTime) {
         self.proven = self.proven.max(Some(proven));
     }
 
-    /// Forgets borrowed proofs, as a peer has shown that a newer version exists.
-    pub fn doubt(&mut self) {
-        self.proven = self.store;
-    }
-
     /// Returns the age of the newest proof.
     pub fn age(&self, now: ClockTime) -> Option<ClockSpan> {
         self.proven.map(|proven| now.since(proven))
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod load;
 mod parts;
 mod peers;
+mod recent;
 mod request;
 mod roster;
 mod rules;
@@ -26,8 +27,8 @@
 };
 pub use contact::{ConfigContact, ContactSettings};
 pub use load::{LoadLine, LoadReport, LoadTable, WorkSum};
-pub use parts::{HeldParts, PartBatch, PartEvent, PartKey, PromptPart};
-pub use peers::{PEER_SILENCE, PeerNote, PeerPlace, PeerState, PeerTable};
+pub use parts::{HeldParts, PartBatch, PartEvent, PartKey, PlacedLine, PromptPart};
+pub use peers::{LoadedLine, PEER_SILENCE, PeerNote, PeerPlace, PeerState, PeerTable};
 pub use request::{
     AttemptOutcome, ForwardArrival, ForwardRefusal, ForwardRequest, NextStep, RefusalReason,
     SendPlan,
@@ -37,7 +38,7 @@
     AccountRule, CallerLimits, EngineRule, ForwardRules, KeptCache, RouteRule, ServiceRule,
 };
 pub use state::{
-    FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RetryBounds,
+    FeedSource, FollowStep, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RetryBounds,
 };
 
 /// Returns the short form of a name that peers exchange in place of the name.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,7 +9,7 @@
 use godwitroad_base::{ClockSpan, ClockTime, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{allowance::UsageLine, load::LoadLine};
+use crate::{allowance::UsageLine, load::LoadLine, parts::PlacedLine};
 
 /// A router as it is listed or heard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,6 +27,8 @@
 pub struct PeerNote {
     /// The sender.
     pub place: PeerPlace,
+    /// The longest time between two notes to a peer outside the sender's availability zone, in milliseconds.
+    pub period_ms: u32,
     /// The number of the note since the sender's start.
     pub sequence: u64,
     /// The sender's start: the time of day in Unix milliseconds, which only tells two runs apart.
@@ -37,18 +39,31 @@
     pub proof_age_ms: Option<u32>,
     /// Whether it takes no new requests.
     pub stopping: bool,
+    /// Whether it follows the changes of the store for the others.
+    pub follows: bool,
+    /// The store's revision up to which it knows of changes.
+    pub revision: u64,
+    /// The revision of the last change that the others should read at once.
+    pub urgent_revision: u64,
     /// Work under way at targets.
     pub loads: Vec<LoadLine>,
     /// What accounts used: the account's tag, units since the sender's start, units per second lately.
     pub usage: Vec<UsageLine>,
     /// Tags of targets that are about to load weights, from the router that gives the orders.
     pub loading: Vec<u32>,
+    /// Targets that have just changed their weights: the target's tag, the model's tag, the version.
+    pub loaded: Vec<LoadedLine>,
+    /// Shared parts of prompts that it has just sent to targets that may not have held them.
+    pub placed: Vec<PlacedLine>,
     /// The latest namings of weights: the model's tag, the version, the age in milliseconds.
     pub named: Vec<(u32, u64, u32)>,
     /// Other routers that the sender knows, in notes to routers it hasn't heard.
     pub known: Vec<PeerPlace>,
 }
 
+/// A target that serves other weights now: the target's tag, the model's tag, the version.
+pub type LoadedLine = (u32, u32, u64);
+
 /// What is known about one peer.
 #[derive(Clone, Debug)]
 pub struct PeerState {
@@ -56,6 +71,8 @@
     pub place: PeerPlace,
     /// When its last note came.
     pub heard: Option<ClockTime>,
+    /// The silence after which it counts as not heard.
+    pub silence: ClockSpan,
     /// Its last note.
     pub note: Option<PeerNote>,
 }
@@ -66,24 +83,45 @@
     peers: BTreeMap<VmName, PeerState>,
 }
 
-/// The silence after which a peer counts as not heard. Some periods of the notes, as single ones may be lost; short,
+/// The least silence after which a peer counts as not heard. Some periods of the notes, as single ones may be lost; short,
 /// as both sides of a cut go on together until they notice it.
 pub const PEER_SILENCE: ClockSpan = ClockSpan::from_ms(1_000);
 
+impl PeerNote {
+    /// Leaves out what matters least; returns whether there was anything to leave out.
+    pub fn shorten(&mut self) -> bool {
+        if !self.known.is_empty() {
+            self.known.pop();
+        } else if !self.placed.is_empty() {
+            self.placed.remove(0);
+        } else if !self.loads.is_empty() {
+            self.loads.pop();
+        } else {
+            // The smallest users come last.
+            return self.usage.pop().is_some();
+        }
+        true
+    }
+}
+
 impl PeerState {
+    fn unheard(place: PeerPlace) -> PeerState {
+        PeerState { place, heard: None, silence: PEER_SILENCE, note: None }
+    }
+
     /// Returns whether the peer was heard a short time ago.
     pub fn is_heard(&self, now: ClockTime) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < PEER_SILENCE)
+        self.heard.is_some_and(|heard| now.since(heard) < self.silence)
     }
 }
 
 impl PeerTable {
     /// Adds a peer that is listed, or moves it to its new address.
     pub fn list(&mut self, place: PeerPlace) {
-        let state = PeerState { place: place.clone(), heard: None, note: None };
+        let state = PeerState::unheard(place.clone());
         let entry = self.peers.entry(place.vm.clone()).or_insert(state);
         if entry.place.address != place.address {
-            *entry = PeerState { place, heard: None, note: None };
+            *entry = PeerState::unheard(place);
         }
     }
 
@@ -106,12 +144,14 @@
         })
     }
 
-    /// Takes a note and returns whether it is newer than the last one.
-    pub fn hear(&mut self, now: ClockTime, note: PeerNote) -> bool {
+    /// Takes a note and returns whether it is newer than the last one; `silence` is the time after which its sender
+    /// counts as not heard if no other one comes.
+    pub fn hear(&mut self, now: ClockTime, note: PeerNote, silence: ClockSpan) -> bool {
         let is_news = self.is_news(&note);
         self.list(note.place.clone());
         if let Some(peer) = self.peers.get_mut(&note.place.vm).filter(|_| is_news) {
             peer.heard = Some(now);
+            peer.silence = silence;
             peer.note = Some(note);
         }
         is_news
--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -4,7 +4,7 @@
 //! well, so an entry that vanishes right after an outage keeps its target for a short time. An entry that vanishes
 //! while the store answers means that the target has left.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use godwitroad_base::{ClockSpan, ClockTime, ModelName, ServiceName, TargetName, ZoneName};
 
@@ -44,7 +44,8 @@
 
 #[derive(Clone, Debug)]
 struct RosterEntry {
-    record: TargetRecord,
+    // Shared, as every request looks at all targets.
+    record: Arc<TargetRecord>,
     lapsed: Option<ClockTime>,
 }
 
@@ -62,7 +63,7 @@
     /// Takes an entry of the list.
     pub fn put(&mut self, record: TargetRecord) -> RosterChange {
         let name = record.name.clone();
-        let entry = RosterEntry { record, lapsed: None };
+        let entry = RosterEntry { record: Arc::new(record), lapsed: None };
         let Some(before) = self.entries.insert(name.clone(), entry) else {
             return RosterChange::Started;
         };
@@ -107,11 +108,11 @@
 
     /// Returns a target by name.
     pub fn get(&self, name: &TargetName) -> Option<&TargetRecord> {
-        self.entries.get(name).map(|entry| &entry.record)
+        self.entries.get(name).map(|entry| &*entry.record)
     }
 
     /// Returns all targets in the order of their names.
-    pub fn iter(&self) -> impl Iterator<Item = &TargetRecord> {
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<TargetRecord>> {
         self.entries.values().map(|entry| &entry.record)
     }
 
@@ -125,11 +126,14 @@
         self.entries.is_empty()
     }
 
-    /// Sets the version of a model that a target's own answer shows, ahead of the list.
-    pub fn learn_version(&mut self, name: &TargetName, model: &ModelName, version: u64) {
-        if let Some(entry) = self.entries.get_mut(name) {
-            let known = entry.record.versions.entry(model.clone()).or_insert(version);
-            *known = (*known).max(version);
+    /// Sets the version of a model that a target's own answer shows, ahead of the list; returns whether it is newer.
+    pub fn learn_version(&mut self, name: &TargetName, model: &ModelName, version: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else { return false };
+        let known = entry.record.versions.get(model);
+        let is_newer = known.is_none_or(|known| version > *known);
+        if is_newer {
+            Arc::make_mut(&mut entry.record).versions.insert(model.clone(), version);
         }
+        is_newer
     }
 }
--- a/crates/forward/src/state/admit.rs
+++ b/crates/forward/src/state/admit.rs
@@ -116,9 +116,10 @@
         Some(account.name.clone())
     }
 
-    /// Returns whether the peers should be told at once what was admitted.
+    /// Returns whether the peers should be told at once what was admitted or placed.
     pub fn has_news(&self) -> bool {
-        self.allowance.has_news()
+        // In a large fleet, where all would be told at once, the notes in turn are soon enough.
+        self.has_placed && self.other_rounds() == 1 || self.allowance.has_news()
     }
 
     /// Returns this router's part of the fleet's retries for a service.
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -3,8 +3,8 @@
 use godwitroad_base::{ClockSpan, ClockTime, rendezvous};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FeedSource, ForwardState};
-use crate::{PeerNote, PeerPlace, PeerState, tag_of};
+use super::{FeedSource, ForwardAction, ForwardState};
+use crate::{PartKey, PeerNote, PeerPlace, PlacedLine, tag_of};
 
 /// The time for which a peer's notice counts that a target is about to load; the owner repeats it while it holds.
 const LOADING_SPAN: ClockSpan = ClockSpan::from_ms(1_200);
@@ -12,11 +12,14 @@
 /// What a borrowed proof ages on its way, at most; datagrams are not held longer.
 const NOTE_DELAY: ClockSpan = ClockSpan::from_ms(300);
 
-/// The age of a router's proof from which it no longer proves for others.
-const PROVER_AGE_MS: u32 = 2_000;
+/// The time beyond the period of the notes for which a line is told.
+const TELL_MARGIN: ClockSpan = ClockSpan::from_ms(50);
 
 /// The most usage and load lines in one note, so that it fits one datagram.
-const MAX_LINES: usize = 40;
+const MAX_LINES: usize = 32;
+
+/// The most introductions in one note.
+const MAX_KNOWN: usize = 10;
 
 /// Event calls of each holder that stay free for routers that are added or restarted.
 const SPARE_CALLS: usize = 1;
@@ -40,56 +43,45 @@
         } else {
             Vec::new()
         };
-        let known = self.peers.iter().map(|peer| peer.place.clone());
+        // Another few in each note.
+        let skipped = self.sequence as usize * MAX_KNOWN % self.peers.len().max(1);
+        let known = self.peers.iter().skip(skipped).map(|peer| peer.place.clone());
+        self.has_placed = false;
+        // Two notes, as one may be lost.
+        let told_for = self.note_period() + TELL_MARGIN;
+        let (revision, urgent_revision) = self.knowledge.told();
         PeerNote {
             place: self.settings.place.clone(),
+            period_ms: u32::try_from(self.note_period().as_ms()).unwrap_or(u32::MAX),
             sequence: self.sequence,
             incarnation: self.settings.incarnation,
             version: rules.map_or(0, |rules| rules.version),
             proof_age_ms: self.contact.age(now).and_then(|age| u32::try_from(age.as_ms()).ok()),
             stopping: self.stopping.is_some(),
+            follows: self.follows(now),
+            revision,
+            urgent_revision,
             loads: loads.take(MAX_LINES).collect(),
             usage,
             loading,
+            loaded: self.loaded.told(now, told_for),
+            placed: self.placed.told(now, told_for),
             named: self.naming_ages(now),
-            known: if introduce { known.take(MAX_LINES).collect() } else { Vec::new() },
-        }
-    }
-
-    /// Returns the peers to tell.
-    pub fn peers(&self) -> impl Iterator<Item = &PeerState> {
-        self.peers.iter()
-    }
-
-    /// Returns how long the next watch for changes waits.
-    pub fn watch_wait(&self, now: ClockTime) -> ClockSpan {
-        let contact = &self.settings.contact;
-        let needs_proof = self.rules.as_ref().is_some_and(|rules| rules.needs_keys());
-        if needs_proof && contact.strict && self.is_prover(now) {
-            contact.prover_wait.min(contact.wait)
-        } else {
-            contact.wait
+            known: if introduce { known.take(MAX_KNOWN).collect() } else { Vec::new() },
         }
     }
 
-    // The first router of the region that is in touch with the store proves for the others.
-    fn is_prover(&self, now: ClockTime) -> bool {
-        let own = &self.settings.place;
-        let lends = |note: &PeerNote| {
-            !note.stopping
-                && !self.is_far(&note.place)
-                && note.proof_age_ms.is_some_and(|age| age < PROVER_AGE_MS)
-        };
-        let others = self.peers.heard(now).map(|(note, _)| note).filter(|note| lends(note));
-        self.stopping.is_none() && others.map(|note| &note.place.vm).all(|vm| own.vm < *vm)
-    }
-
     /// Returns whether a peer is in another region, where bytes cost more and notes may be rarer.
-    pub fn is_far(&self, place: &PeerPlace) -> bool {
+    pub(super) fn is_far(&self, place: &PeerPlace) -> bool {
         self.region_of(&place.zone) != self.region_of(&self.settings.place.zone)
     }
 
-    pub(super) fn take_note(&mut self, now: ClockTime, note: PeerNote) {
+    pub(super) fn take_note(
+        &mut self,
+        now: ClockTime,
+        note: PeerNote,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         if note.place.vm == self.settings.place.vm {
             return;
         }
@@ -100,15 +92,22 @@
         }
         let (version, proof, loading) = (note.version, note.proof_age_ms, note.loading.clone());
         let named = note.named.clone();
+        let silence = self.silence_of(&note);
         if self.peers.is_news(&note) {
             // Before the peer counts as heard: a peer that comes back brings no level with it.
             if let Some(rules) = &self.rules {
-                self.allowance.hear(now, &rules.accounts, &self.peers, &note);
+                self.allowance.hear(now, &rules.accounts, &self.peers, &note, silence);
             }
             let before = self.peers.loads_of(now, &note.place.vm);
             self.loads.change_peer(before, &note.loads);
+            self.hear_loaded(&note.loaded, actions);
+            self.hear_placed(now, &note.placed);
         }
-        if !self.peers.hear(now, note) {
+        let (revision, urgent) = self.knowledge.told();
+        if note.urgent_revision > urgent.max(revision) {
+            actions.push(ForwardAction::FollowStore);
+        }
+        if !self.peers.hear(now, note, silence) {
             return;
         }
         for tag in loading {
@@ -118,15 +117,23 @@
             self.hear_naming(now, tag, version, ClockSpan::from_ms(age.into()));
         }
         let own = self.rules.as_ref().map_or(0, |rules| rules.version);
-        if version > own {
-            self.contact.doubt();
-        } else if version == own
+        if version == own
             && let Some(age) = proof
         {
             self.contact.borrow(now - (ClockSpan::from_ms(age.into()) + NOTE_DELAY));
         }
     }
 
+    fn hear_placed(&mut self, now: ClockTime, lines: &[PlacedLine]) {
+        for (tag, parts) in lines {
+            let tagged = self.roster.iter().find(|record| tag_of(record.name.as_str()) == *tag);
+            let Some(name) = tagged.map(|record| record.name.clone()) else { continue };
+            let chain: Vec<(PartKey, u64)> =
+                parts.iter().map(|(key, tokens)| (*key, u64::from(*tokens))).collect();
+            self.parts.entry(FeedSource::Target(name)).or_default().expect(now, &chain);
+        }
+    }
+
     /// Returns the holders of cache entries whose changes this router reads.
     ///
     /// Each holder answers a few such calls at once. Where the routers are more than that, those of the holder's own
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -6,9 +6,11 @@
 mod admit;
 mod finish;
 mod fleet;
+mod follow;
 mod health;
 mod orders;
 mod place;
+mod spread;
 mod targets;
 
 use std::{
@@ -29,10 +31,12 @@
 
 use crate::{
     AllowanceSettings, AllowanceTable, ChoiceSettings, ConfigContact, ContactSettings,
-    ForwardRefusal, ForwardRules, HeldParts, LoadTable, PartBatch, PeerNote, PeerPlace, PeerTable,
-    RefusalReason, TargetRecord, TargetRoster,
+    ForwardRefusal, ForwardRules, HeldParts, LoadTable, LoadedLine, PartBatch, PeerNote, PeerPlace,
+    PeerTable, PlacedLine, RefusalReason, TargetRecord, TargetRoster, recent::RecentLines,
 };
 
+pub use follow::FollowStep;
+use follow::StoreKnowledge;
 use health::HealthTable;
 use orders::WeightNaming;
 
@@ -84,6 +88,11 @@
         /// The start of the call.
         read_from: ClockTime,
     },
+    /// Changes of the store were read up to this one.
+    StoreChanged {
+        /// The revision of the last change.
+        revision: u64,
+    },
     /// The store didn't answer, or refused to.
     StoreFailed,
     /// A target is listed, or its entry changed.
@@ -159,6 +168,8 @@
     },
     /// Tell the peers at once.
     TellPeers,
+    /// Look again at what [`ForwardState::follow`] says.
+    FollowStore,
     /// A line for the log: a stable name and the details.
     Notice(&'static str, String),
 }
@@ -171,6 +182,7 @@
     contact: ConfigContact,
     store_failing: Option<ClockTime>,
     store_back: Option<ClockTime>,
+    knowledge: StoreKnowledge,
     roster: TargetRoster,
     peers: PeerTable,
     allowance: AllowanceTable,
@@ -186,6 +198,9 @@
     // Targets that another router is about to order, by tag, and until when that counts.
     loading: BTreeMap<u32, ClockTime>,
     told_loading: BTreeSet<TargetName>,
+    loaded: RecentLines<LoadedLine>,
+    placed: RecentLines<PlacedLine>,
+    has_placed: bool,
     random: SeededRandom,
     // Lines for the log that came up between two events.
     notices: Vec<ForwardAction>,
@@ -198,6 +213,12 @@
 /// lapse after three silent heartbeats, which takes longer.
 const LAPSE_OUTAGE: ClockSpan = ClockSpan::from_ms(3_000);
 
+/// The most loaded targets in a note.
+const MAX_LOADED: usize = 16;
+
+/// The most placed prompts in a note.
+const MAX_PLACED: usize = 10;
+
 impl Default for RetryBounds {
     fn default() -> RetryBounds {
         RetryBounds { share: 0.1, reserve: 10.0 }
@@ -240,6 +261,7 @@
             contact: ConfigContact::default(),
             store_failing: None,
             store_back: None,
+            knowledge: StoreKnowledge::default(),
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
             allowance: AllowanceTable::new(settings.allowance),
@@ -253,6 +275,9 @@
             was_listed: false,
             loading: BTreeMap::new(),
             told_loading: BTreeSet::new(),
+            loaded: RecentLines::new(MAX_LOADED),
+            placed: RecentLines::new(MAX_PLACED),
+            has_placed: false,
             random: SeededRandom::new(settings.seed),
             notices: Vec::new(),
             sequence: 0,
@@ -328,9 +353,8 @@
         match event {
             ForwardEvent::Rules(rules) => self.take_rules(now, rules, actions),
             ForwardEvent::StoreAnswered { read_from } => self.store_answered(now, read_from),
-            ForwardEvent::StoreFailed => {
-                self.store_failing.get_or_insert(now);
-            }
+            ForwardEvent::StoreChanged { revision } => self.store_changed(now, revision, actions),
+            ForwardEvent::StoreFailed => self.store_failed(now),
             ForwardEvent::Target(record) => self.take_target(now, record, actions),
             ForwardEvent::TargetGone(name) => self.target_gone(now, name, actions),
             ForwardEvent::Named { model, version } => self.take_named(now, model, version, actions),
@@ -339,10 +363,16 @@
                     self.peers.list(place);
                 }
             }
-            ForwardEvent::PeerGone(vm) => self.peers.remove(&vm),
-            ForwardEvent::Note(note) => self.take_note(now, note),
+            ForwardEvent::PeerGone(vm) => {
+                self.knowledge.note_urgent();
+                self.peers.remove(&vm);
+            }
+            ForwardEvent::Note(note) => self.take_note(now, note, actions),
             ForwardEvent::Parts { source, batch } => self.take_parts(source, batch),
-            ForwardEvent::TermOwner(owner) => self.term.observe(now, owner),
+            ForwardEvent::TermOwner(owner) => {
+                self.knowledge.note_urgent();
+                self.term.observe(now, owner);
+            }
             ForwardEvent::TermMark(active) => self.term.observe_mark(active),
             ForwardEvent::Term(answer) => {
                 if !matches!(answer, TermAnswer::Renewed { .. }) {
@@ -377,6 +407,7 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let known = self.rules.as_ref().map_or(0, |rules| rules.version);
+        self.knowledge.note_urgent();
         // A configuration in force never reverts, in whatever order answers come.
         if self.rules.is_some() && rules.version <= known {
             return;
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -41,6 +41,7 @@
         if !self.weights.name_version(model.clone(), version) {
             return;
         }
+        self.knowledge.note_urgent();
         // What the first list shows may have been named long before this router started.
         let is_assumed = !self.was_listed && self.settings.allowance.restarted;
         let detail = format!("model={model} version={version} time_unknown={is_assumed}");
@@ -117,7 +118,9 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         for (model, version) in report.iter().flat_map(|report| &report.versions) {
-            self.roster.learn_version(target, model, *version);
+            if self.roster.learn_version(target, model, *version) {
+                self.tell_loaded(now, target, actions);
+            }
         }
         let Some(order) = self.weights.report(now, target, report.as_ref()) else { return };
         // The ownership may have ended while the target was asked.
--- a/crates/forward/src/state/place.rs
+++ b/crates/forward/src/state/place.rs
@@ -1,6 +1,6 @@
 //! Where to, and what follows from an attempt.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use godwitroad_base::{
     ClockSpan, ClockTime, ModelName, RegionName, TargetName, ZoneName, rendezvous,
@@ -36,10 +36,22 @@
 /// Shared tokens from which a copy in the store of cache entries is worth its transfer.
 const KEEP_TOKENS: u64 = 512;
 
-/// The declared prompt under the salt of one version.
+/// The declared prompt under the salt of one version, and who holds parts of it that can be handed on.
 struct SaltedPrompt {
+    version: Option<u64>,
     salt: Arc<str>,
     chain: Vec<(PartKey, u64)>,
+    holders: Vec<PartHolder>,
+}
+
+/// A target or a store of cache entries that holds parts of a prompt.
+struct PartHolder {
+    // `None` for the store of cache entries.
+    target: Option<TargetName>,
+    zone: ZoneName,
+    address: SocketAddr,
+    held: u64,
+    link_mbps: f64,
 }
 
 impl ForwardState {
@@ -80,7 +92,7 @@
     }
 
     // Targets that may be offered the request, the healthy ones if there are any.
-    fn usable(&mut self, now: ClockTime, request: &ForwardRequest) -> Vec<TargetRecord> {
+    fn usable(&mut self, now: ClockTime, request: &ForwardRequest) -> Vec<Arc<TargetRecord>> {
         let changing: Vec<TargetName> = self.weights.changing().cloned().collect();
         let is_changing = |record: &TargetRecord| {
             changing.contains(&record.name)
@@ -92,7 +104,7 @@
                 && !request.tried.contains(&record.name)
         });
         let current = listed.filter(|record| !self.is_outdated(now, request, record));
-        let records: Vec<TargetRecord> =
+        let records: Vec<Arc<TargetRecord>> =
             current.filter(|record| !is_changing(record)).cloned().collect();
         let mut healthy = Vec::new();
         for record in &records {
@@ -123,7 +135,7 @@
         &mut self,
         now: ClockTime,
         request: &ForwardRequest,
-        records: &[TargetRecord],
+        records: &[Arc<TargetRecord>],
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let options: Vec<TargetOption> =
             records.iter().map(|record| self.option(now, record)).collect();
@@ -140,20 +152,25 @@
         request: &ForwardRequest,
         rules: &ForwardRules,
         engine: &EngineRule,
-        records: &[TargetRecord],
+        records: &[Arc<TargetRecord>],
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let (input, output) = request.arrival.tokens.unwrap_or((0, 0));
-        let prompts: Vec<SaltedPrompt> =
-            records.iter().map(|record| salted(request, record)).collect();
-        let homes = self.homes(request, records);
-        let mut options = Vec::new();
+        let prompts = self.salted_prompts(now, request, rules, records);
+        let prompt_of = |record: &TargetRecord| {
+            let version = version_of(request, record);
+            prompts.iter().find(|prompt| prompt.version == version)
+        };
+        let home = self.home(request, records);
+        let mut options = Vec::with_capacity(records.len());
         let mut held_anywhere = 0;
         for (index, record) in records.iter().enumerate() {
             let mut option = self.option(now, record);
-            option.held = self.held_by(&FeedSource::Target(record.name.clone()), &prompts[index]);
             option.loss = self.loss(now, request, record);
-            option.sources = self.sources(now, request, rules, record, &prompts[index]);
-            option.is_home = homes == Some(index);
+            option.is_home = home == Some(index);
+            if let Some(prompt) = prompt_of(record) {
+                option.held = self.held_by(&FeedSource::Target(record.name.clone()), prompt);
+                option.sources = self.sources(record, prompt);
+            }
             let best = option.sources.iter().map(|source| source.held).max().unwrap_or(0);
             held_anywhere = held_anywhere.max(option.held).max(best);
             options.push(option);
@@ -163,23 +180,57 @@
         let choice = choice.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
         self.check_wait(now, request, choice.wait_ms)?;
         let record = &records[choice.index];
-        let prompt = &prompts[choice.index];
         let work = WorkSum { requests: 1, memory: input + output, unread: choice.read };
         let mut plan = self.plan(now, request, record, work, choice.wait_ms);
-        plan.version = request.arrival.model.as_ref().and_then(|m| record.versions.get(m)).copied();
-        plan.salt = plan.version.map(|_| prompt.salt.clone());
+        plan.version = version_of(request, record);
         plan.held = options[choice.index].held;
         plan.held_anywhere = held_anywhere;
         plan.read = choice.read;
-        if plan.salt.is_some() {
+        if plan.version.is_some()
+            && let Some(prompt) = prompt_of(record)
+        {
+            plan.salt = Some(prompt.salt.clone());
             plan.fetch = choice.source.map(|source| source.address);
             plan.keep = self.keep(now, rules, record, prompt);
-            let parts = self.parts.entry(FeedSource::Target(record.name.clone())).or_default();
-            parts.expect(now, &prompt.chain);
+            self.note_placed(now, record, prompt);
         }
         Ok(plan)
     }
 
+    // The prompt under the salt of each version that a target serves; mostly there is one.
+    fn salted_prompts(
+        &self,
+        now: ClockTime,
+        request: &ForwardRequest,
+        rules: &ForwardRules,
+        records: &[Arc<TargetRecord>],
+    ) -> Vec<SaltedPrompt> {
+        let versions: BTreeSet<Option<u64>> =
+            records.iter().map(|record| version_of(request, record)).collect();
+        let mut prompts = Vec::new();
+        for version in versions {
+            let mut prompt = salted(request, version);
+            prompt.holders = self.holders(now, request, rules, &prompt.chain);
+            prompts.push(prompt);
+        }
+        prompts
+    }
+
+    // Remembers what the target will hold, and tells the peers if it didn't hold the shared parts.
+    fn note_placed(&mut self, now: ClockTime, record: &TargetRecord, prompt: &SaltedPrompt) {
+        let shared = prompt.shared();
+        let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+        let parts = self.parts.entry(FeedSource::Target(record.name.clone())).or_default();
+        let is_new = parts.held(shared) < tokens;
+        parts.expect(now, &prompt.chain);
+        if is_new && tokens >= KEEP_TOKENS {
+            let tokens = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+            let parts = shared.iter().map(|(key, length)| (*key, tokens(*length))).collect();
+            self.placed.push(now, (tag_of(record.name.as_str()), parts));
+            self.has_placed = true;
+        }
+    }
+
     fn option(&self, now: ClockTime, record: &TargetRecord) -> TargetOption {
         TargetOption {
             name: record.name.clone(),
@@ -195,7 +246,7 @@
     }
 
     // The target that a prompt nobody holds belongs to: the owner of its shared parts in this region, if there is one.
-    fn homes(&self, request: &ForwardRequest, records: &[TargetRecord]) -> Option<usize> {
+    fn home(&self, request: &ForwardRequest, records: &[Arc<TargetRecord>]) -> Option<usize> {
         let parts = &request.arrival.prompt;
         let shared = parts.get(parts.len().checked_sub(2)?)?;
         let key = xxh3_64(shared.id.as_bytes());
@@ -213,34 +264,53 @@
         self.parts.get(source).map_or(0, |parts| parts.held(&prompt.chain))
     }
 
-    // The holders from which a target could fetch what it lacks.
-    fn sources(
+    // Who holds parts of a prompt that can be handed on.
+    fn holders(
         &self,
         now: ClockTime,
         request: &ForwardRequest,
         rules: &ForwardRules,
-        target: &TargetRecord,
-        prompt: &SaltedPrompt,
-    ) -> Vec<PartSource> {
-        let peers = self.roster.iter().filter(|record| {
-            record.service == request.service
-                && record.name != target.name
-                && !self.health.is_silent(now, record)
-        });
-        let ready = |source: FeedSource, address, zone: &ZoneName, link_mbps| PartSource {
-            address,
-            held: self.parts.get(&source).map_or(0, |parts| parts.ready(now, &prompt.chain)),
-            distance: self.distance(&target.zone, zone),
-            link_mbps,
-        };
-        let engines = peers.map(|record| {
-            let source = FeedSource::Target(record.name.clone());
-            ready(source, record.address, &record.zone, f64::INFINITY)
-        });
-        let kept = rules.kept_cache().map(|kept| {
-            ready(FeedSource::Kept(kept.address), kept.address, &kept.zone, kept.link_mbps)
-        });
-        engines.chain(kept).filter(|source| source.held > 0).collect()
+        chain: &[(PartKey, u64)],
+    ) -> Vec<PartHolder> {
+        let ready =
+            |source: &FeedSource| self.parts.get(source).map_or(0, |parts| parts.ready(now, chain));
+        let mut holders = Vec::new();
+        for record in self.roster.iter().filter(|record| record.service == request.service) {
+            let held = ready(&FeedSource::Target(record.name.clone()));
+            if held > 0 && !self.health.is_silent(now, record) {
+                holders.push(PartHolder {
+                    target: Some(record.name.clone()),
+                    zone: record.zone.clone(),
+                    address: record.address,
+                    held,
+                    link_mbps: f64::INFINITY,
+                });
+            }
+        }
+        if let Some(kept) = rules.kept_cache() {
+            let held = ready(&FeedSource::Kept(kept.address));
+            let (zone, address, link_mbps) = (kept.zone.clone(), kept.address, kept.link_mbps);
+            if held > 0 {
+                holders.push(PartHolder { target: None, zone, address, held, link_mbps });
+            }
+        }
+        holders
+    }
+
+    // The holders from which a target could fetch what it lacks.
+    fn sources(&self, target: &TargetRecord, prompt: &SaltedPrompt) -> Vec<PartSource> {
+        let others = prompt
+            .holders
+            .iter()
+            .filter(|holder| holder.target.as_ref().is_none_or(|name| *name != target.name));
+        others
+            .map(|holder| PartSource {
+                address: holder.address,
+                held: holder.held,
+                distance: self.distance(&target.zone, &holder.zone),
+                link_mbps: holder.link_mbps,
+            })
+            .collect()
     }
 
     // Where a copy of the shared parts should be kept, if the store of cache entries lacks them.
@@ -253,10 +323,11 @@
     ) -> Option<SocketAddr> {
         let kept = rules.kept_cache()?;
         // A transfer between regions takes ten times as long and would hold up all others.
+        // A transfer between regions takes ten times as long and would hold up all others.
         if self.distance(&target.zone, &kept.zone) == PlaceDistance::Far {
             return None;
         }
-        let shared = &prompt.chain[..prompt.chain.len().checked_sub(1)?];
+        let shared = prompt.shared();
         let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
         // A store that doesn't tell of its entries doesn't answer transfers either.
         let parts = self.parts.get_mut(&FeedSource::Kept(kept.address))?;
@@ -325,15 +396,24 @@
     }
 }
 
-fn salted(request: &ForwardRequest, record: &TargetRecord) -> SaltedPrompt {
+impl SaltedPrompt {
+    // All parts but the last, which belongs to the request or its session.
+    fn shared(&self) -> &[(PartKey, u64)] {
+        self.chain.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
+fn version_of(request: &ForwardRequest, record: &TargetRecord) -> Option<u64> {
+    record.versions.get(request.arrival.model.as_ref()?).copied()
+}
+
+fn salted(request: &ForwardRequest, version: Option<u64>) -> SaltedPrompt {
     let arrival = &request.arrival;
     let model = arrival.model.as_ref().map_or("", ModelName::as_str);
-    let version =
-        arrival.model.as_ref().and_then(|model| record.versions.get(model)).copied().unwrap_or(0);
     let account = request.account.as_ref().filter(|account| account.isolated);
     let account = account.map_or("", |account| account.name.as_str());
-    let salt: Arc<str> = format!("{model}.{version}.{account}").into();
+    let salt: Arc<str> = format!("{model}.{}.{account}", version.unwrap_or(0)).into();
     let chain =
         arrival.prompt.iter().map(|part| (PartKey::new(&salt, &part.id), part.tokens)).collect();
-    SaltedPrompt { salt, chain }
+    SaltedPrompt { version, salt, chain, holders: Vec::new() }
 }
--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -154,3 +154,48 @@
     }
     assert!(taken > 20 && refused > 100, "{taken} taken, {refused} refused");
 }
+
+#[test]
+fn peers_learn_at_once_where_a_prompt_was_sent() {
+    let mut first = router(0);
+    let plan = place(&mut first, 10, prompt("s", "o"));
+    assert!(first.state.has_news());
+    let note = first.note(11);
+    assert!(!first.state.has_news());
+    let mut settings = support::settings("vm-2", 2);
+    settings.place = support::place("vm-2", "c", 2);
+    let mut second = TestRouter::new(settings);
+    second.handle(0, ForwardEvent::Rules(Arc::new(rules(1))));
+    for (index, zone) in ["a", "b", "c"].into_iter().enumerate() {
+        let record = target(&format!("model-{zone}"), "models", zone, 20 + index as u8);
+        second.handle(0, ForwardEvent::Target(record));
+    }
+    second.handle(0, ForwardEvent::StoreAnswered { read_from: at(0) });
+    second.handle(12, ForwardEvent::Note(note));
+    let own = place(&mut second, 20, prompt("s", "o2"));
+    assert_eq!((own.target, own.held), (plan.target, 6_300));
+}
+
+#[test]
+fn parts_at_a_target_whose_events_nobody_reads_last_as_long_as_users_count_them() {
+    let mut router = router(0);
+    let target = place(&mut router, 10, prompt("s", "o")).target;
+    router.handle(9_000, ForwardEvent::StoreAnswered { read_from: at(9_000) });
+    router.handle(9_000, ForwardEvent::Tick);
+    let later = place(&mut router, 9_010, prompt("s", "o2"));
+    assert_eq!((later.target, later.held), (target, 6_300));
+}
+
+#[test]
+fn parts_in_steady_use_can_be_handed_on() {
+    let mut router = router(0);
+    // Each request renews the expectation; the part itself was read with the first one.
+    for round in 0..5 {
+        place(&mut router, 10 + round * 50, prompt("s", &format!("o{round}")));
+    }
+    let plans: Vec<SendPlan> =
+        (0..30).map(|round| place(&mut router, 260, prompt("s", &format!("p{round}")))).collect();
+    let moved = plans.iter().filter(|plan| plan.held == 0);
+    assert!(moved.clone().count() > 0);
+    assert!(moved.clone().all(|plan| plan.fetch.is_some() && plan.read <= 2_900), "{plans:?}");
+}
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -2,10 +2,15 @@
 
 mod support;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use godwitroad_base::TargetName;
-use godwitroad_forward::{AttemptOutcome, ForwardEvent, RefusalReason, TargetRecord};
+use godwitroad_forward::{
+    AttemptOutcome, ForwardAction, ForwardEvent, RefusalReason, TargetRecord,
+};
 use support::{TestRouter, arrival, at, prompt, router, target};
 
 // The targets that a number of requests at one time would go to.
@@ -166,3 +171,29 @@
     other.handle(50, ForwardEvent::Note(note));
     assert_eq!(chosen(&mut other, 60, true).len(), 2);
 }
+
+#[test]
+fn a_target_that_loaded_serves_again_at_all_routers_at_once() {
+    let mut owner = router(0);
+    let mut other = TestRouter::new(support::settings("vm-2", 2));
+    other.handle(0, ForwardEvent::Rules(Arc::new(support::rules(1))));
+    other.handle(0, ForwardEvent::Target(target("model-a", "models", "a", 20)));
+    other.handle(0, ForwardEvent::StoreAnswered { read_from: at(0) });
+    // The owner of the orders tells of the load, later of its end.
+    let mut request = other.state.admit(at(5), prompt("s", "o")).unwrap();
+    other.state.place(at(5), &mut request).unwrap();
+    let (tag, ..) = other.note(6).loads[0];
+    let mut notice = owner.note(10);
+    notice.loading = vec![tag];
+    other.handle(11, ForwardEvent::Note(notice));
+    assert!(chosen(&mut other, 20, true).is_empty());
+    let loaded = TargetRecord {
+        versions: BTreeMap::from([("m".into(), 2)]),
+        ..target("model-a", "models", "a", 20)
+    };
+    owner.handle(800, ForwardEvent::Target(loaded));
+    assert!(owner.actions.contains(&ForwardAction::TellPeers));
+    let note = owner.note(801);
+    other.handle(802, ForwardEvent::Note(note));
+    assert_eq!(chosen(&mut other, 810, true), names(&["model-a"]));
+}
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -38,6 +38,7 @@
     pub(crate) log: NodeLog,
     pub(crate) metrics: NodeMetrics,
     pub(crate) tell_peers: Notify,
+    pub(crate) follow_store: Notify,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     /// Tells the connections of callers to end as soon as they are idle.
@@ -61,6 +62,7 @@
             log,
             metrics: NodeMetrics::default(),
             tell_peers: Notify::new(),
+            follow_store: Notify::new(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
@@ -97,6 +99,7 @@
                     spawn(orders::carry_out(self.clone(), action, fence));
                 }
                 ForwardAction::TellPeers => self.tell_peers.notify_one(),
+                ForwardAction::FollowStore => self.follow_store.notify_one(),
                 ForwardAction::Notice(event, detail) => {
                     self.metrics.count(event, 1);
                     self.log.event(event, &detail);
@@ -123,14 +126,19 @@
         request: &mut ForwardRequest,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let now = self.now();
-        let (plan, version, proof) = self.with(|state| {
+        let (plan, version, proof, has_news) = self.with(|state| {
             let version = state.rules().map_or(0, |rules| rules.version);
-            (state.place(now, request), version, state.proof_age(now).map(ClockSpan::as_ms))
+            let proof = state.proof_age(now).map(ClockSpan::as_ms);
+            (state.place(now, request), version, proof, state.has_news())
         });
+        if has_news {
+            self.tell_peers.notify_one();
+        }
         let plan = plan?;
+        let shared = request.arrival.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
         let detail = format!(
             "route={} account={} config_version={version} proof_age_ms={proof:?} target={} address={} offer={} \
-             wait_estimate_ms={} prompt={:?} held={} held_anywhere={} read={} fetch={:?} keep={:?} weights={:?} \
+             wait_estimate_ms={} prompt={:?} shared={} shared_tokens={} salt={} held={} held_anywhere={} read={} fetch={:?} keep={:?} weights={:?} \
              time_left_ms={}",
             request.route.name,
             plan.account.as_ref().map_or("-", |account| account.as_str()),
@@ -139,6 +147,9 @@
             request.tried.len(),
             plan.wait_ms,
             request.arrival.tokens,
+            shared.last().map_or("-", |part| part.id.as_str()),
+            shared.iter().map(|part| part.tokens).sum::<u64>(),
+            plan.salt.as_deref().unwrap_or("-"),
             plan.held,
             plan.held_anywhere,
             plan.read,
--- a/crates/proxy/src/feeds.rs
+++ b/crates/proxy/src/feeds.rs
@@ -45,6 +45,8 @@
             let keeps = wanted.contains(source) && address_of(&core, source) == Some(*address);
             if !keeps {
                 task.abort();
+                // What it told grows old from now on.
+                core.handle(ForwardEvent::Parts { source: source.clone(), batch: None });
             }
             keeps
         });
--- a/crates/proxy/src/notes.rs
+++ b/crates/proxy/src/notes.rs
@@ -5,7 +5,6 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use godwitroad_base::ClockSpan;
 use godwitroad_forward::{ForwardEvent, PeerNote};
 use tokio::{net::UdpSocket, time::timeout_at};
 
@@ -14,12 +13,6 @@
 /// The version of the notes' format; others are ignored.
 const FORMAT: u8 = 1;
 
-/// The time between two notes to a peer of the region.
-const NEAR_PERIOD: ClockSpan = ClockSpan::from_ms(200);
-
-/// Notes to the region for each note to another region, where bytes cost more.
-const FAR_EVERY: u64 = 2;
-
 /// Notes with an introduction of other routers: the first ones, while peers may know only this router's seeds.
 const INTRODUCTIONS: u64 = 20;
 
@@ -39,25 +32,31 @@
 pub(crate) async fn tell<P: PlatformPort>(core: SharedCore<P>, socket: Rc<UdpSocket>) {
     let mut round = 0;
     loop {
-        let until = core.after(NEAR_PERIOD);
-        // Urgent news don't wait for the end of the period.
-        let _ = timeout_at(until, core.tell_peers.notified()).await;
+        let (period, pause) = core.read(|state| (state.note_round(), state.urgent_pause()));
+        let until = core.after(period);
+        core.sleep(pause).await;
+        // Urgent news don't wait for the end of the round.
+        let is_urgent = timeout_at(until, core.tell_peers.notified()).await.is_ok();
         core.handle(ForwardEvent::Tick);
         core.client.expire();
-        tell_all(&core, &socket, round).await;
+        tell_all(&core, &socket, round, is_urgent).await;
         round += 1;
     }
 }
 
-async fn tell_all<P: PlatformPort>(core: &SharedCore<P>, socket: &UdpSocket, round: u64) {
-    let introduce = round < INTRODUCTIONS;
-    let note = core.with(|state| state.note(core.now(), introduce));
+async fn tell_all<P: PlatformPort>(
+    core: &SharedCore<P>,
+    socket: &UdpSocket,
+    round: u64,
+    is_urgent: bool,
+) {
+    let note = core.with(|state| state.note(core.now(), round < INTRODUCTIONS));
     let Some(bytes) = encode(&note) else {
         core.log.warn("note_too_large", &format!("sequence={}", note.sequence));
         return;
     };
     let port = core.settings.borrow().peers.port();
-    for address in listeners(core, round, !note.loading.is_empty()) {
+    for address in listeners(core, round, is_urgent) {
         // A datagram that can't be sent is like one that is lost.
         let _ = socket.send_to(&bytes, SocketAddr::new(address, port)).await;
     }
@@ -66,14 +65,10 @@
 fn listeners<P: PlatformPort>(
     core: &SharedCore<P>,
     round: u64,
-    urgent: bool,
+    is_urgent: bool,
 ) -> Vec<std::net::IpAddr> {
     let own = core.settings.borrow().forward.place.address;
-    let far_too = urgent || round.is_multiple_of(FAR_EVERY);
-    let mut listeners: Vec<_> = core.read(|state| {
-        let told = state.peers().filter(|peer| far_too || !state.is_far(&peer.place));
-        told.map(|peer| peer.place.address).collect()
-    });
+    let mut listeners = core.read(|state| state.listeners(round, is_urgent));
     if round < INTRODUCTIONS {
         listeners.extend(core.settings.borrow().seeds.iter().copied());
         listeners.sort_unstable();
@@ -98,10 +93,18 @@
     }
 }
 
-/// Returns a note as bytes, or `None` if it is too large.
+/// Returns a note as bytes, or `None` if it is too large. What matters least is left out until it fits.
 pub(crate) fn encode(note: &PeerNote) -> Option<Vec<u8>> {
-    let bytes = postcard::to_extend(note, vec![FORMAT]).ok()?;
-    (bytes.len() <= MAX_BYTES).then_some(bytes)
+    let mut note = note.clone();
+    loop {
+        let bytes = postcard::to_extend(&note, vec![FORMAT]).ok()?;
+        if bytes.len() <= MAX_BYTES {
+            return Some(bytes);
+        }
+        if !note.shorten() {
+            return None;
+        }
+    }
 }
 
 /// Reads a note.
--- a/crates/proxy/src/port.rs
+++ b/crates/proxy/src/port.rs
@@ -152,6 +152,8 @@
         items: Vec<StoreItem>,
         /// The store's revision.
         revision: u64,
+        /// The revision of the last of these changes; 0 where there are none.
+        changed: u64,
         /// The key after which the next page begins.
         next: Option<String>,
     },
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeSet;
 
 use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName};
-use godwitroad_forward::ForwardEvent;
+use godwitroad_forward::{FollowStep, ForwardEvent};
+use tokio::time::timeout_at;
 
 use crate::{
     client::SendError,
@@ -22,13 +23,20 @@
 /// What a watch may take beyond its own wait.
 const WATCH_MARGIN: ClockSpan = ClockSpan::from_ms(700);
 
-/// The wait of the first watch after an outage: its answer is needed as a proof.
+/// The wait of a watch whose answer is needed at once: the first one after an outage, and a read of changes that are
+/// known to be there.
 const SHORT_WAIT: ClockSpan = ClockSpan::from_ms(1);
 
+/// The longest pause of a router that leaves the store to others; a peer that fell silent shows after it.
+const REST_PAUSE: ClockSpan = ClockSpan::from_ms(200);
+
 /// The pause after changes for each router of the fleet, so that those that come together cost one call. Every change
 /// wakes every router, so the pause grows with the fleet.
 const GATHER_PAUSE_MS: u64 = 20;
 
+/// The same for a router behind another one that follows the store.
+const CALM_GATHER_PAUSE_MS: u64 = 80;
+
 /// The longest pause after changes; a change must be in force within seconds.
 const LONGEST_GATHER_PAUSE_MS: u64 = 1_000;
 
@@ -110,26 +118,33 @@
     mut after: u64,
 ) {
     loop {
-        let wait = if pauses.is_failing() {
-            SHORT_WAIT
-        } else {
-            core.read(|state| state.watch_wait(core.now()))
+        let step = core.read(|state| state.follow(core.now(), after));
+        let wait = match step {
+            // A router that lost the store wants to know at once whether it is back.
+            _ if pauses.is_failing() => SHORT_WAIT,
+            FollowStep::Watch(wait) => wait,
+            FollowStep::Read => SHORT_WAIT,
+            FollowStep::Rest => {
+                // Without news the peers' age is looked at again.
+                let _ = timeout_at(core.after(REST_PAUSE), core.follow_store.notified()).await;
+                continue;
+            }
         };
         let call = StoreCall::Watch { after, wait };
         let from = core.now();
         let time = ClockSpan::from_ms(wait.as_ms() + WATCH_MARGIN.as_ms());
         match call_within(core, &call, time).await {
-            Ok(StoreAnswer::Items { items, revision, .. }) => {
-                let changed = !items.is_empty();
+            Ok(StoreAnswer::Items { items, revision, changed, .. }) => {
                 after = after.max(revision);
                 // What the answer tells goes first: it is part of what the answer proves.
                 take_items(core, listed, items);
+                if changed > 0 {
+                    core.handle(ForwardEvent::StoreChanged { revision: changed });
+                }
                 pauses.answered(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: from });
-                if changed {
-                    let members = core.read(|state| state.member_count()) as u64;
-                    let pause = (members * GATHER_PAUSE_MS).min(LONGEST_GATHER_PAUSE_MS);
-                    core.sleep(ClockSpan::from_ms(pause)).await;
+                if changed > 0 || step == FollowStep::Read {
+                    core.sleep(gather_pause(core)).await;
                 }
             }
             Ok(StoreAnswer::HistoryGone) => {
@@ -142,6 +157,14 @@
     }
 }
 
+// What comes together is read in one call. Those that follow the store behind another router have time.
+fn gather_pause<P: PlatformPort>(core: &SharedCore<P>) -> ClockSpan {
+    let (members, is_first) =
+        core.read(|state| (state.member_count() as u64, state.is_first_follower(core.now())));
+    let each = if is_first { GATHER_PAUSE_MS } else { CALM_GATHER_PAUSE_MS };
+    ClockSpan::from_ms((members * each).min(LONGEST_GATHER_PAUSE_MS))
+}
+
 async fn read_all<P: PlatformPort>(core: &SharedCore<P>, listed: &mut ListedNames) -> Result<u64> {
     let from = core.now();
     let mut seen = ListedNames::default();
@@ -150,7 +173,7 @@
     let mut all = Vec::new();
     loop {
         let call_page = StoreCall::List { after: page };
-        let StoreAnswer::Items { items, revision, next } = call(core, &call_page).await? else {
+        let StoreAnswer::Items { items, revision, next, .. } = call(core, &call_page).await? else {
             return Err(StoreError::Refused);
         };
         // Pages are read at different revisions; changes since the first one are read again by the watch.
