--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -1,5 +1,5 @@
 //! Histories of allowances: accounts ask for many times their limit while routers are cut off from each other, killed
-//! alone or together and started again. In no window may more run than the operator tolerates.
+//! alone or together and started again, or replaced by VMs at other addresses. In no window may more run than the operator tolerates.
 
 mod support;
 
@@ -7,7 +7,7 @@
 
 use godwitroad_base::SeededRandom;
 use godwitroad_config::KeyHash;
-use godwitroad_forward::{ForwardArrival, ForwardEvent, ForwardRules, PeerNote};
+use godwitroad_forward::{ForwardArrival, ForwardEvent, ForwardRules, PeerNote, PeerPlace};
 use support::{TestRouter, account, arrival, at, place, rules, settings};
 use yare::parameterized;
 
@@ -20,19 +20,28 @@
 const LENGTH_MS: u64 = 40_000;
 
 /// What a history is allowed to do wrong.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct FaultPlan {
     cuts: bool,
     kills: bool,
     herds: bool,
+    /// VMs are lost for good, and others come at other addresses.
+    replaced: bool,
 }
 
+/// The time after which the store drops the entry of a VM that is lost.
+const ENTRY_MS: u64 = 5_000;
+
 struct Fleet {
     random: SeededRandom,
     nodes: Vec<Option<TestRouter>>,
     // Routers on the same side hear each other.
     sides: Vec<u64>,
     starts: u64,
+    // The number of the VM at each place; a replacement has another name and address.
+    generations: Vec<u64>,
+    // Entries that the store drops later.
+    ending: Vec<(u64, String)>,
     notes: Vec<(u64, usize, PeerNote)>,
     admitted: Vec<(u64, u64)>,
     asked: u64,
@@ -56,6 +65,8 @@
             nodes: Vec::new(),
             sides: vec![0; ROUTERS],
             starts: 0,
+            generations: vec![0; ROUTERS],
+            ending: Vec::new(),
             notes: Vec::new(),
             admitted: Vec::new(),
             asked: 0,
@@ -66,21 +77,50 @@
 
     fn start(&mut self, now: u64, index: usize, restarted: bool) -> TestRouter {
         self.starts += 1;
-        let mut settings = settings(&format!("vm-{index}"), index as u8 + 1);
+        let mut settings = settings("vm", 1);
+        settings.place = self.place_of(index);
         settings.incarnation = self.starts;
         settings.allowance.restarted = restarted;
         settings.allowance.overage = OVERAGE;
         settings.allowance.slack = SLACK;
         let mut router = TestRouter::new(settings);
         for other in 0..ROUTERS {
-            let place = place(&format!("vm-{other}"), "a", other as u8 + 1);
-            router.handle(now, ForwardEvent::PeerListed(place));
+            router.handle(now, ForwardEvent::PeerListed(self.place_of(other)));
         }
         router.handle(now, ForwardEvent::Rules(document()));
         router
     }
 
+    fn place_of(&self, index: usize) -> PeerPlace {
+        let generation = self.generations[index];
+        let last = index as u8 + 1 + 10 * generation as u8;
+        place(&format!("vm-{index}-{generation}"), "a", last)
+    }
+
+    fn replace(&mut self, now: u64, index: usize) {
+        let lost = self.place_of(index).vm;
+        self.ending.push((now + ENTRY_MS, lost.as_str().to_string()));
+        self.generations[index] += 1;
+        self.nodes[index] = None;
+        let new = self.place_of(index);
+        for router in self.nodes.iter_mut().flatten() {
+            router.handle(now, ForwardEvent::PeerListed(new.clone()));
+        }
+    }
+
+    fn end_entries(&mut self, now: u64) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.ending).into_iter().partition(|(time, _)| *time <= now);
+        self.ending = later;
+        for (_, vm) in due {
+            for router in self.nodes.iter_mut().flatten() {
+                router.handle(now, ForwardEvent::PeerGone(vm.as_str().into()));
+            }
+        }
+    }
+
     fn step(&mut self, now: u64, plan: FaultPlan) {
+        self.end_entries(now);
         if plan.cuts && self.random.chance(0.002) {
             for side in &mut self.sides {
                 *side = self.random.below(3);
@@ -91,6 +131,9 @@
         }
         let herd = plan.herds && self.random.chance(0.0006);
         for index in 0..ROUTERS {
+            if plan.replaced && self.random.chance(0.0006) {
+                self.replace(now, index);
+            }
             let killed = herd || plan.kills && self.random.chance(0.0005);
             if killed {
                 self.nodes[index] = None;
@@ -167,11 +210,13 @@
 }
 
 #[parameterized(
-    calm = { FaultPlan { cuts: false, kills: false, herds: false } },
-    cuts = { FaultPlan { cuts: true, kills: false, herds: false } },
-    kills = { FaultPlan { cuts: false, kills: true, herds: false } },
-    herds = { FaultPlan { cuts: false, kills: false, herds: true } },
-    all = { FaultPlan { cuts: true, kills: true, herds: true } },
+    calm = { FaultPlan::default() },
+    cuts = { FaultPlan { cuts: true, ..FaultPlan::default() } },
+    kills = { FaultPlan { kills: true, ..FaultPlan::default() } },
+    herds = { FaultPlan { herds: true, ..FaultPlan::default() } },
+    replaced = { FaultPlan { replaced: true, ..FaultPlan::default() } },
+    replaced_under_cuts = { FaultPlan { replaced: true, cuts: true, ..FaultPlan::default() } },
+    all = { FaultPlan { cuts: true, kills: true, herds: true, replaced: true } },
 )]
 fn no_window_exceeds_what_the_operator_tolerates(plan: FaultPlan) {
     for seed in 0..20 {
@@ -190,7 +235,7 @@
 
 #[test]
 fn an_account_that_asks_too_much_gets_its_whole_limit() {
-    let calm = FaultPlan { cuts: false, kills: false, herds: false };
+    let calm = FaultPlan::default();
     for seed in 0..20 {
         let mut fleet = Fleet::new(seed);
         for now in (0..LENGTH_MS).step_by(STEP_MS as usize) {
@@ -209,7 +254,7 @@
     let (mut asked, mut refused) = (0, 0);
     for seed in 0..20 {
         let mut fleet = Fleet::new(seed);
-        let plan = FaultPlan { cuts: false, kills: true, herds: false };
+        let plan = FaultPlan { kills: true, ..FaultPlan::default() };
         for now in (0..LENGTH_MS).step_by(STEP_MS as usize) {
             fleet.step(now, plan);
             fleet.ask(now, 0.6);
--- /dev/null
+++ b/crates/forward/tests/retries.rs
@@ -0,0 +1,170 @@
+//! Histories of retries: most targets of a service fail or flap while several routers serve it, and routers are killed and
+//! started again, alone and together. In no window may more arrive a further time than the operator allows the fleet.
+
+mod support;
+
+use std::sync::Arc;
+
+use godwitroad_base::SeededRandom;
+use godwitroad_forward::{AttemptOutcome, ForwardEvent, NextStep, RetryBounds};
+use support::{TestRouter, arrival, at, place, rules, settings, target};
+use yare::parameterized;
+
+const ROUTERS: usize = 6;
+const TARGETS: usize = 6;
+/// The operator's bounds: further arrivals for each request and beyond, and the window.
+const SHARE: f64 = 0.2;
+const RESERVE: f64 = 56.0;
+const WINDOW_MS: u64 = 10_000;
+const STEP_MS: u64 = 20;
+const LENGTH_MS: u64 = 40_000;
+
+/// What a history is allowed to do wrong.
+#[derive(Clone, Copy, Default)]
+struct FaultPlan {
+    fails: bool,
+    flaps: bool,
+    rejects: bool,
+    kills: bool,
+    herds: bool,
+}
+
+struct Fleet {
+    random: SeededRandom,
+    routers: Vec<TestRouter>,
+    starts: u64,
+    // Until when each target fails.
+    failing: Vec<u64>,
+    // Requests, and arrivals beyond the first of each.
+    requests: Vec<u64>,
+    again: Vec<u64>,
+}
+
+fn start(starts: &mut u64, now: u64, index: usize) -> TestRouter {
+    *starts += 1;
+    let mut settings = settings(&format!("vm-{index}"), index as u8 + 1);
+    settings.incarnation = *starts;
+    settings.seed = *starts;
+    settings.retries = RetryBounds { share: SHARE, reserve: RESERVE };
+    let mut router = TestRouter::new(settings);
+    for other in 0..ROUTERS {
+        let place = place(&format!("vm-{other}"), "a", other as u8 + 1);
+        router.handle(now, ForwardEvent::PeerListed(place));
+    }
+    router.handle(now, ForwardEvent::Rules(Arc::new(rules(1))));
+    for number in 0..TARGETS {
+        let record = target(&format!("plain-{number}"), "plain", "a", 10 + number as u8);
+        router.handle(now, ForwardEvent::Target(record));
+    }
+    router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
+    router
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut starts = 0;
+        let routers = (0..ROUTERS).map(|index| start(&mut starts, 0, index)).collect();
+        Fleet {
+            random: SeededRandom::new(seed),
+            routers,
+            starts,
+            failing: vec![0; TARGETS],
+            requests: Vec::new(),
+            again: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, now: u64, plan: FaultPlan) {
+        if plan.fails && self.random.chance(0.002) {
+            let length = 2_000 + self.random.below(8_000);
+            // One that still works, so that retries are worth something.
+            self.failing.iter_mut().skip(1).for_each(|until| *until = now + length);
+        }
+        for target in 0..TARGETS {
+            if plan.flaps && self.random.chance(0.02) {
+                self.failing[target] = now + 100 + self.random.below(900);
+            }
+        }
+        let herd = plan.herds && self.random.chance(0.001);
+        for index in 0..ROUTERS {
+            if herd || plan.kills && self.random.chance(0.001) {
+                self.routers[index] = start(&mut self.starts, now, index);
+            }
+            let router = &mut self.routers[index];
+            router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
+        }
+    }
+
+    fn outcome(&mut self, now: u64, plan: FaultPlan, target: &str) -> AttemptOutcome {
+        let number: usize =
+            target.rsplit('-').next().and_then(|n| n.parse().ok()).expect("a number");
+        if now >= self.failing[number] {
+            return AttemptOutcome::Complete { status: 200 };
+        }
+        match self.random.below(3) {
+            0 if plan.rejects => AttemptOutcome::Rejected { mismatch: false },
+            1 => AttemptOutcome::Complete { status: 500 },
+            _ => AttemptOutcome::Failed,
+        }
+    }
+
+    fn ask(&mut self, now: u64, plan: FaultPlan) {
+        for _ in 0..4 {
+            // Callers crowd on a few routers.
+            let index =
+                self.random.below(ROUTERS as u64).min(self.random.below(ROUTERS as u64)) as usize;
+            let id = self.requests.len();
+            let arrival = arrival(&format!("/any/{id}"), Some("key-one"));
+            let Ok(mut request) = self.routers[index].state.admit(at(now), arrival) else {
+                continue;
+            };
+            self.requests.push(now);
+            let mut arrivals = 0;
+            while let Ok(plan_to) = self.routers[index].state.place(at(now), &mut request) {
+                arrivals += 1;
+                if arrivals > 1 {
+                    self.again.push(now);
+                }
+                let outcome = self.outcome(now, plan, plan_to.target.as_str());
+                let state = &mut self.routers[index].state;
+                if state.finish(at(now + 5), &mut request, &plan_to, outcome) != NextStep::Again {
+                    break;
+                }
+            }
+        }
+    }
+
+    // The largest excess of any window over what the operator allows.
+    fn excess(&self) -> f64 {
+        let within = |times: &[u64], end: u64| {
+            times.iter().filter(|at| **at <= end && **at + WINDOW_MS > end).count() as f64
+        };
+        let ends = self.again.iter();
+        ends.map(|end| within(&self.again, *end) - within(&self.requests, *end) * SHARE - RESERVE)
+            .fold(f64::MIN, f64::max)
+    }
+}
+
+#[parameterized(
+    fails = { FaultPlan { fails: true, ..FaultPlan::default() } },
+    flaps = { FaultPlan { flaps: true, ..FaultPlan::default() } },
+    rejects = { FaultPlan { fails: true, rejects: true, ..FaultPlan::default() } },
+    kills = { FaultPlan { fails: true, kills: true, ..FaultPlan::default() } },
+    herds = { FaultPlan { flaps: true, herds: true, ..FaultPlan::default() } },
+    all = { FaultPlan { fails: true, flaps: true, rejects: true, kills: true, herds: true } },
+)]
+fn further_arrivals_stay_within_the_budget_of_the_fleet(plan: FaultPlan) {
+    let mut again = 0;
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(seed);
+        for now in (STEP_MS..LENGTH_MS).step_by(STEP_MS as usize) {
+            fleet.step(now, plan);
+            fleet.ask(now, plan);
+        }
+        again += fleet.again.len();
+        let excess = fleet.excess();
+        assert!(excess <= 0.0, "seed {seed}: {excess} further arrivals too many");
+    }
+    // Without any retry the rest would prove nothing.
+    assert!(again > 500, "only {again} further arrivals");
+}
