--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -37,7 +37,7 @@
         WeightSettings {
             loads_at_once: 2,
             load_share: 0.2,
-            drains_at_once: 1,
+            drains_at_once: 2,
             notice: ClockSpan::from_ms(60),
             drain: ClockSpan::from_ms(900),
             poll: ClockSpan::from_ms(500),
@@ -137,7 +137,7 @@
 }
 
 /// The part of the targets, as a divisor, that may be out of service at once.
-const MOST_PART: usize = 3;
+const MOST_PART: usize = 2;
 
 /// The pause for a target that did not change in time.
 const POSTPONE: ClockSpan = ClockSpan::from_ms(3_000);
