Notes: lines of use for the accounts admitted last, and what a note lacks stays as it was

Cause: a note has room for the use of 32 accounts. Those with the largest totals since the start came first, so that an account beyond them was never told, and what a note lacked counted as a total of zero, so that the next line took everything out a second time. Sites of today have 5 to 16 accounts; found by reading the code as for a site with more.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -14,6 +14,7 @@
 //! stays below, hardly anything is refused for this, and a restart of all routers never refills an allowance.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -78,6 +79,7 @@
 struct OwnUse {
     total: u64,
     told: u64,
+    last: ClockTime,
     // The rate of the span before and the admissions of the present one.
     rate: u64,
     span_from: ClockTime,
@@ -127,6 +129,7 @@
 impl OwnUse {
     fn add(&mut self, now: ClockTime, units: u64) {
         self.roll(now);
+        self.last = now;
         self.total += units;
         self.in_span += units;
     }
@@ -173,7 +176,7 @@
 
     // Takes out what belongs to a peer that is no longer heard: it goes on with its part on its own.
     fn lose(&mut self, now: ClockTime, members: usize, peer: &VmName) {
-        self.level -= match self.peers.get(peer) {
+        self.level -= match self.peers.remove(peer) {
             Some(peer) => peer.held_back(now, self.size, members),
             None => self.level.max(0.0) / members as f64,
         };
@@ -186,7 +189,11 @@
         line: Option<&UsageLine>,
         silence: ClockSpan,
     ) {
-        let (total, rate) = line.map_or((0, 0), |(_, total, rate)| (*total, *rate));
+        // A note has room for some lines only; what it lacks stays as it was told last.
+        let last = self.peers.get(&note.place.vm);
+        let known = last.filter(|last| last.incarnation == note.incarnation);
+        let known = known.map_or((0, 0), |last| (last.total, last.rate));
+        let (total, rate) = line.map_or(known, |(_, total, rate)| (*total, *rate));
         let left = self.level.max(0.0);
         let incarnation = note.incarnation;
         let now_told = PeerUse { incarnation, total, rate, heard: now, silence, left };
@@ -343,19 +350,20 @@
         }
     }
 
-    /// Returns what this router tells its peers: each account's tag, the units admitted since the start, and the units
-    /// a second lately.
-    pub fn report(&mut self, now: ClockTime) -> Vec<UsageLine> {
+    /// Returns what this router tells its peers of the `most` accounts that it admitted last: the account's tag, the
+    /// units admitted since the start, and the units a second lately.
+    pub fn report(&mut self, now: ClockTime, most: usize) -> Vec<UsageLine> {
         self.has_news = false;
-        let mut lines = Vec::new();
-        for (name, bucket) in &mut self.buckets {
+        let mut used: Vec<_> =
+            self.buckets.iter_mut().filter(|(_, bucket)| bucket.own.total > 0).collect();
+        used.sort_by_key(|(_, bucket)| Reverse(bucket.own.last));
+        used.truncate(most);
+        let line = |(name, bucket): (&AccountName, &mut AccountBucket)| {
             bucket.own.roll(now);
             bucket.own.told = bucket.own.total;
-            if bucket.own.total > 0 {
-                let rate = u32::try_from(bucket.own.rate()).unwrap_or(u32::MAX);
-                lines.push((tag_of(name.as_str()), bucket.own.total, rate));
-            }
-        }
-        lines
+            let rate = u32::try_from(bucket.own.rate()).unwrap_or(u32::MAX);
+            (tag_of(name.as_str()), bucket.own.total, rate)
+        };
+        used.into_iter().map(line).collect()
     }
 }
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -97,7 +97,7 @@
         } else if !self.loads.is_empty() {
             self.loads.pop();
         } else {
-            // The smallest users come last.
+            // Those that admitted least lately come last.
             return self.usage.pop().is_some();
         }
         true
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -29,10 +29,7 @@
     pub fn note(&mut self, now: ClockTime, introduce: bool) -> PeerNote {
         self.sequence += 1;
         let rules = self.rules.clone();
-        let mut usage = self.allowance.report(now);
-        // The largest users matter most where not all fit.
-        usage.sort_by_key(|(_, units, _)| std::cmp::Reverse(*units));
-        usage.truncate(MAX_LINES);
+        let usage = self.allowance.report(now, MAX_LINES);
         let loads = self.loads.own().map(|(target, work)| {
             let clamp = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
             let requests = u16::try_from(work.requests).unwrap_or(u16::MAX);
--- a/crates/forward/src/state/follow.rs
+++ b/crates/forward/src/state/follow.rs
@@ -1,17 +1,17 @@
 //! Who follows the store, and when the others read it.
 //!
 //! Every change of the store wakes every router that waits for changes, and each answer is a call that the platform
-//! counts. A few routers therefore follow the store with waiting calls: the first of each availability zone by name,
-//! so that a zone that is cut off goes on, and the owner of the orders. Their notes tell the others how far
-//! they know the store. The others read it when they are told of a change: at once if it bears on what may be sent where,
-//! and after a while if it doesn't. A router that gets no young proof from any peer follows the store itself.
+//! counts. A few routers therefore follow the store with waiting calls: the first of each availability zone by name, so
+//! that a zone that is cut off goes on, and the owner of the orders. Their notes tell the others how far they know the
+//! store. The others read it when they are told of a change: at once if it bears on what may be sent where, and after a
+//! while if it doesn't. A router that gets no young proof from any peer follows the store itself.
 
 use godwitroad_base::{ClockSpan, ClockTime};
 
 use super::{ForwardAction, ForwardState};
 use crate::PeerNote;
 
-/// Routers that follow the store where only those of one zone do, so that the loss of one delays no news.
+/// Routers that follow the store in a fleet of one zone, so that the loss of one delays no news.
 const FOLLOWERS: usize = 2;
 
 /// The age of its last answer from which a router no longer follows for others: its wait, and a slow store's answer.
--- a/crates/forward/src/state/spread.rs
+++ b/crates/forward/src/state/spread.rs
@@ -40,10 +40,12 @@
         let every = self.other_rounds();
         let mut listeners = Vec::new();
         for (index, peer) in self.peers.iter().enumerate() {
-            let rounds = match self.is_far(&peer.place) {
-                _ if peer.place.zone == self.settings.place.zone => 1,
-                true => every.max(FAR_ROUNDS),
-                false => every,
+            let rounds = if peer.place.zone == self.settings.place.zone {
+                1
+            } else if self.is_far(&peer.place) {
+                every.max(FAR_ROUNDS)
+            } else {
+                every
             };
             if urgent || (round + index as u64).is_multiple_of(rounds) {
                 listeners.push(peer.place.address);
--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -48,7 +48,11 @@
 }
 
 fn document() -> Arc<ForwardRules> {
-    let mut document = rules(1);
+    document_of(1)
+}
+
+fn document_of(version: u64) -> Arc<ForwardRules> {
+    let mut document = rules(version);
     document.accounts = vec![Arc::new(account("one", RATE))];
     document.keys = BTreeMap::from([(KeyHash::of("key-one"), 0)]);
     Arc::new(document)
@@ -267,6 +271,71 @@
     assert!(refused * 100 <= asked, "{refused} of {asked} tokens were refused");
 }
 
+#[test]
+fn accounts_beyond_the_lines_of_a_note_are_told_too() {
+    const ACCOUNTS: usize = 90;
+    let mut document = rules(2);
+    document.accounts =
+        (0..ACCOUNTS).map(|number| Arc::new(account(&format!("a-{number}"), 100))).collect();
+    document.keys =
+        (0..ACCOUNTS).map(|number| (KeyHash::of(&format!("key-{number}")), number)).collect();
+    let document = Arc::new(document);
+    let mut routers = ["vm-1", "vm-2"].map(|vm| {
+        let last = vm.as_bytes()[3] - b'0';
+        let mut router = TestRouter::new(settings(vm, last));
+        router.handle(0, ForwardEvent::PeerListed(place("vm-1", "a", 1)));
+        router.handle(0, ForwardEvent::PeerListed(place("vm-2", "a", 2)));
+        router.handle(0, ForwardEvent::Rules(document.clone()));
+        router.handle(0, ForwardEvent::StoreAnswered { read_from: at(0) });
+        router
+    });
+    let ask = |router: &mut TestRouter, now: u64, number: usize, tokens: u64| {
+        let key = format!("key-{number}");
+        let arrival = ForwardArrival { tokens: Some((tokens, 0)), ..arrival("/any/x", Some(&key)) };
+        router.state.admit(at(now), arrival).is_ok()
+    };
+    let [first, second] = &mut routers;
+    let note = first.note(1);
+    second.handle(1, ForwardEvent::Note(note));
+    // One router uses up each account's burst, some accounts in each round of notes.
+    for number in 0..ACCOUNTS {
+        let now = 20 * (number as u64 + 1);
+        assert!(ask(first, now, number, 500));
+        if now.is_multiple_of(200) {
+            let note = first.note(now);
+            second.handle(now, ForwardEvent::Note(note));
+            let note = second.note(now);
+            first.handle(now, ForwardEvent::Note(note));
+        }
+    }
+    let now = 20 * ACCOUNTS as u64 + 10;
+    let admitted: Vec<usize> =
+        (0..ACCOUNTS).filter(|number| ask(second, now, *number, 1)).collect();
+    assert!(admitted.is_empty(), "{admitted:?} were admitted beyond their limit");
+}
+
+#[test]
+fn a_line_that_a_note_lacks_changes_nothing() {
+    let mut first = support::router(0);
+    let mut second = TestRouter::new(settings("vm-2", 2));
+    for router in [&mut first, &mut second] {
+        router.handle(0, ForwardEvent::PeerListed(place("vm-1", "a", 1)));
+        router.handle(0, ForwardEvent::PeerListed(place("vm-2", "a", 2)));
+        router.handle(0, ForwardEvent::Rules(document_of(2)));
+    }
+    let before = first.note(5);
+    assert!(first.state.admit(at(10), request(60_000)).is_ok());
+    let whole = first.note(20);
+    let mut without = first.note(200);
+    without.usage.clear();
+    let again = first.note(400);
+    for (now, note) in [(5, before), (20, whole), (200, without), (400, again)] {
+        second.handle(now, ForwardEvent::Note(note));
+    }
+    // Counted once, 40,000 are left; counted twice, nothing would be.
+    assert!(second.state.admit(at(410), request(1_000)).is_ok());
+}
+
 #[test]
 fn a_lower_limit_holds_at_once() {
     let mut router = support::router(0);
