One type for what a request wants of its allowance, one view for the choice of a target

RateEvent and SpenderEvent told the same three events with the same fields; both now carry SpendEvent. TargetChoice::choose took nine arguments, six of which went through three functions; they are a ChoiceView now, and the exception from the lint is gone.

--- a/crates/bench/src/fleet/sim.rs
+++ b/crates/bench/src/fleet/sim.rs
@@ -6,7 +6,7 @@
 };
 
 use godwitroad_base::{Incarnation, NodeId, SeededRandom, VmName, ZoneName};
-use godwitroad_limits::{RateEvent, RateTable, shard_of};
+use godwitroad_limits::{RateEvent, RateTable, SpendEvent, shard_of};
 use godwitroad_member::{MemberEvent, Roster, VmListing};
 use godwitroad_store::{StoreFailure, StoreOutcome, StoreReply, StoreRequest};
 
@@ -269,7 +269,7 @@
                 let log = self.result.logs.entry(arrival.account.clone()).or_default();
                 log.admitted.push((self.now, tokens));
                 self.result.ends[ticket as usize] = RequestEnd::Admitted(self.now);
-                let settle = RateEvent::Settle { ticket, used: tokens };
+                let settle = RateEvent::Spend(SpendEvent::Settle { ticket, used: tokens });
                 let incarnation = self.nodes[index].id.incarnation.0;
                 let event = NodeEvent::Rate(settle);
                 self.push(self.now + 300, SimEvent::Node { index, incarnation, event });
@@ -290,13 +290,13 @@
         let mut order: Vec<usize> = order.filter(|index| self.nodes[*index].running).collect();
         order.sort_by_key(|index| self.nodes[*index].zone_index != zone);
         let Some(index) = order.first().copied() else { return };
-        let event = RateEvent::Reserve {
+        let event = SpendEvent::Reserve {
             ticket: number as u64,
             account: arrival.account,
             tokens: arrival.tokens,
             wait: self.spec.wait,
         };
-        self.run_node(index, NodeEvent::Rate(event));
+        self.run_node(index, NodeEvent::Rate(RateEvent::Spend(event)));
     }
 
     fn active(&self) -> impl Iterator<Item = FaultKind> + '_ {
--- a/crates/bench/src/index.rs
+++ b/crates/bench/src/index.rs
@@ -8,8 +8,9 @@
 use anyhow::Result;
 use godwitroad_base::{ClockSpan, ClockTime, Incarnation, SeededRandom, TargetName};
 use godwitroad_pick::{
-    ChoiceRequest, ChoiceSettings, Distance, HealthSettings, HotPrefixes, HotSettings, LinkMeter,
-    LinkSettings, LoadSettings, LoadView, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+    ChoiceRequest, ChoiceSettings, ChoiceView, Distance, HealthSettings, HotPrefixes, HotSettings,
+    LinkMeter, LinkSettings, LoadSettings, LoadView, TargetChoice, TargetHealth, TargetPlace,
+    TargetReport,
 };
 use godwitroad_prefix::{
     CacheChange, ChainSalt, EventFeed, FeedAction, FeedBatch, FeedSettings, IndexSettings,
@@ -105,17 +106,15 @@
             routers: 16,
             excluded: &[],
         };
-        let chosen = self.choice.choose(
-            now,
-            &request,
-            &self.places,
-            &self.matches,
-            &self.load,
-            &self.health,
-            &self.hot,
-            &self.link,
-            &mut self.random,
-        )?;
+        let view = ChoiceView {
+            places: &self.places,
+            matches: &self.matches,
+            load: &self.load,
+            health: &self.health,
+            hot: &self.hot,
+            link: &self.link,
+        };
+        let chosen = self.choice.choose(now, &request, &view, &mut self.random)?;
         Some(chosen.target)
     }
 }
--- a/crates/bench/src/routing/node.rs
+++ b/crates/bench/src/routing/node.rs
@@ -2,8 +2,9 @@
 
 use godwitroad_base::{ClockSpan, ClockTime, SeededRandom, TargetName, VmName, rendezvous};
 use godwitroad_pick::{
-    ChoiceRequest, ChoiceSettings, Distance, HealthSettings, HotPrefixes, HotSettings, LinkMeter,
-    LinkSettings, LoadSettings, LoadView, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+    ChoiceRequest, ChoiceSettings, ChoiceView, Distance, HealthSettings, HotPrefixes, HotSettings,
+    LinkMeter, LinkSettings, LoadSettings, LoadView, TargetChoice, TargetHealth, TargetPlace,
+    TargetReport,
 };
 use godwitroad_prefix::{
     IndexPart, IndexSettings, PartAction, PartEvent, PartMessage, PartSettings, PieceChain,
@@ -143,17 +144,15 @@
             routers,
             excluded,
         };
-        let chosen = self.choice.choose(
-            now,
-            &facts,
+        let view = ChoiceView {
             places,
             matches,
-            &self.load,
-            &self.health,
-            &self.hot,
-            &self.link,
-            &mut self.random,
-        )?;
+            load: &self.load,
+            health: &self.health,
+            hot: &self.hot,
+            link: &self.link,
+        };
+        let chosen = self.choice.choose(now, &facts, &view, &mut self.random)?;
         let target = chosen.target;
         let used_ms = chosen.missing_tokens as f64 * 1e3 / self.load.prefill_rate(target);
         if let Some(first) = first {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -26,7 +26,7 @@
 pub use holder::{HolderAction, HolderCounters, HolderEvent, RateHolder};
 pub use message::{
     AccountGrant, AccountPledge, AccountReport, AskEntry, HandedBucket, RateAction, RateEvent,
-    RateMessage, RateTable,
+    RateMessage, RateTable, SpendEvent,
 };
 pub use node::{RateCounters, RateNode};
 pub use settings::{GRANT_TTL_MS, RateSettings, SHARE_SHARDS};
--- a/crates/limits/src/message.rs
+++ b/crates/limits/src/message.rs
@@ -33,29 +33,9 @@
     }
 }
 
-/// An event that [`crate::RateNode::handle`] takes.
+/// What a request wants of its account's allowance.
 #[derive(Clone, Debug)]
-pub enum RateEvent {
-    /// A generation of the configuration came into force.
-    Configure(Arc<RateTable>),
-    /// The ownership of shards changed.
-    View(Arc<HoldView>),
-    /// The term until which this process may hold shards.
-    Term(Option<ClockTime>),
-    /// A peer sent a message.
-    Peer {
-        /// The sender.
-        from: NodeId,
-        /// The message.
-        message: RateMessage,
-    },
-    /// A call to the store ended.
-    Store {
-        /// The call, as numbered by this machine.
-        call: CallId,
-        /// What came of it.
-        outcome: StoreOutcome,
-    },
+pub enum SpendEvent {
     /// A request, or a stream that goes on, needs tokens.
     Reserve {
         /// The number by which the caller knows the reservation; used once.
@@ -79,6 +59,33 @@
         /// The reservation.
         ticket: u64,
     },
+}
+
+/// An event that [`crate::RateNode::handle`] takes.
+#[derive(Clone, Debug)]
+pub enum RateEvent {
+    /// A generation of the configuration came into force.
+    Configure(Arc<RateTable>),
+    /// The ownership of shards changed.
+    View(Arc<HoldView>),
+    /// The term until which this process may hold shards.
+    Term(Option<ClockTime>),
+    /// A peer sent a message.
+    Peer {
+        /// The sender.
+        from: NodeId,
+        /// The message.
+        message: RateMessage,
+    },
+    /// A call to the store ended.
+    Store {
+        /// The call, as numbered by this machine.
+        call: CallId,
+        /// What came of it.
+        outcome: StoreOutcome,
+    },
+    /// A request wants tokens, or no longer does.
+    Spend(SpendEvent),
     /// The zones whose VMs are all gone by the platform's list and whose terms have run out, with their processes.
     Gone(BTreeMap<ZoneName, Vec<NodeId>>),
     /// The process leaves: everything held goes to the successors.
--- a/crates/limits/src/node.rs
+++ b/crates/limits/src/node.rs
@@ -91,16 +91,7 @@
             RateEvent::Store { call, outcome } => {
                 steps.push(NodeStep::Share(ShareEvent::Store { call, outcome }));
             }
-            RateEvent::Reserve { ticket, account, tokens, wait } => {
-                let event = SpenderEvent::Reserve { ticket, account, tokens, wait };
-                steps.push(NodeStep::Spender(event));
-            }
-            RateEvent::Settle { ticket, used } => {
-                steps.push(NodeStep::Spender(SpenderEvent::Settle { ticket, used }));
-            }
-            RateEvent::Cancel { ticket } => {
-                steps.push(NodeStep::Spender(SpenderEvent::Cancel { ticket }));
-            }
+            RateEvent::Spend(event) => steps.push(NodeStep::Spender(SpenderEvent::Spend(event))),
             RateEvent::HandOver => {
                 self.leaving = true;
                 steps.push(NodeStep::Share(ShareEvent::HandOver));
--- a/crates/limits/src/spender.rs
+++ b/crates/limits/src/spender.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     demand::DemandMeter,
-    message::{AccountGrant, RateMessage},
+    message::{AccountGrant, RateMessage, SpendEvent},
     prepaid::PrepaidPool,
     settings::RateSettings,
     shard::shard_of,
@@ -30,29 +30,8 @@
 /// An event that [`RateSpender::handle`] takes.
 #[derive(Clone, Debug)]
 pub enum SpenderEvent {
-    /// A request needs tokens.
-    Reserve {
-        /// The reservation.
-        ticket: u64,
-        /// The account.
-        account: AccountName,
-        /// The tokens.
-        tokens: u64,
-        /// The longest time to wait.
-        wait: ClockSpan,
-    },
-    /// The work of a reservation ended.
-    Settle {
-        /// The reservation.
-        ticket: u64,
-        /// The tokens that were used.
-        used: u64,
-    },
-    /// A waiting reservation is no longer wanted.
-    Cancel {
-        /// The reservation.
-        ticket: u64,
-    },
+    /// A request wants tokens, or no longer does.
+    Spend(SpendEvent),
     /// A holder answered.
     Grants {
         /// The holder.
@@ -189,11 +168,13 @@
         actions: &mut Vec<SpenderAction>,
     ) {
         match event {
-            SpenderEvent::Reserve { ticket, account, tokens, wait } => {
+            SpenderEvent::Spend(SpendEvent::Reserve { ticket, account, tokens, wait }) => {
                 self.reserve(now, ticket, account, tokens, wait, actions);
             }
-            SpenderEvent::Settle { ticket, used } => self.settle(now, ticket, used),
-            SpenderEvent::Cancel { ticket } => {
+            SpenderEvent::Spend(SpendEvent::Settle { ticket, used }) => {
+                self.settle(now, ticket, used);
+            }
+            SpenderEvent::Spend(SpendEvent::Cancel { ticket }) => {
                 for credit in self.credits.values_mut() {
                     credit.waiting.retain(|waiting| waiting.ticket != ticket);
                 }
--- a/crates/pick/src/choice.rs
+++ b/crates/pick/src/choice.rs
@@ -164,6 +164,23 @@
     estimates: Vec<TargetEstimate>,
 }
 
+/// What is known when a target is chosen, each part kept by its owner.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceView<'a> {
+    /// The targets of the service.
+    pub places: &'a [TargetPlace],
+    /// Which of them hold how much of the prompt.
+    pub matches: &'a PrefixMatches,
+    /// Their load.
+    pub load: &'a LoadView,
+    /// Their health.
+    pub health: &'a TargetHealth,
+    /// The prefixes that many requests ask for.
+    pub hot: &'a HotPrefixes,
+    /// What the link to other regions still carries.
+    pub link: &'a LinkMeter,
+}
+
 impl TargetChoice {
     /// Returns a choice with these settings.
     pub fn new(settings: ChoiceSettings) -> TargetChoice {
@@ -171,41 +188,35 @@
     }
 
     /// Returns the target for a request, or `None` when no target can take it.
-    #[expect(clippy::too_many_arguments, reason = "each argument is another owner's state")]
     pub fn choose(
         &mut self,
         now: ClockTime,
         request: &ChoiceRequest<'_>,
-        places: &[TargetPlace],
-        matches: &PrefixMatches,
-        load: &LoadView,
-        health: &TargetHealth,
-        hot: &HotPrefixes,
-        link: &LinkMeter,
+        view: &ChoiceView<'_>,
         random: &mut SeededRandom,
     ) -> Option<ChosenTarget> {
         let mut explain = ChoiceExplain {
-            wanted_copies: request.first.map_or(1, |first| hot.wanted(now, first)),
+            wanted_copies: request.first.map_or(1, |first| view.hot.wanted(now, first)),
             ..Default::default()
         };
         self.estimates.clear();
-        for place in places {
+        for place in view.places {
             if request.excluded.contains(&place.target) {
                 continue;
             }
-            if !health.admits(now, place.target, random) {
+            if !view.health.admits(now, place.target, random) {
                 explain.unhealthy += 1;
                 continue;
             }
-            let estimate = self.estimate(now, request, *place, matches, load);
+            let estimate = self.estimate(now, request, *place, view);
             explain.holders += usize::from(estimate.usable_pieces > 0);
             self.estimates.push(estimate);
         }
         if self.estimates.is_empty() {
-            self.take_returning(now, request, places, matches, load, health);
+            self.take_returning(now, request, view);
         }
         self.price_copies(&explain);
-        self.drop_remote(now, request, link, &mut explain);
+        self.drop_remote(now, request, view.link, &mut explain);
         let least = self.estimates.iter().map(TargetEstimate::cost_ms).reduce(f64::min)?;
         let bound = least + (least * self.settings.tie_share).max(self.settings.tie_ms);
         let is_tied = |estimate: &&TargetEstimate| estimate.cost_ms() <= bound;
@@ -224,9 +235,9 @@
         now: ClockTime,
         request: &ChoiceRequest<'_>,
         place: TargetPlace,
-        matches: &PrefixMatches,
-        load: &LoadView,
+        view: &ChoiceView<'_>,
     ) -> TargetEstimate {
+        let ChoiceView { matches, load, .. } = view;
         let settings = &self.settings;
         let usable_pieces = matches.usable(place.target).min(request.pieces);
         let confirmed_pieces = matches.confirmed(place.target).min(usable_pieces);
@@ -257,15 +268,12 @@
         &mut self,
         now: ClockTime,
         request: &ChoiceRequest<'_>,
-        places: &[TargetPlace],
-        matches: &PrefixMatches,
-        load: &LoadView,
-        health: &TargetHealth,
+        view: &ChoiceView<'_>,
     ) {
-        for place in places {
-            let is_usable = health.share(now, place.target) > 0.0;
+        for place in view.places {
+            let is_usable = view.health.share(now, place.target) > 0.0;
             if is_usable && !request.excluded.contains(&place.target) {
-                let estimate = self.estimate(now, request, *place, matches, load);
+                let estimate = self.estimate(now, request, *place, view);
                 self.estimates.push(estimate);
             }
         }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -11,7 +11,7 @@
 mod retry;
 
 pub use choice::{
-    ChoiceExplain, ChoiceRequest, ChoiceSettings, ChosenTarget, Distance, TargetChoice,
+    ChoiceExplain, ChoiceRequest, ChoiceSettings, ChoiceView, ChosenTarget, Distance, TargetChoice,
     TargetEstimate, TargetPlace,
 };
 pub use health::{HealthSettings, HealthState, TargetHealth};
--- a/crates/pick/tests/choice.rs
+++ b/crates/pick/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use godwitroad_base::{ClockSpan, ClockTime, SeededRandom};
 use godwitroad_pick::{
-    ChoiceRequest, ChoiceSettings, ChosenTarget, Distance, HealthSettings, HealthState,
+    ChoiceRequest, ChoiceSettings, ChoiceView, ChosenTarget, Distance, HealthSettings, HealthState,
     HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView, RetryBudget,
     RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
 };
@@ -53,17 +53,15 @@
             excluded,
         };
         let now = ClockTime::from_ms(now);
-        self.choice.choose(
-            now,
-            &request,
-            &self.places,
-            &self.matches,
-            &self.load,
-            &self.health,
-            &self.hot,
-            &self.link,
-            &mut self.random,
-        )
+        let view = ChoiceView {
+            places: &self.places,
+            matches: &self.matches,
+            load: &self.load,
+            health: &self.health,
+            hot: &self.hot,
+            link: &self.link,
+        };
+        self.choice.choose(now, &request, &view, &mut self.random)
     }
 }
 
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -7,7 +7,7 @@
     CutOffPolicy, ModelConfig, RepeatRule, RouteConfig, ServiceConfig, ServiceKind,
 };
 use godwitroad_life::{LifeStage, RequestLife};
-use godwitroad_limits::RateEvent;
+use godwitroad_limits::{RateEvent, SpendEvent};
 use godwitroad_prefix::{ChainSalt, PieceChain};
 use godwitroad_stream::StreamLog;
 
@@ -67,7 +67,8 @@
         };
         if self.fleet.is_some() {
             let wait = RATE_WAIT.min(entry.facts.deadline.since(context.now));
-            let event = RateEvent::Reserve { ticket: id.serial, account, tokens, wait };
+            let event = SpendEvent::Reserve { ticket: id.serial, account, tokens, wait };
+            let event = RateEvent::Spend(event);
             return self.run_fleet(context, FleetEvent::Rates(event));
         }
         let Some(config) = self.view.account(&account) else { return };
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -2,7 +2,7 @@
 
 use godwitroad_base::RequestId;
 use godwitroad_life::LifeStage;
-use godwitroad_limits::RateEvent;
+use godwitroad_limits::{RateEvent, SpendEvent};
 use godwitroad_once::{OnceEvent, RunEnd};
 
 use crate::{
@@ -94,8 +94,8 @@
         }
         let ticket = id.serial;
         let event = match entry.stage {
-            Some(LifeStage::Received(_)) => RateEvent::Cancel { ticket },
-            _ => RateEvent::Settle { ticket, used },
+            Some(LifeStage::Received(_)) => RateEvent::Spend(SpendEvent::Cancel { ticket }),
+            _ => RateEvent::Spend(SpendEvent::Settle { ticket, used }),
         };
         self.run_fleet(context, FleetEvent::Rates(event));
     }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -10,9 +10,9 @@
 };
 use godwitroad_config::ServiceConfig;
 use godwitroad_pick::{
-    ChoiceExplain, ChoiceRequest, ChoiceSettings, DispatchHint, Distance, HealthSettings,
-    HealthState, HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings, LoadView,
-    RetryBudget, RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
+    ChoiceExplain, ChoiceRequest, ChoiceSettings, ChoiceView, DispatchHint, Distance,
+    HealthSettings, HealthState, HotPrefixes, HotSettings, LinkMeter, LinkSettings, LoadSettings,
+    LoadView, RetryBudget, RetrySettings, TargetChoice, TargetHealth, TargetPlace, TargetReport,
 };
 use godwitroad_prefix::{
     CacheChange, FeedBatch, IndexPart, PartAction, PartEvent, PartMessage, PartSettings,
@@ -350,17 +350,15 @@
             routers: self.routers,
             excluded,
         };
-        let chosen = self.choice.choose(
-            now,
-            &facts,
+        let view = ChoiceView {
             places,
             matches,
-            &self.load,
-            &self.health,
-            &self.hot,
-            &self.link,
-            &mut self.random,
-        )?;
+            load: &self.load,
+            health: &self.health,
+            hot: &self.hot,
+            link: &self.link,
+        };
+        let chosen = self.choice.choose(now, &facts, &view, &mut self.random)?;
         Some((chosen.target, chosen.missing_tokens, chosen.explain))
     }
 
