Later followers of the store wait 1.2 s for changes

Without a change each later follower made a call a second. A follower whose watch hangs is noticed by the age of its last answer (1.8 s), which the wait does not move; a slow store's answer (0.25 s) still fits.

The histories of followers hold.

--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -34,7 +34,7 @@
         ContactSettings {
             proof_span: ClockSpan::from_ms(4_500),
             strict: true,
-            wait: ClockSpan::from_ms(1_000),
+            wait: ClockSpan::from_ms(1_200),
             first_wait: ClockSpan::from_ms(500),
         }
     }
