Simplify after a read of the change: one proof, one lookup by tag, one version

No behaviour changes.

- `ConfigContact::prove` and `borrow` had become the same when a newer version stopped ending borrowed proofs; `prove` serves both.
- Targets told by their tag were looked up by the same loop in two places; `TargetRoster::tagged` does it.
- The version of the configuration in force was worked out in five places, once by cloning the configuration's reference; `ForwardState::config_version` gives it.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -302,9 +302,9 @@
         if rule.rate == 0 && rule.burst == 0 {
             return Ok(());
         }
-        let size = self.bucket_size(rule);
         let members = peers.len() + 1;
         let bucket = self.bucket(now, rule, peers);
+        let size = bucket.size;
         let free = bucket.level - bucket.held_back(now, members);
         if free <= 0.0 {
             let part = self.part(peers);
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -41,17 +41,12 @@
 }
 
 impl ConfigContact {
-    /// Notes an answer of the store to a read that started at `read_from`.
+    /// Notes a proof that counts from `read_from`: an answer of the store to a read that started then, or the proof of a
+    /// peer that holds the same version. It stays true when a newer version shows up: that one was confirmed later.
     pub fn prove(&mut self, read_from: ClockTime) {
         self.proven = self.proven.max(Some(read_from));
     }
 
-    /// Notes the proof of a peer that holds the same version. It stays true when a newer version shows up: that one was
-    /// confirmed later.
-    pub fn borrow(&mut self, proven: ClockTime) {
-        self.proven = self.proven.max(Some(proven));
-    }
-
     /// Returns the age of the newest proof.
     pub fn age(&self, now: ClockTime) -> Option<ClockSpan> {
         self.proven.map(|proven| now.since(proven))
--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -8,6 +8,8 @@
 
 use godwitroad_base::{ClockSpan, ClockTime, ModelName, ServiceName, TargetName, ZoneName};
 
+use crate::tag_of;
+
 /// A target as the platform lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TargetRecord {
@@ -111,6 +113,11 @@
         self.entries.get(name).map(|entry| &*entry.record)
     }
 
+    /// Returns the target with a name of this short form.
+    pub(crate) fn tagged(&self, tag: u32) -> Option<&Arc<TargetRecord>> {
+        self.iter().find(|record| tag_of(record.name.as_str()) == tag)
+    }
+
     /// Returns all targets in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<TargetRecord>> {
         self.entries.values().map(|entry| &entry.record)
--- a/crates/forward/src/state/fleet.rs
+++ b/crates/forward/src/state/fleet.rs
@@ -28,7 +28,6 @@
     /// Returns this router's note to a peer; `introduce` adds the routers that it knows.
     pub fn note(&mut self, now: ClockTime, introduce: bool) -> PeerNote {
         self.sequence += 1;
-        let rules = self.rules.clone();
         let usage = self.allowance.report(now, MAX_LINES);
         let loads = self.loads.own().map(|(target, work)| {
             let clamp = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
@@ -52,7 +51,7 @@
             period_ms: u32::try_from(self.note_period().as_ms()).unwrap_or(u32::MAX),
             sequence: self.sequence,
             incarnation: self.settings.incarnation,
-            version: rules.map_or(0, |rules| rules.version),
+            version: self.config_version(),
             proof_age_ms: self.contact.age(now).and_then(|age| u32::try_from(age.as_ms()).ok()),
             stopping: self.stopping.is_some(),
             follows: self.follows(now),
@@ -113,17 +112,16 @@
         for (tag, version, age) in named {
             self.hear_naming(now, tag, version, ClockSpan::from_ms(age.into()));
         }
-        let own = self.rules.as_ref().map_or(0, |rules| rules.version);
-        if version == own
+        if version == self.config_version()
             && let Some(age) = proof
         {
-            self.contact.borrow(now - (ClockSpan::from_ms(age.into()) + NOTE_DELAY));
+            self.contact.prove(now - (ClockSpan::from_ms(age.into()) + NOTE_DELAY));
         }
     }
 
     fn hear_placed(&mut self, now: ClockTime, lines: &[PlacedLine]) {
         for (tag, parts) in lines {
-            let tagged = self.roster.iter().find(|record| tag_of(record.name.as_str()) == *tag);
+            let tagged = self.roster.tagged(*tag);
             let Some(name) = tagged.map(|record| record.name.clone()) else { continue };
             let chain: Vec<(PartKey, u64)> =
                 parts.iter().map(|(key, tokens)| (*key, u64::from(*tokens))).collect();
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -299,6 +299,11 @@
         self.rules.as_ref()
     }
 
+    /// Returns the version of the configuration in force, or 0 if none is known.
+    pub fn config_version(&self) -> u64 {
+        self.rules.as_ref().map_or(0, |rules| rules.version)
+    }
+
     /// Returns a target as it is listed.
     pub fn target(&self, name: &TargetName) -> Option<&TargetRecord> {
         self.roster.get(name)
@@ -406,7 +411,7 @@
         rules: Arc<ForwardRules>,
         actions: &mut Vec<ForwardAction>,
     ) {
-        let known = self.rules.as_ref().map_or(0, |rules| rules.version);
+        let known = self.config_version();
         self.knowledge.note_urgent();
         // A configuration in force never reverts, in whatever order answers come.
         if self.rules.is_some() && rules.version <= known {
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -89,8 +89,7 @@
 
     pub(super) fn hear_loaded(&mut self, lines: &[LoadedLine], actions: &mut Vec<ForwardAction>) {
         for (target, model, version) in lines {
-            let tagged = self.roster.iter().find(|record| tag_of(record.name.as_str()) == *target);
-            let Some(record) = tagged.cloned() else { continue };
+            let Some(record) = self.roster.tagged(*target).cloned() else { continue };
             let mut models = record.versions.keys();
             let Some(model) = models.find(|name| tag_of(name.as_str()) == *model) else { continue };
             if self.roster.learn_version(&record.name, model, *version) {
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -373,7 +373,7 @@
     core.metrics.count(&format!("requests.refused.{}", reason.name()), 1);
     let now = core.now();
     let (version, proof, members) = core.read(|state| {
-        let version = state.rules().map_or(0, |rules| rules.version);
+        let version = state.config_version();
         (version, state.proof_age(now).map(|age| age.as_ms()), state.member_count())
     });
     let detail = format!(
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -127,7 +127,7 @@
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let now = self.now();
         let (plan, version, proof, has_news) = self.with(|state| {
-            let version = state.rules().map_or(0, |rules| rules.version);
+            let version = state.config_version();
             let proof = state.proof_age(now).map(ClockSpan::as_ms);
             (state.place(now, request), version, proof, state.has_news())
         });
