--- a/crates/balance/src/retry.rs
+++ b/crates/balance/src/retry.rs
@@ -48,6 +48,12 @@
         true
     }
 
+    /// Takes one retry for a request that has not failed, and returns whether there was more than one, as the last one
+    /// is kept for a request that fails.
+    pub fn take_spare(&mut self) -> bool {
+        self.available >= 2.0 - 1e-9 && self.take()
+    }
+
     /// Returns the number of retries that the budget refused.
     pub fn refused(&self) -> u64 {
         self.refused
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -149,23 +149,28 @@
 /// The minimum number of tokens that a transfer must save; for fewer, its start-up costs as much as it saves.
 const MIN_FETCH_TOKENS: u64 = 64;
 
-/// Returns the candidate with the lowest cost; `demand` is `None` for services without engine.
+/// Returns the candidate with the lowest cost among those whose estimated wait is at most `max_wait_ms`, or among all if
+/// there are none; `demand` is `None` for services without engine.
+///
+/// A cheaper candidate with a longer wait is no reason to refuse a request that another one can serve in time.
 pub fn choose_candidate(
     settings: &ChoiceSettings,
     candidates: &[TargetCandidate],
     demand: Option<&PromptDemand<'_>>,
+    max_wait_ms: f64,
     random: &mut SeededRandom,
 ) -> Option<TargetChoice> {
-    let mut best: Option<(f64, TargetChoice)> = None;
+    let mut best: Option<((bool, f64), TargetChoice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
         let cost = match demand {
             Some(demand) => engine_cost(settings, candidate, demand),
             None => plain_cost(settings, candidate),
         };
         let total = cost.cost * (1.0 + settings.noise * random.fraction());
-        if best.as_ref().is_none_or(|(lowest, _)| total < *lowest) {
+        let rank = (cost.wait > max_wait_ms, total);
+        if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
             let CandidateCost { wait, source, prefill_tokens, .. } = cost;
-            best = Some((total, TargetChoice { index, source, wait_ms: wait, prefill_tokens }));
+            best = Some((rank, TargetChoice { index, source, wait_ms: wait, prefill_tokens }));
         }
     }
     best.map(|(_, choice)| choice)
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -150,6 +150,9 @@
     pub attempts: u32,
     /// Whether a target has run it or may have.
     pub may_have_run: bool,
+    /// The version of the weights on which its answer began. A continued answer stays on it where a target still serves
+    /// it.
+    pub begun_version: Option<u64>,
 }
 
 /// The target of one attempt and what to send along with the request.
@@ -204,6 +207,9 @@
     NotSent,
     /// The connection failed after the request was sent, or the answer was malformed or belonged to another request.
     Failed,
+    /// This router ended the attempt to continue the stream on another target; see
+    /// [`ForwardState::relocate`](crate::ForwardState::relocate).
+    Relocated,
     /// The caller closed its connection.
     CallerLeft,
     /// The deadline passed.
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -66,6 +66,7 @@
             tried: Vec::new(),
             attempts: 0,
             may_have_run: false,
+            begun_version: None,
         })
     }
 
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -56,6 +56,38 @@
         self.health.record_success(now, &plan.target);
     }
 
+    /// Returns whether to end an attempt whose stream has begun and to continue the stream on another target, because its
+    /// target is about to load weights. The target loads only once all its streams have ended, and takes no other
+    /// requests until then.
+    ///
+    /// The other target must serve the same weights, so that one answer doesn't come from two versions. If the result is
+    /// true, the attempt counts as retried and must be finished with [`AttemptOutcome::Relocated`].
+    pub fn relocate(
+        &mut self,
+        now: ClockTime,
+        request: &mut ForwardRequest,
+        plan: &SendPlan,
+    ) -> bool {
+        if !request.route.resumable
+            || request.attempts >= request.route.max_attempts
+            || request.time_left(now) < MIN_TIME_LEFT
+            || !self.is_changing(&plan.target)
+        {
+            return false;
+        }
+        // Choosing another target must not fail once the attempt has ended.
+        let Some(rules) = self.rules.clone() else { return false };
+        if self.authorize(now, &rules, &request.arrival).is_err() {
+            return false;
+        }
+        request.begun_version = plan.version;
+        let has_other = self.usable_targets(now, request).iter().any(|record| {
+            request.arrival.model.as_ref().and_then(|model| record.versions.get(model)).copied()
+                == plan.version
+        });
+        has_other && self.retry_budget(&request.service).take_spare()
+    }
+
     /// Records the version of the weights that an answer states.
     pub fn update_version(&mut self, target: &TargetName, model: &ModelName, version: u64) {
         self.roster.update_version(target, model, version);
@@ -105,6 +137,10 @@
                 }
                 NextStep::End(ForwardRefusal::new(RefusalReason::TargetFailed))
             }
+            AttemptOutcome::Relocated => {
+                request.may_have_run = true;
+                NextStep::Again
+            }
             AttemptOutcome::CallerLeft | AttemptOutcome::TimeOver => {
                 request.may_have_run = true;
                 NextStep::End(ForwardRefusal::new(RefusalReason::TargetTimeout))
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -97,24 +97,24 @@
     }
 
     // Returns the targets that can take the request; unhealthy ones only if there are no others.
-    fn usable_targets(
+    pub(super) fn usable_targets(
         &mut self,
         now: ClockTime,
         request: &ForwardRequest,
     ) -> Vec<Arc<TargetRecord>> {
-        let changing: Vec<TargetName> = self.weights.changing().cloned().collect();
-        let is_changing = |record: &TargetRecord| {
-            changing.contains(&record.name)
-                || self.loading_until.contains_key(&tag_of(record.name.as_str()))
-        };
         let listed = self.roster.iter().filter(|record| {
             record.service == request.service
                 && !record.draining
                 && !request.tried.contains(&record.name)
         });
         let current = listed.filter(|record| !self.is_outdated(now, request, record));
-        let records: Vec<Arc<TargetRecord>> =
-            current.filter(|record| !is_changing(record)).cloned().collect();
+        let mut records: Vec<Arc<TargetRecord>> =
+            current.filter(|record| !self.is_changing(&record.name)).cloned().collect();
+        let serves_begun =
+            |record: &Arc<TargetRecord>| version_of(request, record) == request.begun_version;
+        if request.begun_version.is_some() && records.iter().any(serves_begun) {
+            records.retain(serves_begun);
+        }
         let mut healthy = Vec::new();
         for record in &records {
             if self.health.admits(now, &record.name, &mut self.random) {
@@ -124,6 +124,13 @@
         if healthy.is_empty() { records } else { healthy }
     }
 
+    // Returns whether a target is loading weights or about to, so that it gets no requests.
+    pub(super) fn is_changing(&self, target: &TargetName) -> bool {
+        self.weights.is_changing(target)
+            || !self.loading_until.is_empty()
+                && self.loading_until.contains_key(&tag_of(target.as_str()))
+    }
+
     // Returns whether a target's weights were replaced so long ago that they must get no new requests.
     fn is_outdated(&self, now: ClockTime, request: &ForwardRequest, record: &TargetRecord) -> bool {
         let limit = self.settings.version_span.saturating_sub(VERSION_MARGIN);
@@ -153,9 +160,11 @@
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let candidates: Vec<TargetCandidate> =
             records.iter().map(|record| self.candidate(now, record)).collect();
-        let choice = choose_candidate(&self.settings.choice, &candidates, None, &mut self.random);
+        let max_wait = max_wait_ms(now, request);
+        let settings = &self.settings.choice;
+        let choice = choose_candidate(settings, &candidates, None, max_wait, &mut self.random);
         let choice = choice.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
-        self.check_wait(now, request, choice.wait_ms)?;
+        check_wait(choice.wait_ms, max_wait)?;
         let work = WorkSum { requests: 1, memory: 0, pending_prefill: 0 };
         Ok(self.plan(now, request, &records[choice.index], work, choice.wait_ms))
     }
@@ -192,10 +201,12 @@
             candidates.push(candidate);
         }
         let demand = PromptDemand { input, output, cached_anywhere, engine };
+        let max_wait = max_wait_ms(now, request);
+        let settings = &self.settings.choice;
         let choice =
-            choose_candidate(&self.settings.choice, &candidates, Some(&demand), &mut self.random);
+            choose_candidate(settings, &candidates, Some(&demand), max_wait, &mut self.random);
         let choice = choice.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
-        self.check_wait(now, request, choice.wait_ms)?;
+        check_wait(choice.wait_ms, max_wait)?;
         let record = &records[choice.index];
         let work =
             WorkSum { requests: 1, memory: input + output, pending_prefill: choice.prefill_tokens };
@@ -400,21 +411,6 @@
         }
     }
 
-    fn check_wait(
-        &self,
-        now: ClockTime,
-        request: &ForwardRequest,
-        wait_ms: f64,
-    ) -> std::result::Result<(), ForwardRefusal> {
-        let limit = request.route.objective.as_ms() as f64 * OVERLOAD_FACTOR;
-        let limit = limit.min(request.time_left(now).as_ms() as f64);
-        if wait_ms <= limit {
-            return Ok(());
-        }
-        let wait = ClockSpan::from_ms((wait_ms - limit / 2.0) as u64);
-        Err(ForwardRefusal::after(RefusalReason::Overloaded, wait))
-    }
-
     pub(super) fn distance(&self, from: &ZoneName, to: &ZoneName) -> ZoneDistance {
         if from == to {
             ZoneDistance::Zone
@@ -437,6 +433,24 @@
     }
 }
 
+// Returns the longest estimated wait with which a request is still sent to a target.
+fn max_wait_ms(now: ClockTime, request: &ForwardRequest) -> f64 {
+    // Refusing a request whose stream has begun would break the stream.
+    if request.begun_version.is_some() {
+        return f64::INFINITY;
+    }
+    let limit = request.route.objective.as_ms() as f64 * OVERLOAD_FACTOR;
+    limit.min(request.time_left(now).as_ms() as f64)
+}
+
+fn check_wait(wait_ms: f64, max_wait_ms: f64) -> std::result::Result<(), ForwardRefusal> {
+    if wait_ms <= max_wait_ms {
+        return Ok(());
+    }
+    let wait = ClockSpan::from_ms((wait_ms - max_wait_ms / 2.0) as u64);
+    Err(ForwardRefusal::after(RefusalReason::Overloaded, wait))
+}
+
 fn version_of(request: &ForwardRequest, record: &TargetRecord) -> Option<u64> {
     record.versions.get(request.arrival.model.as_ref()?).copied()
 }
--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use godwitroad_base::ClockSpan;
 use godwitroad_forward::{
     CacheEvent, CacheEventBatch, FeedSource, ForwardArrival, ForwardEvent, SegmentKey, SendPlan,
 };
@@ -214,3 +215,24 @@
         "{plans:?}"
     );
 }
+
+#[test]
+fn a_request_is_not_refused_while_a_target_with_replaced_weights_can_serve_it_in_time() {
+    let mut router = router(0);
+    let mut strict = rules(2);
+    let stream = strict.routes.iter_mut().find(|route| route.streaming).expect("a stream route");
+    Arc::make_mut(stream).objective = ClockSpan::from_ms(100);
+    router.handle(5, ForwardEvent::Rules(Arc::new(strict)));
+    let desired = ForwardEvent::DesiredVersion { model: "m".into(), version: 2 };
+    router.handle(10, desired);
+    let mut record = target("model-a", "models", "a", 20);
+    record.versions = BTreeMap::from([("m".into(), 2)]);
+    router.handle(20, ForwardEvent::Target(record));
+    router.handle(7_000, ForwardEvent::StoreAnswered { read_from: at(7_000) });
+    // The wait at the new weights exceeds the limit before it outweighs the loss of value at the old ones.
+    let plans: Vec<SendPlan> = (0..6)
+        .map(|round| plan_for(&mut router, 7_000, prompt("s", &format!("o{round}"))))
+        .collect();
+    let versions: Vec<_> = plans.iter().map(|plan| plan.version).collect();
+    assert!(versions.contains(&Some(2)) && versions.contains(&Some(1)), "{versions:?}");
+}
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -27,8 +27,10 @@
     /// The time-out for a target to finish its requests. The order is then sent nevertheless, and the target finishes
     /// the requests before it loads, without accepting others.
     pub drain: ClockSpan,
-    /// The interval between two reports that are fetched from a loading target.
+    /// The interval between two reports that are fetched from a target that still runs requests.
     pub poll: ClockSpan,
+    /// The interval between two reports that are fetched from a loading target. It delays the target's return.
+    pub load_poll: ClockSpan,
     /// The time-out of a change, after which another target changes first.
     pub patience: ClockSpan,
 }
@@ -42,6 +44,7 @@
             notice: ClockSpan::from_ms(60),
             drain: ClockSpan::from_ms(900),
             poll: ClockSpan::from_ms(500),
+            load_poll: ClockSpan::from_ms(150),
             patience: ClockSpan::from_secs(8),
         }
     }
@@ -125,6 +128,8 @@
     since: ClockTime,
     // The start of the whole change, from which `patience` counts.
     started: ClockTime,
+    // Whether an order was sent, so that the target may be loading.
+    is_ordered: bool,
     model: ModelName,
     version: u64,
 }
@@ -135,14 +140,14 @@
     settings: WeightSettings,
     desired: BTreeMap<ModelName, u64>,
     changes: BTreeMap<TargetName, ChangeState>,
-    // Targets whose change timed out, and the time until which other targets change first.
+    // Targets that timed out or didn't answer, and the time until which other targets change first.
     postponed_until: BTreeMap<TargetName, ClockTime>,
 }
 
 /// The maximum share of the targets that may change at once, as a divisor: one half.
 const MAX_CHANGING_DIVISOR: usize = 2;
 
-/// The time for which other targets change first after a target's change timed out.
+/// The time for which other targets change first after a target's change timed out or the target didn't answer.
 const POSTPONE_DELAY: ClockSpan = ClockSpan::from_ms(3_000);
 
 /// The time-out for the answer to an order or to a fetch of a report.
@@ -172,6 +177,11 @@
         self.changes.keys()
     }
 
+    /// Returns whether a target is changing or about to change.
+    pub fn is_changing(&self, target: &TargetName) -> bool {
+        self.changes.contains_key(target)
+    }
+
     /// Discards all changes in progress, because this router may no longer send orders.
     pub fn abandon(&mut self) {
         self.changes.clear();
@@ -209,6 +219,7 @@
                     takes_slot
                 }
                 ChangeStep::Querying | ChangeStep::Ordered => waited >= ANSWER_TIMEOUT,
+                ChangeStep::Loading if work(name) == 0 => waited >= settings.load_poll,
                 ChangeStep::Loading | ChangeStep::BackingOff => waited >= settings.poll,
             };
             if is_due {
@@ -259,7 +270,8 @@
             });
             let Some((target, (model, version))) = next else { return };
             let step = ChangeStep::Announced;
-            let change = ChangeState { step, since: now, started: now, model, version };
+            let (since, is_ordered) = (now, false);
+            let change = ChangeState { step, since, started: now, is_ordered, model, version };
             self.changes.insert(target.name.clone(), change);
         }
     }
@@ -283,6 +295,11 @@
         change.since = now;
         let Some(report) = report else {
             change.step = ChangeStep::BackingOff;
+            // A target that has no order may serve requests again while others change.
+            if !change.is_ordered {
+                self.changes.remove(target);
+                self.postponed_until.insert(target.clone(), now + POSTPONE_DELAY);
+            }
             return None;
         };
         if report.busy {
@@ -297,6 +314,7 @@
             return None;
         }
         change.step = ChangeStep::Ordered;
+        change.is_ordered = true;
         Some(WeightOrder {
             target: target.clone(),
             model: change.model.clone(),
--- a/crates/orders/tests/weights.rs
+++ b/crates/orders/tests/weights.rs
@@ -413,3 +413,33 @@
         );
     }
 }
+
+#[test]
+fn a_silent_target_does_not_delay_the_others() {
+    let mut plan = WeightPlan::new(WeightSettings::default());
+    plan.announce_version(model(), 2);
+    let target = |index: usize| WeightTarget {
+        name: format!("t{index}").as_str().into(),
+        zone: "a".into(),
+        versions: BTreeMap::from([(model(), 1)]),
+        work: 0,
+    };
+    let targets: Vec<WeightTarget> = (0..TARGETS).map(target).collect();
+    let mut ordered = Vec::new();
+    for now in (0..2_000).step_by(STEP_MS as usize) {
+        let now = ClockTime::from_ms(now);
+        for action in plan.next(now, &targets) {
+            let WeightAction::FetchReport { target } = action else { continue };
+            // The first targets by name don't answer.
+            let is_silent = ["t0", "t1"].contains(&target.as_str());
+            let report = WeightReport {
+                versions: BTreeMap::from([(model(), 1)]),
+                ..WeightReport::default()
+            };
+            ordered.extend(plan.report(now, &target, (!is_silent).then_some(&report)));
+        }
+    }
+    let first: Vec<&str> = ordered.iter().map(|order| order.target.as_str()).collect();
+    assert!(first.contains(&"t2") && first.contains(&"t3"), "{first:?}");
+    assert!(!plan.is_changing(&"t0".into()), "a silent target still counts as changing");
+}
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// Returns whether the stream should be continued on another target because this one is about to load weights.
+    pub(super) fn relocate(&mut self) -> bool {
+        let core = self.core.clone();
+        let now = core.now();
+        let Some(request) = &mut self.request else { return false };
+        core.update(|state| state.relocate(now, request, &self.plan))
+    }
+
     /// Returns the core that the attempt was started with.
     pub(super) fn core(&self) -> &Rc<crate::core::ProxyCore<P>> {
         &self.core
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -59,7 +59,12 @@
     /// Returns an error if the stream broke and could not be resumed.
     pub(super) async fn next(&mut self) -> std::result::Result<Option<Bytes>, BrokenStream> {
         loop {
+            let has_begun = self.splitter.last_id().is_some();
             let Some((attempt, exchange)) = &mut self.attempt else { return Ok(None) };
+            if has_begun && attempt.relocate() {
+                self.resume_on_another_target(AttemptOutcome::Relocated).await?;
+                continue;
+            }
             let core = &self.core;
             let idle_timeout = core.read(|state| state.stream_idle_timeout(attempt.request()));
             let deadline = attempt.deadline().min(core.deadline(idle_timeout));
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -216,6 +216,7 @@
         AttemptOutcome::Rejected { .. } => "attempts.rejected",
         AttemptOutcome::NotSent => "attempts.not_sent",
         AttemptOutcome::Failed => "attempts.failed",
+        AttemptOutcome::Relocated => "attempts.relocated",
         AttemptOutcome::CallerLeft => "attempts.caller_left",
         AttemptOutcome::TimeOver => "attempts.time_over",
     }
