--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 mod name;
 mod random;
 pub mod rendezvous;
+mod revision;
 
 pub use clock::{ClockSpan, ClockTime};
 pub use id::{Incarnation, NodeId, ParseError, RequestId};
@@ -18,3 +19,4 @@
     ZoneName,
 };
 pub use random::SeededRandom;
+pub use revision::{StoreEra, StoreRevision};
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, net::IpAddr};
 
-use godwitroad_base::{ClockSpan, ClockTime, VmName, ZoneName};
+use godwitroad_base::{ClockSpan, ClockTime, StoreRevision, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::{allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry};
@@ -43,9 +43,9 @@
     #[serde(rename = "follows")]
     pub watches_store: bool,
     /// The store's revision up to which the sender has read changes.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The revision of the last change that the peers should read at once.
-    pub urgent_revision: u64,
+    pub urgent_revision: StoreRevision,
     /// The sender's work in progress at targets.
     pub loads: Vec<LoadEntry>,
     /// What client accounts used at the sender.
--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -63,8 +63,11 @@
 
 impl TargetRoster {
     /// Adds or replaces a target's entry and returns what changed.
-    pub fn put(&mut self, record: TargetRecord) -> RosterChange {
+    pub fn put(&mut self, mut record: TargetRecord) -> RosterChange {
         let name = record.name.clone();
+        // A run that drains never takes requests again. An entry that says otherwise is from an older copy of the store.
+        let known = self.get(&name).filter(|known| known.started_ms == record.started_ms);
+        record.draining |= known.is_some_and(|known| known.draining);
         let entry = RosterEntry { record: Arc::new(record), expired_at: None };
         let Some(before) = self.entries.insert(name.clone(), entry) else {
             return RosterChange::Started;
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -96,6 +96,7 @@
         let weight_versions = message.weight_versions.clone();
         let timeout = self.peer_timeout(&message);
         if self.peers.is_newer(&message) {
+            self.era.record_peer_version(now, message.version);
             // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
             if let Some(rules) = &self.rules {
                 self.allowance.receive(now, &rules.accounts, &self.peers, &message, timeout);
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! [`ForwardState::choose_target`] before each attempt, and [`ForwardState::finish_attempt`] with its outcome.
 
 mod admission;
+mod era;
 mod gossip;
 mod gossip_schedule;
 mod health;
@@ -21,12 +22,12 @@
 
 use godwitroad_balance::{HealthSettings, RetryBudget};
 use godwitroad_base::{
-    ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, TargetName, VmName,
-    ZoneName,
+    ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, StoreEra,
+    StoreRevision, TargetName, VmName, ZoneName,
 };
 use godwitroad_orders::{
-    OrderTerm, TermAction, TermAnswer, TermSettings, WeightAction, WeightAnswer, WeightPlan,
-    WeightReport, WeightSettings,
+    ActivityMark, OrderTerm, TermAction, TermAnswer, TermSettings, WeightAction, WeightAnswer,
+    WeightPlan, WeightReport, WeightSettings,
 };
 
 use crate::{
@@ -36,6 +37,7 @@
     recent::RecentEntries,
 };
 
+use era::EraProgress;
 use health::HealthTable;
 use orders::WeightAnnouncement;
 use store_watch::StoreProgress;
@@ -92,8 +94,10 @@
     /// Changes of the store were read up to a revision.
     StoreChanged {
         /// The revision of the last change.
-        revision: u64,
+        revision: StoreRevision,
     },
+    /// The store answered in an era that this router hasn't seen before. A complete listing follows.
+    StoreEra(StoreEra),
     /// A call to the store failed or was refused.
     StoreFailed,
     /// A target is registered, or its entry changed.
@@ -122,8 +126,8 @@
     },
     /// The store shows which router holds the order lease.
     TermHolder(Option<VmName>),
-    /// The store shows whether the holder of the order lease is active.
-    TermMark(bool),
+    /// The store shows whether the holder of the order lease is active; `None` if no holder has written it.
+    TermMark(Option<ActivityMark>),
     /// The store answered a call about the order lease.
     Term(TermAnswer),
     /// A target reported its weights or didn't answer.
@@ -184,6 +188,7 @@
     store_failing_since: Option<ClockTime>,
     store_recovered_at: Option<ClockTime>,
     store_progress: StoreProgress,
+    era: EraProgress,
     roster: TargetRoster,
     peers: PeerTable,
     allowance: AllowanceTable,
@@ -263,6 +268,7 @@
             store_failing_since: None,
             store_recovered_at: None,
             store_progress: StoreProgress::default(),
+            era: EraProgress::default(),
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
             allowance: AllowanceTable::new(settings.allowance),
@@ -359,7 +365,10 @@
             !matches!(event, ForwardEvent::Gossip(_) | ForwardEvent::CacheEvents { .. });
         match event {
             ForwardEvent::Rules(rules) => self.apply_rules(now, rules, actions),
-            ForwardEvent::StoreAnswered { read_from } => self.store_answered(now, read_from),
+            ForwardEvent::StoreEra(era) => self.begin_era(now, era, actions),
+            ForwardEvent::StoreAnswered { read_from } => {
+                self.store_answered(now, read_from, actions)
+            }
             ForwardEvent::StoreChanged { revision } => self.store_changed(now, revision, actions),
             ForwardEvent::StoreFailed => self.store_failed(now),
             ForwardEvent::Target(record) => self.apply_target(now, record, actions),
@@ -368,13 +377,13 @@
                 self.apply_desired_version(now, model, version, actions)
             }
             ForwardEvent::PeerListed(place) => {
-                if place.vm != self.settings.place.vm {
+                if place.vm != self.settings.place.vm && !self.era.is_outdated_peer(&place.vm) {
                     self.peers.upsert(place);
                 }
             }
             ForwardEvent::PeerRemoved(vm) => {
                 self.store_progress.record_urgent();
-                self.peers.remove(&vm);
+                self.remove_peer(now, &vm);
             }
             ForwardEvent::Gossip(message) => self.receive_gossip(now, message, actions),
             ForwardEvent::CacheEvents { source, batch } => self.apply_cache_events(source, batch),
@@ -382,7 +391,7 @@
                 self.store_progress.record_urgent();
                 self.term.observe_leader(now, owner);
             }
-            ForwardEvent::TermMark(active) => self.term.observe_activity(active),
+            ForwardEvent::TermMark(mark) => self.term.observe_mark(mark),
             ForwardEvent::Term(answer) => {
                 if !matches!(answer, TermAnswer::Renewed { .. }) {
                     actions.push(ForwardAction::Notice("order_term", format!("{answer:?}")));
@@ -419,6 +428,10 @@
         self.store_progress.record_urgent();
         // An older version never replaces a newer one, as answers of the store may arrive out of order.
         if self.rules.is_some() && rules.version <= known {
+            if rules.version < known {
+                let detail = format!("version={} in_force={known}", rules.version);
+                actions.push(ForwardAction::Notice("configuration_outdated", detail));
+            }
             return;
         }
         let detail = format!(
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -7,7 +7,7 @@
 //! requests may be sent to which target, otherwise after `NON_URGENT_READ_DELAY`. A router that receives no recent
 //! freshness proof from any peer watches the store itself.
 
-use godwitroad_base::{ClockSpan, ClockTime};
+use godwitroad_base::{ClockSpan, ClockTime, StoreRevision};
 
 use super::{ForwardAction, ForwardState};
 use crate::GossipMessage;
@@ -40,10 +40,10 @@
 /// How far this router has read the store's changes.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StoreProgress {
-    // The revision of the last change that was read, or 0 before the first.
-    last_revision: u64,
+    // The revision of the last change that was read, or the default before the first.
+    last_revision: StoreRevision,
     // The revision of the last change that the other routers should read at once.
-    last_urgent_revision: u64,
+    last_urgent_revision: StoreRevision,
     // Whether such a change is among those being read.
     has_urgent: bool,
     // When the store last answered.
@@ -60,21 +60,20 @@
         self.last_answer = Some(now);
     }
 
-    pub(super) fn revisions(&self) -> (u64, u64) {
+    pub(super) fn revisions(&self) -> (StoreRevision, StoreRevision) {
         (self.last_revision, self.last_urgent_revision)
     }
 }
 
 impl ForwardState {
     /// Returns what to do next to learn of changes after the revision `after`, up to which they have been read.
-    pub fn next_store_step(&self, now: ClockTime, after: u64) -> StoreStep {
+    pub fn next_store_step(&self, now: ClockTime, after: StoreRevision) -> StoreStep {
         if self.is_watcher(now) || self.proof_age(now).is_none_or(|age| age >= SELF_WATCH_PROOF_AGE)
         {
             return StoreStep::Watch(self.watch_wait(now));
         }
-        let peers_know_newer = |revision: fn(&GossipMessage) -> u64| {
-            self.peers.reachable(now).map(|(message, _)| revision(message)).max().unwrap_or(0)
-                > after
+        let peers_know_newer = |revision: fn(&GossipMessage) -> StoreRevision| {
+            self.peers.reachable(now).any(|(message, _)| revision(message) > after)
         };
         let is_due = || {
             self.store_progress.last_answer.is_none_or(|at| now.since(at) >= NON_URGENT_READ_DELAY)
@@ -140,7 +139,7 @@
     pub(super) fn store_changed(
         &mut self,
         now: ClockTime,
-        revision: u64,
+        revision: StoreRevision,
         actions: &mut Vec<ForwardAction>,
     ) {
         self.store_progress.last_revision = self.store_progress.last_revision.max(revision);
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -6,8 +6,16 @@
 use crate::{EXPIRY_GRACE, ReloadEntry, RosterChange, TargetRecord, tag_of};
 
 impl ForwardState {
-    pub(super) fn store_answered(&mut self, now: ClockTime, read_from: ClockTime) {
-        self.freshness.record_proof(read_from);
+    pub(super) fn store_answered(
+        &mut self,
+        now: ClockTime,
+        read_from: ClockTime,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        if self.proves_freshness(now, read_from, actions) {
+            self.freshness.record_proof(read_from);
+        }
+        self.era.end_listing();
         self.store_progress.record_answer(now);
         self.has_listed = true;
         if let Some(since) = self.store_failing_since.take()
@@ -41,6 +49,11 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let name = record.name.clone();
+        if self.era.is_outdated_target(&record) {
+            let detail = format!("target={name} born={} reason=removed_before", record.started_ms);
+            actions.push(ForwardAction::Notice("target_entry_outdated", detail));
+            return;
+        }
         let detail = format!(
             "target={name} service={} address={} zone={} draining={} versions={:?} born={}",
             record.service,
@@ -121,7 +134,9 @@
     ) {
         let outage = self.is_after_outage(now);
         self.store_progress.record_urgent();
+        let started_ms = self.roster.get(&name).map(|record| record.started_ms);
         if self.roster.remove(now, &name, outage) {
+            self.era.record_removed_target(now, &name, started_ms);
             self.clear_target_state(&name);
             let detail = format!("target={name}");
             actions.push(ForwardAction::Notice("target_gone", detail));
--- a/crates/forward/tests/store_watch.rs
+++ b/crates/forward/tests/store_watch.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::SeededRandom;
+use godwitroad_base::{SeededRandom, StoreEra, StoreRevision};
 use godwitroad_forward::{ForwardEvent, GossipMessage, StoreStep, TargetRecord};
 use support::{TestRouter, at, place, rules, settings, target};
 use yare::parameterized;
@@ -83,6 +83,10 @@
     place(&format!("vm-{index}"), ["a", "b", "c"][index % 3], index as u8 + 1)
 }
 
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::default(), number)
+}
+
 // Returns the store's contents at a revision: every change brings a new configuration and drains another target.
 fn state_at(revision: u64) -> Vec<ForwardEvent> {
     let mut events = vec![ForwardEvent::Rules(Arc::new(rules(revision)))];
@@ -172,7 +176,8 @@
             return;
         }
         let Some((from, wait)) = node.call else {
-            let step = node.after.map(|after| node.router.state.next_store_step(at(now), after));
+            let step =
+                node.after.map(|after| node.router.state.next_store_step(at(now), revision(after)));
             let wait = match step {
                 None | Some(StoreStep::Read) => 1,
                 Some(StoreStep::Watch(wait)) => wait.as_ms(),
@@ -201,7 +206,7 @@
                 node.router.handle(now, event);
             }
             if node.after.is_some() {
-                node.router.handle(now, ForwardEvent::StoreChanged { revision: newest });
+                node.router.handle(now, ForwardEvent::StoreChanged { revision: revision(newest) });
             }
             let is_first = node.router.state.is_first_watcher(at(now));
             node.next = now + if is_first { 160 } else { 640 };
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -108,6 +108,7 @@
         ..ForwardSettings::default()
     };
     settings.term.vm = vm.into();
+    settings.term.first_start = true;
     settings.allowance.restarted = false;
     settings
 }
--- a/crates/forward/tests/targets.rs
+++ b/crates/forward/tests/targets.rs
@@ -7,7 +7,7 @@
     sync::Arc,
 };
 
-use godwitroad_base::TargetName;
+use godwitroad_base::{StoreEra, StoreRevision, TargetName};
 use godwitroad_forward::{
     AttemptOutcome, ForwardAction, ForwardEvent, RefusalReason, TargetRecord,
 };
@@ -157,7 +157,7 @@
         10,
         ForwardEvent::Term(godwitroad_orders::TermAnswer::Acquired {
             lease: 1,
-            fence: 5,
+            fence: StoreRevision::new(StoreEra::default(), 5),
             granted: at(5),
         }),
     );
--- a/crates/orders/src/term.rs
+++ b/crates/orders/src/term.rs
@@ -8,8 +8,12 @@
 //! Most leaders lose the lease while they have nothing to order. Before its first order a leader therefore sets an
 //! activity mark in an entry without a lease, on the condition that it still owns the leader entry. It clears the mark
 //! when the quiet period has passed since its last order. A leader that finds the mark cleared need not wait.
+//!
+//! A store that returns from an older copy begins a new era, in which the entry of a leader may be missing although its
+//! lease has not expired on its own clock. The mark therefore names the era in which it was written. A mark of an earlier
+//! era tells nothing about the leaders since then, so that the next leader waits for the longest lease as well.
 
-use godwitroad_base::{ClockSpan, ClockTime, VmName};
+use godwitroad_base::{ClockSpan, ClockTime, StoreEra, StoreRevision, VmName};
 
 /// Settings of an [`OrderTerm`].
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +30,8 @@
     pub quiet: ClockSpan,
     /// The time-out of a call to the store.
     pub call_time: ClockSpan,
+    /// Whether the whole fleet starts for the first time, so that no leader can have sent an order before.
+    pub first_start: bool,
 }
 
 /// A call to the store that an [`OrderTerm`] requests.
@@ -41,7 +47,7 @@
     /// Write the activity mark if the leader entry still has the revision `fence`.
     Mark {
         /// The revision of the leader entry.
-        fence: u64,
+        fence: StoreRevision,
         /// Whether the leader may have orders in flight.
         active: bool,
     },
@@ -54,8 +60,8 @@
     Acquired {
         /// The store's number of the lease.
         lease: u64,
-        /// The revision at which the entry was created; the fencing number.
-        fence: u64,
+        /// The revision at which the entry was created, which gives the fencing number.
+        fence: StoreRevision,
         /// The start of the call that granted the lease; the lease is counted from it.
         granted: ClockTime,
     },
@@ -78,21 +84,33 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct HeldTerm {
     lease: u64,
-    fence: u64,
+    fence: StoreRevision,
     valid_until: ClockTime,
     orders_from: ClockTime,
     renewed: ClockTime,
     last_order: ClockTime,
 }
 
+/// The activity mark: whether the leader may have orders in flight, and the era in which a leader wrote this.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ActivityMark {
+    /// Whether the leader may have orders in flight.
+    pub active: bool,
+    /// The era in which the mark was written.
+    pub era: StoreEra,
+}
+
 /// The state of the election as this router sees it.
 #[derive(Clone, Debug)]
 pub struct OrderTerm {
     settings: TermSettings,
     leader: Option<VmName>,
     held: Option<HeldTerm>,
-    // The activity mark as last observed in the store. Without a mark, no leader has ever sent an order.
-    active: bool,
+    // The activity mark as last observed in the store.
+    mark: Option<ActivityMark>,
+    // The era of the store, and whether this process saw it begin.
+    era: StoreEra,
+    saw_era_begin: bool,
     pending: Option<ClockTime>,
     next_attempt: ClockTime,
 }
@@ -112,6 +130,7 @@
             margin: ClockSpan::from_ms(300),
             quiet: ClockSpan::from_ms(3_300),
             call_time: ClockSpan::from_ms(1_000),
+            first_start: false,
         }
     }
 }
@@ -123,7 +142,9 @@
             settings,
             leader: None,
             held: None,
-            active: false,
+            mark: None,
+            era: StoreEra::default(),
+            saw_era_begin: false,
             pending: None,
             next_attempt: ClockTime::ZERO,
         }
@@ -131,7 +152,8 @@
 
     /// Replaces the settings, as after a reload.
     pub fn set_settings(&mut self, settings: TermSettings) {
-        self.settings = settings;
+        let first_start = self.settings.first_start;
+        self.settings = TermSettings { first_start, ..settings };
     }
 
     /// Stores the leader that the store reports; `None` when the leader entry doesn't exist.
@@ -147,21 +169,62 @@
         self.leader = leader;
     }
 
-    /// Stores the activity mark that the store reports.
-    pub fn observe_activity(&mut self, active: bool) {
-        self.active = active;
+    /// Stores the activity mark that the store reports; `None` if there is none.
+    pub fn observe_mark(&mut self, mark: Option<ActivityMark>) {
+        self.mark = mark;
+    }
+
+    /// Handles an era of the store: the first that this process sees, or a later one that began while it ran.
+    ///
+    /// A leader resigns, as another router may own the leader entry in the new era.
+    pub fn begin_era(&mut self, now: ClockTime, era: StoreEra, saw_begin: bool) {
+        self.era = era;
+        self.saw_era_begin = saw_begin;
+        if saw_begin {
+            self.held = None;
+            self.leader = None;
+            self.pending = None;
+            self.next_attempt = now;
+        }
+    }
+
+    // Returns whether a mark of the current era says that the leader may have orders in flight.
+    fn is_marked_active(&self) -> bool {
+        self.mark.is_some_and(|mark| mark.active && mark.era == self.era)
+    }
+
+    // Returns whether a mark of the current era exists.
+    fn is_marked(&self) -> bool {
+        self.mark.is_some_and(|mark| mark.era == self.era)
+    }
+
+    // Returns the time that a new leader waits before its first order, after which no order of another leader can be in
+    // flight.
+    fn quiet_span(&self) -> ClockSpan {
+        match self.mark {
+            Some(mark) if mark.era == self.era && !mark.active => ClockSpan::ZERO,
+            Some(mark) if mark.era == self.era => self.settings.quiet,
+            None if self.settings.first_start && !self.saw_era_begin => ClockSpan::ZERO,
+            // A leader of the era before may send orders until its lease expires on its own clock.
+            Some(_) | None => self.settings.lease + self.settings.quiet,
+        }
     }
 
     /// Returns the fencing number if orders may be sent at `now`.
     pub fn fence(&self, now: ClockTime) -> Option<u64> {
         let held = self.held?;
-        let may_order = self.active && now >= held.orders_from && now < held.valid_until;
-        may_order.then_some(held.fence)
+        let may_order =
+            self.is_marked_active() && now >= held.orders_from && now < held.valid_until;
+        may_order.then(|| held.fence.fencing_number())
     }
 
     /// Returns the number of the lease while this router is the leader; a stopping router revokes this lease.
+    ///
+    /// A leader that is still waiting before its first order keeps the lease until it expires, because its successor
+    /// counts its own wait from the end of the lease.
     pub fn lease(&self, now: ClockTime) -> Option<u64> {
-        self.held.filter(|held| now < held.valid_until).map(|held| held.lease)
+        let held = self.held.filter(|held| now < held.valid_until && now >= held.orders_from);
+        held.map(|held| held.lease)
     }
 
     /// Records that an order was sent at `now`.
@@ -210,11 +273,12 @@
             return Some(TermAction::Renew { lease: held.lease });
         }
         let fence = held.fence;
-        if has_work && !self.active {
+        if has_work && !self.is_marked_active() {
             return Some(TermAction::Mark { fence, active: true });
         }
         let is_idle = now >= held.orders_from.max(held.last_order + self.settings.quiet);
-        if !has_work && self.active && is_idle {
+        // A cleared mark is written also where there is none, so that the next leader can tell the era.
+        if !has_work && is_idle && (self.is_marked_active() || !self.is_marked()) {
             return Some(TermAction::Mark { fence, active: false });
         }
         None
@@ -225,9 +289,10 @@
         self.pending = None;
         let usable = self.settings.lease.saturating_sub(self.settings.margin);
         match answer {
+            // An entry that was created in an earlier era may be lost.
+            TermAnswer::Acquired { fence, .. } if fence.era() != self.era => {}
             TermAnswer::Acquired { lease, fence, granted } => {
-                // Orders of the previous leader can still be in flight only if it was marked as active.
-                let orders_from = if self.active { now + self.settings.quiet } else { now };
+                let orders_from = now + self.quiet_span();
                 let valid_until = granted + usable;
                 self.held = Some(HeldTerm {
                     lease,
@@ -245,7 +310,9 @@
                     held.renewed = from;
                 }
             }
-            TermAnswer::Marked { active } => self.active = active,
+            TermAnswer::Marked { active } => {
+                self.mark = Some(ActivityMark { active, era: self.era });
+            }
             TermAnswer::Refused => {
                 self.held = None;
                 self.next_attempt = now + RETRY_DELAY;
--- a/crates/orders/tests/weights.rs
+++ b/crates/orders/tests/weights.rs
@@ -1,15 +1,20 @@
 //! Guards against orders of two leaders within one quiet period, against a target that returns to older weights, and
 //! against a rollout that doesn't complete.
 //!
-//! In the simulation, routers are killed, suspended and disconnected from the store, and orders are answered late or
-//! not at all and carried out seconds later.
+//! In the simulation, routers are killed, suspended and disconnected from the store, orders are answered late or not at
+//! all and carried out seconds later, and the store returns from copies that are up to some seconds old, without the
+//! leases granted since.
+//!
+//! `GODWITROAD_HISTORIES=N` runs N seeds of each plan instead of the usual number.
 
 use std::collections::BTreeMap;
 
-use godwitroad_base::{ClockSpan, ClockTime, ModelName, SeededRandom, TargetName};
+use godwitroad_base::{
+    ClockSpan, ClockTime, ModelName, SeededRandom, StoreEra, StoreRevision, TargetName,
+};
 use godwitroad_orders::{
-    OrderTerm, TermAction, TermAnswer, TermSettings, WeightAction, WeightAnswer, WeightOrder,
-    WeightPlan, WeightReport, WeightSettings, WeightTarget,
+    ActivityMark, OrderTerm, TermAction, TermAnswer, TermSettings, WeightAction, WeightAnswer,
+    WeightOrder, WeightPlan, WeightReport, WeightSettings, WeightTarget,
 };
 use yare::parameterized;
 
@@ -27,12 +32,23 @@
     pauses: bool,
     store: bool,
     late_orders: bool,
+    eras: bool,
+}
+
+/// What a copy of the store contains.
+#[derive(Clone, Copy)]
+struct StoreCopy {
+    at: u64,
+    entry: Option<(usize, u64, u64)>,
+    mark: Option<ActivityMark>,
+    revision: u64,
 }
 
 struct Router {
     term: OrderTerm,
     plan: WeightPlan,
     started: u64,
+    era: u64,
     paused_until: u64,
     disconnected_until: u64,
 }
@@ -65,8 +81,13 @@
     messages: Vec<(u64, Message)>,
     // The leader entry: the index of the leader, the expiry of its lease, and the revision.
     entry: Option<(usize, u64, u64)>,
-    active: bool,
+    mark: Option<ActivityMark>,
     revision: u64,
+    era: u64,
+    // Copies of the store, one a second, oldest first, and the time until which the store is away.
+    copies: Vec<StoreCopy>,
+    away_until: u64,
+    fences: Vec<u64>,
     desired_version: u64,
     last_order: Option<(usize, u64)>,
     violations: Vec<String>,
@@ -94,8 +115,12 @@
             targets: (0..TARGETS).map(target).collect(),
             messages: Vec::new(),
             entry: None,
-            active: false,
+            mark: None,
             revision: 10,
+            era: 1,
+            copies: Vec::new(),
+            away_until: 0,
+            fences: Vec::new(),
             desired_version: 1,
             last_order: None,
             violations: Vec::new(),
@@ -109,23 +134,33 @@
     }
 
     fn start(&self, index: usize) -> Router {
-        let mut term = OrderTerm::new(settings(index));
+        let settings = TermSettings { first_start: self.now == 0, ..settings(index) };
+        let mut term = OrderTerm::new(settings);
         let leader = self.entry.map(|(leader, ..)| format!("vm-{leader}").as_str().into());
+        term.begin_era(self.time(), StoreEra::new(self.era), false);
         term.observe_leader(self.time(), leader);
-        term.observe_activity(self.active);
+        term.observe_mark(self.mark);
         let mut plan = WeightPlan::new(WeightSettings::default());
         plan.announce_version(model(), self.desired_version);
-        Router { term, plan, started: self.now, paused_until: 0, disconnected_until: 0 }
+        let era = self.era;
+        Router { term, plan, started: self.now, era, paused_until: 0, disconnected_until: 0 }
     }
 
     fn notify_routers(&mut self) {
         let leader = self.entry.map(|(leader, ..)| format!("vm-{leader}").as_str().into());
         let now = self.time();
-        for index in 0..ROUTERS {
-            if self.now >= self.routers[index].disconnected_until {
-                self.routers[index].term.observe_leader(now, leader.clone());
-                self.routers[index].term.observe_activity(self.active);
+        let (era, mark) = (self.era, self.mark);
+        let is_away = self.now < self.away_until;
+        for router in &mut self.routers {
+            if is_away || self.now < router.disconnected_until.max(router.paused_until) {
+                continue;
             }
+            if router.era != era {
+                router.era = era;
+                router.term.begin_era(now, StoreEra::new(era), true);
+            }
+            router.term.observe_leader(now, leader.clone());
+            router.term.observe_mark(mark);
         }
     }
 
@@ -140,6 +175,9 @@
         if self.entry.is_some_and(|(_, until, _)| self.now >= until) {
             self.entry = None;
         }
+        if self.faults.eras {
+            self.copy_store(fault_free);
+        }
         // The watch notifies the connected routers before they act in this step.
         self.notify_routers();
         for index in 0..ROUTERS {
@@ -156,6 +194,28 @@
         }
     }
 
+    // Makes a copy of the store each second, and sometimes lets the store return from one.
+    fn copy_store(&mut self, fault_free: bool) {
+        if self.now.is_multiple_of(1_000) {
+            let (at, entry, mark, revision) = (self.now, self.entry, self.mark, self.revision);
+            self.copies.push(StoreCopy { at, entry, mark, revision });
+        }
+        if fault_free || !self.random.chance(0.002) || self.now < self.away_until {
+            return;
+        }
+        let age = self.random.below(6_000);
+        let Some(copy) = self.copies.iter().rev().find(|copy| copy.at + age <= self.now).copied()
+        else {
+            return;
+        };
+        self.copies.retain(|other| other.at <= copy.at);
+        (self.mark, self.revision) = (copy.mark, copy.revision);
+        // A lease that was granted before the copy goes on; its renewals are lost.
+        self.entry = copy.entry.filter(|(_, until, _)| self.now < *until);
+        self.era += 1;
+        self.away_until = self.now + self.random.below(2_500);
+    }
+
     fn inject_faults(&mut self, index: usize) {
         let draw = self.random.fraction();
         let length = 500 + self.random.below(6_000);
@@ -286,6 +346,17 @@
             return;
         }
         router.term.record_order(now);
+        let fence = router.term.fence(now).unwrap_or(0);
+        let is_known = self.fences.contains(&fence);
+        let owner_changes = self.last_order.is_some_and(|(last, _)| last != index);
+        if is_known && owner_changes && self.fences.last() != Some(&fence)
+            || self.fences.iter().any(|known| *known > fence)
+        {
+            self.violations.push(format!("fence {fence} after {:?}", self.fences.last()));
+        }
+        if !is_known {
+            self.fences.push(fence);
+        }
         // The order is sent in this step, so that the quiet period counts from here.
         if let Some((last, at)) = self.last_order
             && last != index
@@ -328,7 +399,10 @@
     fn call_store(&mut self, index: usize, run: u64, action: &TermAction, fault_free: bool) {
         let sent = ClockTime::from_ms(self.now.saturating_sub(10));
         let lease = settings(index).lease.as_ms();
-        let is_disconnected = self.now < self.routers[index].disconnected_until;
+        let router = &self.routers[index];
+        let is_disconnected = self.now < router.disconnected_until.max(self.away_until);
+        // A call that the store answers in another era counts as unanswered, though it took effect.
+        let is_other_era = router.era != self.era;
         let answer = if is_disconnected {
             TermAnswer::Lost
         } else {
@@ -338,7 +412,7 @@
                     self.entry = Some((index, self.now + lease, self.revision));
                     TermAnswer::Acquired {
                         lease: self.revision,
-                        fence: self.revision,
+                        fence: StoreRevision::new(StoreEra::new(self.era), self.revision),
                         granted: sent,
                     }
                 }
@@ -348,15 +422,15 @@
                     }
                     TermAnswer::Renewed { from: sent }
                 }
-                TermAction::Mark { fence, active } if self.is_leader(index, *fence) => {
-                    self.active = *active;
+                TermAction::Mark { fence, active } if self.is_leader(index, fence.number()) => {
+                    self.mark = Some(ActivityMark { active: *active, era: fence.era() });
                     TermAnswer::Marked { active: *active }
                 }
                 _ => TermAnswer::Refused,
             }
         };
         let is_lost = self.faults.store && !fault_free && self.random.chance(0.05);
-        let answer = if is_lost { TermAnswer::Lost } else { answer };
+        let answer = if is_lost || is_other_era { TermAnswer::Lost } else { answer };
         let delay = if answer == TermAnswer::Lost { 900 } else { 4 };
         self.messages.push((self.now + delay, Message::TermAnswer(index, run, answer)));
     }
@@ -367,15 +441,18 @@
 }
 
 #[parameterized(
-    fault_free = { FaultPlan { kills: false, pauses: false, store: false, late_orders: false } },
-    kills = { FaultPlan { kills: true, pauses: false, store: false, late_orders: false } },
-    pauses = { FaultPlan { kills: false, pauses: true, store: false, late_orders: false } },
-    store = { FaultPlan { kills: false, pauses: false, store: true, late_orders: false } },
-    late_orders = { FaultPlan { kills: false, pauses: false, store: false, late_orders: true } },
-    all = { FaultPlan { kills: true, pauses: true, store: true, late_orders: true } },
+    fault_free = { FaultPlan { kills: false, pauses: false, store: false, late_orders: false, eras: false } },
+    kills = { FaultPlan { kills: true, pauses: false, store: false, late_orders: false, eras: false } },
+    pauses = { FaultPlan { kills: false, pauses: true, store: false, late_orders: false, eras: false } },
+    store = { FaultPlan { kills: false, pauses: false, store: true, late_orders: false, eras: false } },
+    late_orders = { FaultPlan { kills: false, pauses: false, store: false, late_orders: true, eras: false } },
+    eras = { FaultPlan { kills: false, pauses: false, store: false, late_orders: false, eras: true } },
+    eras_and_kills = { FaultPlan { kills: true, pauses: false, store: false, late_orders: false, eras: true } },
+    all = { FaultPlan { kills: true, pauses: true, store: true, late_orders: true, eras: true } },
 )]
 fn rollouts_complete_without_overlapping_leaders(faults: FaultPlan) {
-    for seed in 0..150 {
+    let histories = std::env::var("GODWITROAD_HISTORIES").ok().and_then(|text| text.parse().ok());
+    for seed in 0..histories.unwrap_or(150) {
         let mut simulation = Simulation::new(seed, faults);
         while simulation.now < DURATION_MS {
             // The last 25 s are fault-free, so that the last rollout can complete.
@@ -398,7 +475,8 @@
 
 #[test]
 fn fault_free_rollout_of_nine_targets_takes_less_than_six_seconds() {
-    let fault_free = FaultPlan { kills: false, pauses: false, store: false, late_orders: false };
+    let fault_free =
+        FaultPlan { kills: false, pauses: false, store: false, late_orders: false, eras: false };
     let mut simulation = Simulation::new(1, fault_free);
     while simulation.now < 7_000 {
         simulation.step(true);
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -109,11 +109,27 @@
         request: Request<Bytes>,
         deadline: Instant,
     ) -> Result<(StatusCode, Bytes)> {
+        let answer = self.call_with_headers(address, request, deadline).await?;
+        Ok((answer.status(), answer.into_body()))
+    }
+
+    /// Sends a request and reads the complete answer with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that states whether the request may have been sent.
+    pub async fn call_with_headers(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
         let mut exchange = self.send(address, request, false, deadline).await?;
-        let body = exchange.read_to_end(deadline).await?;
-        let status = exchange.status;
+        let mut answer = Response::new(exchange.read_to_end(deadline).await?);
+        *answer.status_mut() = exchange.status;
+        *answer.headers_mut() = exchange.headers.clone();
         self.release(exchange);
-        Ok((status, body))
+        Ok(answer)
     }
 
     /// Returns the connection of an answer to the pool. The body must have been read to its end.
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -41,6 +41,8 @@
     pub(crate) send_gossip: Notify,
     /// Wakes the store task from an idle pause.
     pub(crate) check_store: Notify,
+    /// Wakes the task that maintains this router's entry, because the store has returned from an older copy.
+    pub(crate) write_entry: Notify,
     /// The requests that were read and whose answers aren't complete.
     pub(crate) open_requests: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
@@ -66,6 +68,7 @@
             metrics: NodeMetrics::default(),
             send_gossip: Notify::new(),
             check_store: Notify::new(),
+            write_entry: Notify::new(),
             open_requests: Cell::new(0),
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -11,7 +11,7 @@
 use crate::{core::SharedCore, platform::PlatformAdapter};
 
 /// The version of the message format. Messages of other versions are ignored.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 /// The number of rounds after the start in which messages also list other routers and go to the seeds. In these rounds
 /// peers may know no router but the seeds.
--- a/crates/proxy/src/order_lease.rs
+++ b/crates/proxy/src/order_lease.rs
@@ -1,6 +1,7 @@
 //! Store calls for the order lease. Its holder is the order leader, the only router that sends rollout orders to
 //! targets.
 
+use godwitroad_base::StoreRevision;
 use godwitroad_forward::ForwardEvent;
 use godwitroad_orders::{TermAction, TermAnswer};
 
@@ -33,7 +34,9 @@
     };
     match store::call(core, &StoreCall::BecomeLeader { vm, lease }).await {
         Ok(StoreAnswer::Written { revision }) => {
-            TermAnswer::Acquired { lease, fence: revision, granted: requested_at }
+            let era = core.read(|state| state.store_era()).unwrap_or_default();
+            let fence = StoreRevision::new(era, revision);
+            TermAnswer::Acquired { lease, fence, granted: requested_at }
         }
         Ok(StoreAnswer::Refused | StoreAnswer::Conflict) => TermAnswer::Refused,
         Ok(_) | Err(_) => TermAnswer::Lost,
@@ -51,7 +54,7 @@
 
 async fn set_active<P: PlatformAdapter>(
     core: &SharedCore<P>,
-    fence: u64,
+    fence: StoreRevision,
     active: bool,
 ) -> TermAnswer {
     match store::call(core, &StoreCall::SetLeaderActive { fence, active }).await {
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -6,11 +6,11 @@
 use std::{net::SocketAddr, sync::Arc, time::SystemTime};
 
 use bytes::Bytes;
-use godwitroad_base::{ClockSpan, ModelName, TargetName, VmName};
+use godwitroad_base::{ClockSpan, ModelName, StoreEra, StoreRevision, TargetName, VmName};
 use godwitroad_forward::{
     CacheEventBatch, ForwardArrival, ForwardRules, LoadReport, PeerPlace, SendPlan, TargetRecord,
 };
-use godwitroad_orders::{WeightAnswer, WeightOrder, WeightReport};
+use godwitroad_orders::{ActivityMark, WeightAnswer, WeightOrder, WeightReport};
 use http::{HeaderMap, Request, StatusCode};
 
 use crate::settings::ProxySettings;
@@ -86,8 +86,8 @@
     },
     /// Write whether the order leader may send orders, on the condition that its entry still has this revision.
     SetLeaderActive {
-        /// The revision of the leader's entry.
-        fence: u64,
+        /// The revision of the leader's entry, with the era in which the mark is written.
+        fence: StoreRevision,
         /// Whether orders may follow.
         active: bool,
     },
@@ -133,7 +133,7 @@
     /// The order leader, or `None` if its entry was removed.
     OrderLeader(Option<VmName>),
     /// Whether the order leader may have sent orders.
-    LeaderActive(bool),
+    LeaderActive(ActivityMark),
     /// An entry that can't be decoded. It is logged and otherwise ignored.
     Unreadable {
         /// The key of the entry.
@@ -241,6 +241,13 @@
     /// Returns the HTTP request for a store call.
     fn store_request(&self, call: &StoreCall) -> Request<Bytes>;
 
+    /// Reads the era from the headers of an answer of the store; `None` if the store reports none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the header is malformed.
+    fn read_store_era(&self, headers: &HeaderMap) -> Result<Option<StoreEra>>;
+
     /// Reads the store's answer to `call`.
     ///
     /// # Errors
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName};
+use godwitroad_base::{ClockSpan, ClockTime, StoreEra, StoreRevision, TargetName, VmName};
 use godwitroad_forward::{ForwardEvent, StoreStep};
 use tokio::time::timeout_at;
 
@@ -56,6 +56,14 @@
     /// The answer can't be decoded.
     #[error("{0}")]
     Wire(#[from] WireError),
+    /// The store returned from an older copy while the call was under way, or the answer is from before that.
+    #[error("the store's era is {answered}, the call belongs to era {expected}")]
+    OtherEra {
+        /// The era of the answer.
+        answered: StoreEra,
+        /// The era in which the call was made, or a later one that is already known.
+        expected: StoreEra,
+    },
     /// The store refused the call, or answered another kind of call.
     #[error("the store refused the call")]
     Refused,
@@ -80,11 +88,36 @@
     let request = core.platform.store_request(call);
     core.metrics.count("store.calls", 1);
     let sent_at = core.now();
-    let sent =
-        core.client.call(core.platform.store_address(), request, core.deadline(timeout)).await;
+    let sent_in = core.read(|state| state.store_era());
+    let address = core.platform.store_address();
+    let sent = core.client.call_with_headers(address, request, core.deadline(timeout)).await;
     core.metrics.record("store.call_ms", core.now().since(sent_at).as_ms());
-    let (status, body) = sent?;
-    Ok(core.platform.read_store(call, status, &body)?)
+    let answer = sent?;
+    check_era(core, sent_in, core.platform.read_store_era(answer.headers())?)?;
+    Ok(core.platform.read_store(call, answer.status(), answer.body())?)
+}
+
+// Passes a new era to the decision state. Only an answer of the era in which the call was made counts: one of an earlier
+// era is outdated, and one of a later era may refer to revisions and leases that mean something else by now.
+fn check_era<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    sent_in: Option<StoreEra>,
+    answered: Option<StoreEra>,
+) -> Result<()> {
+    let known = core.read(|state| state.store_era());
+    // A store that reports no era stays in the one that is known.
+    let answered = answered.or(known).unwrap_or_default();
+    if known.is_none_or(|known| answered > known) {
+        core.handle(ForwardEvent::StoreEra(answered));
+        if known.is_some() {
+            core.check_store.notify_one();
+            core.write_entry.notify_one();
+        }
+    }
+    match [known.filter(|known| answered < *known), sent_in].into_iter().flatten().next() {
+        Some(expected) if expected != answered => Err(StoreError::OtherEra { answered, expected }),
+        _ => Ok(()),
+    }
 }
 
 /// The entries that are known from the store, so that a new full read shows which ones were removed.
@@ -93,6 +126,7 @@
     targets: BTreeSet<TargetName>,
     peers: BTreeSet<VmName>,
     has_leader: bool,
+    has_mark: bool,
 }
 
 /// Reads the store for as long as the process runs.
@@ -102,6 +136,7 @@
     loop {
         let revision = match read_all(&core, &mut listed).await {
             Ok(revision) => revision,
+            Err(StoreError::OtherEra { answered, expected }) if answered > expected => continue,
             Err(error) => {
                 backoff.wait_after_failure(&core, &error).await;
                 continue;
@@ -112,14 +147,14 @@
     }
 }
 
-// Watches for changes until the store no longer has those after the last known revision.
+// Watches for changes until the store no longer has those after the last known revision, or begins another era.
 async fn watch<P: PlatformAdapter>(
     core: &SharedCore<P>,
     listed: &mut ListedNames,
     backoff: &mut RetryBackoff,
-    mut after: u64,
+    mut after: StoreRevision,
 ) {
-    loop {
+    while core.read(|state| state.store_era()) == Some(after.era()) {
         let step = core.read(|state| state.next_store_step(core.now(), after));
         let wait = match step {
             // After a failure, the next call must show immediately whether the store is reachable again.
@@ -132,20 +167,23 @@
                 continue;
             }
         };
-        let call = StoreCall::Watch { after, wait };
+        let call = StoreCall::Watch { after: after.number(), wait };
         let sent_at = core.now();
         let timeout = ClockSpan::from_ms(wait.as_ms() + WATCH_MARGIN.as_ms());
         match call_with_timeout(core, &call, timeout).await {
             Ok(StoreAnswer::Items { items, revision, last_change, .. }) => {
-                after = after.max(revision);
+                let read_to = |number| StoreRevision::new(after.era(), number);
+                let (answered, last_change) = (read_to(revision), read_to(last_change));
+                after = after.max(answered);
                 // The changes are applied before the freshness proof, which covers them.
                 apply_items(core, listed, items);
-                if last_change > 0 {
+                let has_changes = last_change.number() > 0;
+                if has_changes {
                     core.handle(ForwardEvent::StoreChanged { revision: last_change });
                 }
                 backoff.record_success(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
-                if last_change > 0 || step == StoreStep::Read {
+                if has_changes || step == StoreStep::Read {
                     core.sleep(batch_delay(core)).await;
                 }
             }
@@ -153,6 +191,7 @@
                 core.log.event("store_history_gone", &format!("after={after}"));
                 return;
             }
+            Err(StoreError::OtherEra { answered, expected }) if answered > expected => return,
             Ok(_) => backoff.wait_after_failure(core, &StoreError::Refused).await,
             Err(error) => backoff.wait_after_failure(core, &error).await,
         }
@@ -175,8 +214,9 @@
 async fn read_all<P: PlatformAdapter>(
     core: &SharedCore<P>,
     listed: &mut ListedNames,
-) -> Result<u64> {
+) -> Result<StoreRevision> {
     let sent_at = core.now();
+    let listed_in = core.read(|state| state.store_era());
     let mut seen = ListedNames::default();
     let mut first_revision = None;
     let mut page = None;
@@ -188,6 +228,10 @@
         };
         // Pages are read at different revisions. The watch starts from the first one and repeats any later change.
         first_revision = first_revision.or(Some(revision));
+        let era = core.read(|state| state.store_era()).unwrap_or_default();
+        if let Some(expected) = listed_in.filter(|listed_in| *listed_in != era) {
+            return Err(StoreError::OtherEra { answered: era, expected });
+        }
         all_items.extend(items);
         page = next;
         if page.is_none() {
@@ -198,7 +242,8 @@
     remove_missing(core, listed, &seen);
     *listed = seen;
     core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
-    Ok(first_revision.unwrap_or(0))
+    let era = core.read(|state| state.store_era()).unwrap_or_default();
+    Ok(StoreRevision::new(era, first_revision.unwrap_or(0)))
 }
 
 fn remove_missing<P: PlatformAdapter>(
@@ -215,6 +260,9 @@
     if !seen.has_leader {
         core.handle(ForwardEvent::TermHolder(None));
     }
+    if !seen.has_mark {
+        core.handle(ForwardEvent::TermMark(None));
+    }
 }
 
 fn apply_items<P: PlatformAdapter>(
@@ -252,7 +300,10 @@
                 listed.has_leader = leader.is_some();
                 ForwardEvent::TermHolder(leader)
             }
-            StoreItem::LeaderActive(active) => ForwardEvent::TermMark(active),
+            StoreItem::LeaderActive(mark) => {
+                listed.has_mark = true;
+                ForwardEvent::TermMark(Some(mark))
+            }
             StoreItem::Unreadable { key, error } => {
                 core.log.warn("store_entry_unreadable", &format!("key={key} error={error}"));
                 continue;
@@ -324,7 +375,11 @@
             Some(_) => ClockSpan::from_ms(length.as_ms() / 3),
             None => MAX_RETRY_DELAY,
         };
-        core.sleep(pause).await;
+        let is_lost = timeout_at(core.deadline(pause), core.write_entry.notified()).await.is_ok();
+        if is_lost {
+            core.sleep(core.update(|state| state.entry_delay())).await;
+            lease = None;
+        }
     }
 }
 
