--- a/crates/proxy/src/answer/events.rs
+++ b/crates/proxy/src/answer/events.rs
@@ -6,6 +6,18 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
 
+/// The limit of an incomplete event, in bytes. Beyond it, the bytes of a target are no events, and buffering them would
+/// take memory without bound.
+pub(super) const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// A target sent more than [`MAX_EVENT_BYTES`] without completing an event.
+#[derive(Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+pub(super) struct EventTooLarge;
+
+/// A `Result` with an [`EventTooLarge`].
+type Result<T> = std::result::Result<T, EventTooLarge>;
+
 /// Buffers the incomplete event at the end of a stream and records the id of the last complete event.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
@@ -15,14 +27,23 @@
 
 impl EventSplitter {
     /// Adds bytes and returns the events that are now complete, or `None` if there are none.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the incomplete event at the end exceeds [`MAX_EVENT_BYTES`].
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>> {
+        // An event can end only in the new bytes or across their start.
+        let searched = self.buffer.len().saturating_sub(EVENT_END_BYTES - 1);
         self.buffer.extend_from_slice(bytes);
-        let end = end_of_events(&self.buffer)?;
-        let events = self.buffer.split_to(end).freeze();
+        let Some(end) = end_of_events(&self.buffer[searched..]) else {
+            let is_too_large = self.buffer.len() > MAX_EVENT_BYTES;
+            return if is_too_large { Err(EventTooLarge) } else { Ok(None) };
+        };
+        let events = self.buffer.split_to(searched + end).freeze();
         if let Some(id) = find_last_id(&events) {
             self.last_id = Some(id);
         }
-        Some(events)
+        Ok(Some(events))
     }
 
     /// Returns the id of the last complete event that has one.
@@ -41,6 +62,9 @@
     }
 }
 
+/// The length of the longest byte sequence that ends an event.
+const EVENT_END_BYTES: usize = 4;
+
 // Returns the position after the last empty line.
 fn end_of_events(buffer: &[u8]) -> Option<usize> {
     let plain = memmem::rfind(buffer, b"\n\n").map(|at| at + 2);
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -9,6 +9,7 @@
 use actix_web::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
+use godwitroad_base::ClockTime;
 use godwitroad_forward::{AttemptOutcome, ForwardRequest, NextStep};
 
 use super::{
@@ -33,6 +34,9 @@
     // The head of the answer that the first forwarded event came from.
     head: AnswerHead,
     failure: Option<(ForwardRequest, NextStep)>,
+    // When the last complete event arrived, or the current attempt began. Bytes that complete no event don't count, as a
+    // stalled target may send some now and then.
+    last_event_at: ClockTime,
 }
 
 impl<P: PlatformAdapter> CallerStream<P> {
@@ -43,6 +47,7 @@
     ) -> CallerStream<P> {
         let head = AnswerHead::from_exchange(&exchange);
         CallerStream {
+            last_event_at: attempt.core().now(),
             core: attempt.core().clone(),
             payload,
             attempt: Some((attempt, exchange)),
@@ -67,13 +72,21 @@
             }
             let core = &self.core;
             let idle_timeout = core.read(|state| state.stream_idle_timeout(attempt.request()));
-            let deadline = attempt.deadline().min(core.deadline(idle_timeout));
+            let idle_left = idle_timeout.saturating_sub(core.now().since(self.last_event_at));
+            let deadline = attempt.deadline().min(core.deadline(idle_left));
             match exchange.next(deadline).await {
-                Ok(Some(bytes)) => {
-                    if let Some(events) = self.splitter.push(&bytes) {
+                Ok(Some(bytes)) => match self.splitter.push(&bytes) {
+                    Ok(Some(events)) => {
+                        self.last_event_at = self.core.now();
                         return Ok(Some(events));
                     }
-                }
+                    Ok(None) => {}
+                    Err(error) => {
+                        let id = &attempt.request().arrival.id;
+                        self.core.log.request("stream_unreadable", id, &error.to_string());
+                        self.resume_on_another_target(AttemptOutcome::Failed).await?;
+                    }
+                },
                 Ok(None) => return Ok(self.complete()),
                 Err(error) => {
                     let outcome = attempt.outcome(error);
@@ -119,6 +132,7 @@
                         self.head = AnswerHead::from_exchange(&exchange);
                     }
                     self.attempt = Some((attempt, exchange));
+                    self.last_event_at = self.core.now();
                     return Ok(());
                 }
                 Ok(_) => AttemptOutcome::Failed,
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -30,6 +30,9 @@
 /// The number of unanswered keepalive probes after which the connection counts as dead.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// The limit of bytes that a connection buffers, and thereby of an answer's head. A head without end fails the call.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+
 /// A connection and the task that drives it. Dropping it closes the connection.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
@@ -55,7 +58,10 @@
             .with_retries(KEEPALIVE_RETRIES);
         let _ = socket.set_tcp_keepalive(&keepalive);
         let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|_| SendError::NotSent)?;
         // The result is dropped because an error also reaches the task that waits for an answer on the connection.
         let task = actix_rt::spawn(async move { drop(connection.await) }).abort_handle();
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -8,13 +8,25 @@
 mod connection;
 mod pool;
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, ext::on_informational};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
 
 use connection::TargetConnection;
 use pool::ConnectionPool;
@@ -40,6 +52,7 @@
 #[derive(Debug, Default)]
 pub struct TargetClient {
     pool: RefCell<ConnectionPool>,
+    buffered: Rc<Cell<usize>>,
 }
 
 /// An answer whose body has not been read to its end. Dropping it closes the connection, which cancels the run.
@@ -52,6 +65,14 @@
     body: Incoming,
     connection: TargetConnection,
     address: SocketAddr,
+    // The bytes of all answers that are being buffered.
+    buffered: Rc<Cell<usize>>,
+}
+
+/// Counts the bytes of one answer among those that are being buffered, until it is dropped.
+struct BufferedBytes {
+    total: Rc<Cell<usize>>,
+    own: usize,
 }
 
 /// The time limit for establishing a connection. The longest round trip between zones takes a few milliseconds; a target
@@ -61,6 +82,13 @@
 /// The size limit of an answer body that is buffered completely.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 4 << 20;
 
+/// The limit of informational answers before an answer.
+const MAX_INFORMATIONAL_ANSWERS: usize = 16;
+
+/// The size limit of all answer bodies that are being buffered at one time, so that many targets whose bodies don't end
+/// can't exhaust the memory of the process.
+const MAX_BUFFERED_TOTAL_BYTES: usize = 12 << 20;
+
 impl TargetClient {
     /// Sends a request and returns the head of the answer.
     ///
@@ -82,7 +110,7 @@
                 let idle = self.pool.borrow_mut().take(address);
                 let Some(connection) = idle else { break };
                 // The peer may have closed an idle connection in the meantime; the unsent request is then returned.
-                match send_on_connection(connection, request, address, deadline).await {
+                match self.send_on(connection, request, address, deadline).await {
                     Ok(exchange) => return Ok(exchange),
                     Err(FailedSend { error: SendError::NotSent, request: Some(returned) }) => {
                         request = returned;
@@ -93,9 +121,46 @@
         }
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let connection = TargetConnection::open(address, connect_deadline).await?;
-        send_on_connection(connection, request, address, deadline)
-            .await
-            .map_err(|failure| failure.error)
+        let sent = self.send_on(connection, request, address, deadline).await;
+        sent.map_err(|failure| failure.error)
+    }
+
+    async fn send_on(
+        &self,
+        mut connection: TargetConnection,
+        request: Request<Full<Bytes>>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> std::result::Result<TargetExchange, FailedSend> {
+        let failed = |error| FailedSend { error, request: None };
+        let mut request = request;
+        let too_many = limit_informational(&mut request);
+        let sent = async {
+            tokio::select! {
+                sent = connection.send(request) => Some(sent),
+                () = too_many.notified() => None,
+            }
+        };
+        let sent = match timeout_at(deadline, sent).await {
+            Ok(Some(sent)) => Ok(sent),
+            Ok(None) => return Err(failed(SendError::Failed)),
+            Err(elapsed) => Err(elapsed),
+        };
+        match sent {
+            Ok(Ok(response)) => {
+                let (parts, body) = Response::into_parts(response);
+                let (status, headers) = (parts.status, parts.headers);
+                let buffered = self.buffered.clone();
+                Ok(TargetExchange { status, headers, body, connection, address, buffered })
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(request) => {
+                    Err(FailedSend { error: SendError::NotSent, request: Some(request) })
+                }
+                None => Err(failed(SendError::Failed)),
+            },
+            Err(_) => Err(failed(SendError::TimeOver)),
+        }
     }
 
     /// Sends a request and reads the complete answer.
@@ -155,24 +220,30 @@
     request: Option<Request<Full<Bytes>>>,
 }
 
-async fn send_on_connection(
-    mut connection: TargetConnection,
-    request: Request<Full<Bytes>>,
-    address: SocketAddr,
-    deadline: Instant,
-) -> std::result::Result<TargetExchange, FailedSend> {
-    let failed = |error| FailedSend { error, request: None };
-    match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(response)) => {
-            let (parts, body) = Response::into_parts(response);
-            let (status, headers) = (parts.status, parts.headers);
-            Ok(TargetExchange { status, headers, body, connection, address })
+// Returns what is notified when the answer to a request is preceded by too many informational answers.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (notifier, received) = (too_many.clone(), AtomicUsize::new(0));
+    on_informational(request, move |_| {
+        if received.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_ANSWERS {
+            notifier.notify_one();
         }
-        Ok(Err(mut error)) => match error.take_message() {
-            Some(request) => Err(FailedSend { error: SendError::NotSent, request: Some(request) }),
-            None => Err(failed(SendError::Failed)),
-        },
-        Err(_) => Err(failed(SendError::TimeOver)),
+    });
+    too_many
+}
+
+impl BufferedBytes {
+    // Counts further bytes; returns whether they are within the limits.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.own += bytes;
+        self.total.set(self.total.get() + bytes);
+        self.own <= MAX_BUFFERED_BODY_BYTES && self.total.get() <= MAX_BUFFERED_TOTAL_BYTES
+    }
+}
+
+impl Drop for BufferedBytes {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.own);
     }
 }
 
@@ -202,13 +273,17 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body ends early, is larger than [`MAX_BUFFERED_BODY_BYTES`] or the deadline passes.
+    /// Returns an error if the body ends early, is larger than [`MAX_BUFFERED_BODY_BYTES`], too many bytes of other
+    /// answers are being buffered, or the deadline passes.
     pub async fn read_to_end(&mut self, deadline: Instant) -> Result<Bytes> {
-        let body = Limited::new(&mut self.body, MAX_BUFFERED_BODY_BYTES);
-        match timeout_at(deadline, body.collect()).await {
-            Err(_) => Err(SendError::TimeOver),
-            Ok(Err(_)) => Err(SendError::Failed),
-            Ok(Ok(body)) => Ok(body.to_bytes()),
+        let mut counted = BufferedBytes { total: self.buffered.clone(), own: 0 };
+        let mut body = BytesMut::new();
+        while let Some(bytes) = self.next(deadline).await? {
+            if !counted.add(bytes.len()) {
+                return Err(SendError::Failed);
+            }
+            body.extend_from_slice(&bytes);
         }
+        Ok(body.freeze())
     }
 }
--- a/crates/proxy/tests/unit/events.rs
+++ b/crates/proxy/tests/unit/events.rs
@@ -1,15 +1,37 @@
 //! Tests that complete events are forwarded and incomplete ones are buffered.
 
-use super::EventSplitter;
+use super::{EventSplitter, EventTooLarge, MAX_EVENT_BYTES};
+
+fn pushed(splitter: &mut EventSplitter, bytes: &[u8]) -> Option<Vec<u8>> {
+    splitter.push(bytes).expect("an event of usual size").map(|events| events.to_vec())
+}
+
+#[test]
+fn bytes_that_complete_no_event_are_not_buffered_without_bound() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b'x'; 16 * 1024];
+    let pushes = (0..).take_while(|_| splitter.push(&chunk) == Ok(None)).count();
+    assert_eq!(pushes, MAX_EVENT_BYTES / chunk.len());
+    assert_eq!(splitter.push(&chunk), Err(EventTooLarge));
+}
+
+#[test]
+fn an_end_that_arrives_byte_by_byte_is_found() {
+    let mut splitter = EventSplitter::default();
+    let text = b"id: 3\r\ndata: a\r\n\r\n";
+    let found: Vec<Vec<u8>> =
+        text.iter().filter_map(|byte| pushed(&mut splitter, &[*byte])).collect();
+    assert_eq!((found, splitter.last_id()), (vec![text.to_vec()], Some(3)));
+}
 
 #[test]
 fn incomplete_events_are_buffered() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(splitter.push(b"id: 1\ndata: a\n"), None);
-    assert_eq!(splitter.push(b"\nid: 2\nda").as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n"), Ok(None));
+    assert_eq!(pushed(&mut splitter, b"\nid: 2\nda"), Some(b"id: 1\ndata: a\n\n".to_vec()));
     assert_eq!(splitter.last_id(), Some(1));
     splitter.drop_partial();
-    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n").as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+    assert_eq!(pushed(&mut splitter, b"id: 2\ndata: b\n\n"), Some(b"id: 2\ndata: b\n\n".to_vec()));
     assert_eq!(splitter.last_id(), Some(2));
     assert_eq!(splitter.take_remaining(), None);
 }
@@ -18,7 +40,7 @@
 fn the_last_of_several_ids_is_recorded() {
     let mut splitter = EventSplitter::default();
     let events = b"id: 7\r\ndata: a\r\n\r\nx-version: 3\r\nid: 9\r\ndata: b\r\n\r\nid: 10";
-    assert_eq!(splitter.push(events).map(|events| events.len()), Some(events.len() - 6));
+    assert_eq!(pushed(&mut splitter, events).map(|events| events.len()), Some(events.len() - 6));
     assert_eq!(splitter.last_id(), Some(9));
     assert_eq!(splitter.take_remaining().as_deref(), Some(&b"id: 10"[..]));
 }
