--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -321,6 +321,16 @@
         self.term.lease(now)
     }
 
+    /// Returns the names of the registered targets.
+    pub fn target_names(&self) -> impl Iterator<Item = &TargetName> {
+        self.roster.iter().map(|record| &record.name)
+    }
+
+    /// Returns the VMs of the other known routers.
+    pub fn peer_names(&self) -> impl Iterator<Item = &VmName> {
+        self.peers.iter().map(|peer| &peer.place.vm)
+    }
+
     /// Returns the number of registered targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod settings;
 mod store;
+mod supervision;
 pub mod telemetry;
 
 pub use run::run;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -1,6 +1,6 @@
 //! The lifecycle of a proxy process: start, reload of the settings, and graceful stop.
 
-use std::time::SystemTime;
+use std::{future::Future, time::SystemTime};
 
 use actix_rt::{System, spawn};
 use anyhow::{Context as _, Result, anyhow};
@@ -15,6 +15,7 @@
     serve,
     settings::ProxySettings,
     store,
+    supervision::run_supervised,
     telemetry::NodeLog,
 };
 
@@ -67,11 +68,12 @@
     let hangup = signal(SignalKind::hangup())?;
     log.event("started", &describe(&settings));
     let core = ProxyCore::new(platform, settings, log);
-    spawn(store::run(core.clone()));
-    spawn(store::maintain_entry(core.clone()));
-    spawn(gossip::run_receiver(core.clone(), gossip_socket.clone()));
-    spawn(gossip::run_sender(core.clone(), gossip_socket));
-    spawn(feeds::run(core.clone()));
+    start_task(&core, "store", store::run);
+    start_task(&core, "store_entry", store::maintain_entry);
+    let socket = gossip_socket.clone();
+    start_task(&core, "gossip_receiver", move |core| gossip::run_receiver(core, socket.clone()));
+    start_task(&core, "gossip_sender", move |core| gossip::run_sender(core, gossip_socket.clone()));
+    start_task(&core, "feeds", feeds::run);
     spawn(serve::serve_ready(core.clone(), ready));
     spawn(serve::serve_metrics(core.clone(), metrics));
     spawn(serve::serve_callers(core.clone(), callers));
@@ -81,6 +83,22 @@
     Ok(())
 }
 
+// Starts a task that lasts as long as the process and continues after a panic.
+fn start_task<P: PlatformAdapter, F>(
+    core: &SharedCore<P>,
+    name: &'static str,
+    task: impl Fn(SharedCore<P>) -> F + 'static,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let (core, reporter) = (core.clone(), core.clone());
+    let report = move |message: &str| {
+        reporter.metrics.count("tasks.panicked", 1);
+        reporter.log.warn("task_panicked", &format!("task={name} message={message}"));
+    };
+    spawn(async move { run_supervised(move || task(core.clone()), report).await });
+}
+
 fn describe(settings: &ProxySettings) -> String {
     let place = &settings.forward.place;
     format!(
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -131,7 +131,12 @@
 
 /// Reads the store for as long as the process runs.
 pub(crate) async fn run<P: PlatformAdapter>(core: SharedCore<P>) {
-    let mut listed = ListedNames::default();
+    // After a restart of this task, the state knows entries that may have been removed meanwhile.
+    let mut listed = core.read(|state| ListedNames {
+        targets: state.target_names().cloned().collect(),
+        peers: state.peer_names().cloned().collect(),
+        ..ListedNames::default()
+    });
     let mut backoff = RetryBackoff::default();
     loop {
         let revision = match read_all(&core, &mut listed).await {
