--- a/crates/forward/src/state/era.rs
+++ b/crates/forward/src/state/era.rs
@@ -16,8 +16,9 @@
 /// operator may not have written the newest one anew.
 const REWRITE_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
-/// How long removed targets and routers are remembered. The store returns from a copy that is some seconds old.
-const REMOVAL_MEMORY_SPAN: ClockSpan = ClockSpan::from_secs(60);
+/// How long removed targets and routers, and the configuration version of a peer that became unreachable, are remembered.
+/// The store returns from a copy that is some seconds old.
+const MEMORY_SPAN: ClockSpan = ClockSpan::from_secs(60);
 
 /// Limit of remembered targets, and of remembered routers.
 const MAX_REMOVALS: usize = 256;
@@ -54,14 +55,19 @@
         started_ms: Option<u64>,
     ) {
         let Some(started_ms) = started_ms else { return };
-        self.removed_targets.retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY_SPAN);
+        self.removed_targets.retain(|_, (_, at)| now.since(*at) < MEMORY_SPAN);
         if self.removed_targets.len() < MAX_REMOVALS {
             self.removed_targets.insert(name.clone(), (started_ms, now));
         }
     }
 
+    /// Forgets the removal of a target whose entry is back.
+    pub(super) fn forget_removed_target(&mut self, name: &TargetName) {
+        self.removed_targets.remove(name);
+    }
+
     fn record_removed_peer(&mut self, now: ClockTime, vm: &VmName) {
-        self.removed_peers.retain(|_, at| now.since(*at) < REMOVAL_MEMORY_SPAN);
+        self.removed_peers.retain(|_, at| now.since(*at) < MEMORY_SPAN);
         if self.removed_peers.len() < MAX_REMOVALS {
             self.removed_peers.insert(vm.clone(), now);
         }
@@ -145,11 +151,17 @@
         actions: &mut Vec<ForwardAction>,
     ) -> bool {
         let own = self.config_version();
+        // A version that no peer has had for long was never confirmed, or has been replaced.
+        let is_known = |(version, heard_at): &(u64, ClockTime)| {
+            now.since(*heard_at) < MEMORY_SPAN
+                || self.peers.reachable(now).any(|(message, _)| message.version >= *version)
+        };
+        self.era.peer_version = self.era.peer_version.filter(is_known);
         let newer = self.era.peer_version.filter(|(version, _)| *version > own);
         let is_behind = newer.is_some_and(|(_, heard_at)| heard_at <= read_from);
         if is_behind != std::mem::replace(&mut self.era.is_behind_peers, is_behind) && is_behind {
             let version = newer.map_or(0, |(version, _)| version);
-            let detail = format!("config_version={own} peer_version={version} at={now:?}");
+            let detail = format!("config_version={own} peer_version={version}");
             actions.push(ForwardAction::Notice("store_behind_peers", detail));
         }
         !is_behind && !self.era.is_rewriting(read_from)
@@ -157,8 +169,7 @@
 
     // Removes a router whose entry is gone. In a new era the entry may be missing although the router lives.
     pub(super) fn remove_peer(&mut self, now: ClockTime, vm: &VmName) {
-        let has_recent_era =
-            self.era.began_at.is_some_and(|at| now.since(at) < REMOVAL_MEMORY_SPAN);
+        let has_recent_era = self.era.began_at.is_some_and(|at| now.since(at) < MEMORY_SPAN);
         let is_alive = self
             .peers
             .reachable(now)
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -54,6 +54,7 @@
             actions.push(ForwardAction::Notice("target_entry_outdated", detail));
             return;
         }
+        self.era.forget_removed_target(&name);
         let detail = format!(
             "target={name} service={} address={} zone={} draining={} versions={:?} born={}",
             record.service,
--- a/crates/forward/tests/store_era.rs
+++ b/crates/forward/tests/store_era.rs
@@ -121,6 +121,29 @@
     assert!(is_target_used(&mut router, 3_400, "plain-a"));
 }
 
+#[test]
+fn a_target_that_came_back_before_the_return_is_read_from_the_copy() {
+    let mut router = running_router();
+    router.handle(500, ForwardEvent::TargetRemoved("plain-a".into()));
+    router.handle(1_000, ForwardEvent::Target(target("plain-a", "plain", "a", 10)));
+    router.handle(2_000, era(2));
+    let moved = target("plain-a", "plain", "a", 99);
+    router.handle(2_000, ForwardEvent::Target(moved.clone()));
+    assert_eq!(router.state.target(&"plain-a".into()), Some(&moved));
+}
+
+#[test]
+fn a_version_that_no_peer_has_any_more_does_not_refuse_requests_for_good() {
+    let mut router = running_router();
+    let unconfirmed = StoreRevision::new(StoreEra::new(1), 3);
+    router.handle(1_000, ForwardEvent::Gossip(peer_message(9, unconfirmed)));
+    answered(&mut router, 3_000);
+    answered(&mut router, 8_000);
+    assert_eq!(refusal(&mut router, 8_100), Some(RefusalReason::ContactLost));
+    answered(&mut router, 62_000);
+    assert_eq!(refusal(&mut router, 62_100), None);
+}
+
 #[test]
 fn a_target_that_drains_goes_on_draining_whatever_the_copy_shows() {
     let mut router = running_router();
