--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -51,8 +51,6 @@
     /// The advantage of the affinity target of a prompt that is cached nowhere, in ms. With it, routers that don't know
     /// of each other's requests choose the same target.
     pub home_ms: f64,
-    /// The weight of an engine's memory being completely in use, in ms; lower use weighs in proportion.
-    pub fill_ms: f64,
     /// The random fraction that is added to the cost, so that routers with the same view don't all choose one target.
     pub noise: f64,
 }
@@ -70,7 +68,6 @@
             plain_ms: 30.0,
             old_ms: 600.0,
             home_ms: 90.0,
-            fill_ms: 25.0,
             noise: 0.02,
         }
     }
@@ -207,8 +204,6 @@
     let mut cost = 1.0 + wait + settings.distance_ms[candidate.distance as usize];
     cost += recomputed as f64 * settings.again_ms;
     cost += reusable.saturating_sub(candidate.cached_tokens) as f64 * settings.copy_ms;
-    // Before memory is full and requests wait, engines evict cached segments that later requests would reuse.
-    cost += (used_memory / memory).min(1.0) * settings.fill_ms;
     cost += candidate.staleness_penalty * settings.old_ms;
     if !candidate.is_affinity_target {
         cost += settings.home_ms;
