--- a/crates/balance/src/retry.rs
+++ b/crates/balance/src/retry.rs
@@ -39,8 +39,7 @@
 
     /// Takes one retry from the budget and returns whether one was available.
     pub fn take(&mut self) -> bool {
-        // In floating point, ten shares of 0.1 add up to slightly less than one.
-        if self.available < 1.0 - 1e-9 {
+        if !self.has(1.0) {
             self.refused += 1;
             return false;
         }
@@ -48,10 +47,15 @@
         true
     }
 
-    /// Takes one retry for a request that has not failed, and returns whether there was more than one, as the last one
-    /// is kept for a request that fails.
+    /// Takes one retry for a request that has not failed and returns whether one was available. The last retry is kept
+    /// for a request that fails.
     pub fn take_spare(&mut self) -> bool {
-        self.available >= 2.0 - 1e-9 && self.take()
+        self.has(2.0) && self.take()
+    }
+
+    // In floating point, ten shares of 0.1 add up to slightly less than one.
+    fn has(&self, retries: f64) -> bool {
+        self.available >= retries - 1e-9
     }
 
     /// Returns the number of retries that the budget refused.
--- a/crates/base/src/revision.rs
+++ b/crates/base/src/revision.rs
@@ -34,11 +34,6 @@
     pub fn new(number: u64) -> StoreEra {
         StoreEra(number)
     }
-
-    /// Returns the era's number.
-    pub fn number(self) -> u64 {
-        self.0
-    }
 }
 
 impl StoreRevision {
--- a/crates/forward/src/recent.rs
+++ b/crates/forward/src/recent.rs
@@ -1,4 +1,4 @@
-//! Entries that a router repeats in its gossip messages for a short time.
+//! Entries that count for a short time, such as those that a router repeats in its gossip messages.
 //!
 //! Messages may be lost, so each entry is sent in more than one. Receiving an entry twice must have no further effect.
 
--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -86,30 +86,30 @@
 
     /// Handles the removal of a target's entry; `outage` means that the store was unavailable shortly before.
     ///
-    /// Returns whether the target was removed at once. After an outage it is kept for [`EXPIRY_GRACE`], unless it was
+    /// Returns the target if it was removed at once. After an outage it is kept for [`EXPIRY_GRACE`], unless it was
     /// draining.
-    pub fn remove(&mut self, now: ClockTime, name: &TargetName, outage: bool) -> bool {
+    pub fn remove(
+        &mut self,
+        now: ClockTime,
+        name: &TargetName,
+        outage: bool,
+    ) -> Option<Arc<TargetRecord>> {
         match self.entries.get_mut(name) {
             Some(entry) if outage && !entry.record.draining => {
                 entry.expired_at.get_or_insert(now);
-                false
+                None
             }
-            Some(_) => self.entries.remove(name).is_some(),
-            None => false,
+            _ => self.entries.remove(name).map(|entry| entry.record),
         }
     }
 
-    /// Removes the targets that didn't register again after an outage and returns their names.
-    pub fn expire(&mut self, now: ClockTime) -> Vec<TargetName> {
+    /// Removes the targets that didn't register again after an outage and returns them.
+    pub fn expire(&mut self, now: ClockTime) -> Vec<Arc<TargetRecord>> {
         let is_expired = |entry: &RosterEntry| {
             entry.expired_at.is_some_and(|expired_at| now.since(expired_at) >= EXPIRY_GRACE)
         };
-        let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
-        let names: Vec<TargetName> = expired.map(|(name, _)| name.clone()).collect();
-        for name in &names {
-            self.entries.remove(name);
-        }
-        names
+        let expired = self.entries.extract_if(.., |_, entry| is_expired(entry));
+        expired.map(|(_, entry)| entry.record).collect()
     }
 
     /// Returns a target by name.
--- a/crates/forward/src/state/era.rs
+++ b/crates/forward/src/state/era.rs
@@ -5,14 +5,12 @@
 //! key is valid, or a target that has left. What this router knows from before therefore takes precedence over the first
 //! listing of a new era.
 
-use std::collections::BTreeMap;
-
 use godwitroad_base::{ClockSpan, ClockTime, StoreEra, TargetName, VmName};
 
 use super::{ForwardAction, ForwardState};
-use crate::TargetRecord;
+use crate::{TargetRecord, recent::RecentEntries};
 
-/// The time after the begin of an era in which the store's answers prove nothing about the configuration, because the
+/// The time after the start of an era in which the store's answers prove nothing about the configuration, because the
 /// operator may not have written the newest one anew.
 const REWRITE_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
@@ -24,21 +22,35 @@
 const MAX_REMOVALS: usize = 256;
 
 /// What this router knows across the eras of the store.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct EraProgress {
     current: Option<StoreEra>,
-    // When the current era began, if this router saw its begin.
+    // When the current era began; `None` if it is the first that this router knows.
     began_at: Option<ClockTime>,
     // Whether the first listing of the era is still being read.
     is_listing: bool,
-    // The start and the removal time of the last removed run of each target.
-    removed_targets: BTreeMap<TargetName, (u64, ClockTime)>,
-    removed_peers: BTreeMap<VmName, ClockTime>,
+    // The removed runs of targets: the name and the start.
+    removed_targets: RecentEntries<(TargetName, u64)>,
+    removed_peers: RecentEntries<VmName>,
     // The newest configuration version that any peer had, and when this router first heard of it.
     peer_version: Option<(u64, ClockTime)>,
     is_behind_peers: bool,
 }
 
+impl Default for EraProgress {
+    fn default() -> EraProgress {
+        EraProgress {
+            current: None,
+            began_at: None,
+            is_listing: false,
+            removed_targets: RecentEntries::new(MAX_REMOVALS),
+            removed_peers: RecentEntries::new(MAX_REMOVALS),
+            peer_version: None,
+            is_behind_peers: false,
+        }
+    }
+}
+
 impl EraProgress {
     /// Records the configuration version of a peer.
     pub(super) fn record_peer_version(&mut self, now: ClockTime, version: u64) {
@@ -47,43 +59,23 @@
         }
     }
 
-    /// Records that the entry of a target was removed.
-    pub(super) fn record_removed_target(
-        &mut self,
-        now: ClockTime,
-        name: &TargetName,
-        started_ms: Option<u64>,
-    ) {
-        let Some(started_ms) = started_ms else { return };
-        self.removed_targets.retain(|_, (_, at)| now.since(*at) < MEMORY_SPAN);
-        if self.removed_targets.len() < MAX_REMOVALS {
-            self.removed_targets.insert(name.clone(), (started_ms, now));
-        }
-    }
-
-    /// Forgets the removal of a target whose entry is back.
-    pub(super) fn forget_removed_target(&mut self, name: &TargetName) {
-        self.removed_targets.remove(name);
-    }
-
-    fn record_removed_peer(&mut self, now: ClockTime, vm: &VmName) {
-        self.removed_peers.retain(|_, at| now.since(*at) < MEMORY_SPAN);
-        if self.removed_peers.len() < MAX_REMOVALS {
-            self.removed_peers.insert(vm.clone(), now);
-        }
+    /// Records that a target was removed.
+    pub(super) fn record_removed_target(&mut self, now: ClockTime, record: &TargetRecord) {
+        self.removed_targets.push(now, (record.name.clone(), record.started_ms));
     }
 
     /// Returns whether an entry of the first listing of an era shows a run of a target that was removed before. If the
     /// target lives, it writes its entry anew, which is read as a change after the listing.
-    pub(super) fn is_outdated_target(&self, record: &TargetRecord) -> bool {
-        let removed = self.removed_targets.get(&record.name);
-        self.is_listing && removed.is_some_and(|(started_ms, _)| *started_ms == record.started_ms)
+    pub(super) fn is_outdated_target(&mut self, now: ClockTime, record: &TargetRecord) -> bool {
+        self.is_listing
+            && (self.removed_targets.unexpired(now, MEMORY_SPAN).iter())
+                .any(|(name, started_ms)| (name, *started_ms) == (&record.name, record.started_ms))
     }
 
     /// Returns whether an entry of the first listing of an era shows a router that was removed before. If the router
     /// lives, its gossip shows it.
-    pub(super) fn is_outdated_peer(&self, vm: &VmName) -> bool {
-        self.is_listing && self.removed_peers.contains_key(vm)
+    pub(super) fn is_outdated_peer(&mut self, now: ClockTime, vm: &VmName) -> bool {
+        self.is_listing && self.removed_peers.unexpired(now, MEMORY_SPAN).contains(vm)
     }
 
     /// Ends the first listing of an era.
@@ -142,7 +134,7 @@
     }
 
     // Returns whether an answer of the store proves that this router's configuration is the newest. It doesn't right
-    // after the begin of an era, or if a peer already had a newer configuration when the read began: the store then
+    // after the start of an era, or if a peer already had a newer configuration when the read began: the store then
     // shows an older copy, in which a key that has been withdrawn may be valid.
     pub(super) fn proves_freshness(
         &mut self,
@@ -177,7 +169,7 @@
         if has_recent_era && is_alive {
             return;
         }
-        self.era.record_removed_peer(now, vm);
+        self.era.removed_peers.push(now, vm.clone());
         self.peers.remove(vm);
     }
 }
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip messages between routers, and the selection of the holders whose cache events this router reads.
 
-use godwitroad_base::{ClockSpan, ClockTime, rendezvous};
+use godwitroad_base::{ClockSpan, ClockTime, VmName, rendezvous};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{FeedSource, ForwardAction, ForwardState};
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns the VMs of the other known routers.
+    pub fn peer_names(&self) -> impl Iterator<Item = &VmName> {
+        self.peers.iter().map(|peer| &peer.place.vm)
+    }
+
     /// Returns whether a peer is in another region, where traffic costs more and messages are sent less often.
     pub(super) fn is_other_region(&self, place: &PeerPlace) -> bool {
         self.region_of(&place.zone) != self.region_of(&self.settings.place.zone)
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -321,16 +321,6 @@
         self.term.lease(now)
     }
 
-    /// Returns the names of the registered targets.
-    pub fn target_names(&self) -> impl Iterator<Item = &TargetName> {
-        self.roster.iter().map(|record| &record.name)
-    }
-
-    /// Returns the VMs of the other known routers.
-    pub fn peer_names(&self) -> impl Iterator<Item = &VmName> {
-        self.peers.iter().map(|peer| &peer.place.vm)
-    }
-
     /// Returns the number of registered targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
@@ -387,7 +377,8 @@
                 self.apply_desired_version(now, model, version, actions)
             }
             ForwardEvent::PeerListed(place) => {
-                if place.vm != self.settings.place.vm && !self.era.is_outdated_peer(&place.vm) {
+                if place.vm != self.settings.place.vm && !self.era.is_outdated_peer(now, &place.vm)
+                {
                     self.peers.upsert(place);
                 }
             }
@@ -471,9 +462,9 @@
     }
 
     fn tick(&mut self, now: ClockTime, actions: &mut Vec<ForwardAction>) {
-        for name in self.roster.expire(now) {
-            self.clear_target_state(&name);
-            let detail = format!("target={name} reason=lapsed");
+        for record in self.roster.expire(now) {
+            self.clear_target_state(now, &record);
+            let detail = format!("target={} reason=lapsed", record.name);
             actions.push(ForwardAction::Notice("target_gone", detail));
         }
         for segments in self.cached_segments.values_mut() {
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ForwardAction, ForwardState,
-    placement::{MIN_TIME_LEFT, NO_TARGET_RETRY_AFTER},
+    placement::{MIN_TIME_LEFT, NO_TARGET_RETRY_AFTER, version_of},
 };
 use crate::{
     AttemptOutcome, ForwardRefusal, ForwardRequest, LoadReport, NextStep, RefusalReason, SendPlan,
@@ -81,10 +81,8 @@
             return false;
         }
         request.begun_version = plan.version;
-        let has_other = self.usable_targets(now, request).iter().any(|record| {
-            request.arrival.model.as_ref().and_then(|model| record.versions.get(model)).copied()
-                == plan.version
-        });
+        let targets = self.usable_targets(now, request);
+        let has_other = targets.iter().any(|record| version_of(request, record) == plan.version);
         has_other && self.retry_budget(&request.service).take_spare()
     }
 
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -127,8 +127,7 @@
     // Returns whether a target is loading weights or about to, so that it gets no requests.
     pub(super) fn is_changing(&self, target: &TargetName) -> bool {
         self.weights.is_changing(target)
-            || !self.loading_until.is_empty()
-                && self.loading_until.contains_key(&tag_of(target.as_str()))
+            || self.loading_until.contains_key(&tag_of(target.as_str()))
     }
 
     // Returns whether a target's weights were replaced so long ago that they must get no new requests.
@@ -451,7 +450,7 @@
     Err(ForwardRefusal::after(RefusalReason::Overloaded, wait))
 }
 
-fn version_of(request: &ForwardRequest, record: &TargetRecord) -> Option<u64> {
+pub(super) fn version_of(request: &ForwardRequest, record: &TargetRecord) -> Option<u64> {
     record.versions.get(request.arrival.model.as_ref()?).copied()
 }
 
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -49,12 +49,11 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let name = record.name.clone();
-        if self.era.is_outdated_target(&record) {
+        if self.roster.get(&name).is_none() && self.era.is_outdated_target(now, &record) {
             let detail = format!("target={name} born={} reason=removed_before", record.started_ms);
             actions.push(ForwardAction::Notice("target_entry_outdated", detail));
             return;
         }
-        self.era.forget_removed_target(&name);
         let detail = format!(
             "target={name} service={} address={} zone={} draining={} versions={:?} born={}",
             record.service,
@@ -135,10 +134,8 @@
     ) {
         let outage = self.is_after_outage(now);
         self.store_progress.record_urgent();
-        let started_ms = self.roster.get(&name).map(|record| record.started_ms);
-        if self.roster.remove(now, &name, outage) {
-            self.era.record_removed_target(now, &name, started_ms);
-            self.clear_target_state(&name);
+        if let Some(record) = self.roster.remove(now, &name, outage) {
+            self.clear_target_state(now, &record);
             let detail = format!("target={name}");
             actions.push(ForwardAction::Notice("target_gone", detail));
         } else if outage {
@@ -147,9 +144,17 @@
         }
     }
 
-    pub(super) fn clear_target_state(&mut self, name: &TargetName) {
+    /// Removes what is known about a target that has left the roster.
+    pub(super) fn clear_target_state(&mut self, now: ClockTime, record: &TargetRecord) {
+        let name = &record.name;
+        self.era.record_removed_target(now, record);
         self.cached_segments.remove(&FeedSource::Target(name.clone()));
         self.loads.remove_target(name);
         self.health.remove(name);
     }
+
+    /// Returns the names of the registered targets.
+    pub fn target_names(&self) -> impl Iterator<Item = &TargetName> {
+        self.roster.iter().map(|record| &record.name)
+    }
 }
--- a/crates/forward/tests/store_era.rs
+++ b/crates/forward/tests/store_era.rs
@@ -121,6 +121,19 @@
     assert!(is_target_used(&mut router, 3_400, "plain-a"));
 }
 
+#[test]
+fn a_target_that_was_gone_after_an_outage_does_not_come_back_with_the_copy() {
+    let mut router = running_router();
+    router.handle(1_000, era(2));
+    router.handle(1_000, ForwardEvent::TargetRemoved("plain-a".into()));
+    answered(&mut router, 2_100);
+    router.handle(3_100, ForwardEvent::Tick);
+    router.handle(4_000, era(3));
+    router.handle(4_000, ForwardEvent::Target(target("plain-a", "plain", "a", 10)));
+    answered(&mut router, 5_100);
+    assert!(!is_target_used(&mut router, 5_200, "plain-a"));
+}
+
 #[test]
 fn a_target_that_came_back_before_the_return_is_read_from_the_copy() {
     let mut router = running_router();
--- a/crates/orders/src/term.rs
+++ b/crates/orders/src/term.rs
@@ -152,8 +152,7 @@
 
     /// Replaces the settings, as after a reload.
     pub fn set_settings(&mut self, settings: TermSettings) {
-        let first_start = self.settings.first_start;
-        self.settings = TermSettings { first_start, ..settings };
+        self.settings = settings;
     }
 
     /// Stores the leader that the store reports; `None` when the leader entry doesn't exist.
--- a/crates/orders/src/weights.rs
+++ b/crates/orders/src/weights.rs
@@ -294,9 +294,10 @@
         let change = self.changes.get_mut(target)?;
         change.since = now;
         let Some(report) = report else {
-            change.step = ChangeStep::BackingOff;
-            // A target that has no order may serve requests again while others change.
-            if !change.is_ordered {
+            if change.is_ordered {
+                change.step = ChangeStep::BackingOff;
+            } else {
+                // A target that has no order may serve requests again while others change.
                 self.changes.remove(target);
                 self.postponed_until.insert(target.clone(), now + POSTPONE_DELAY);
             }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -128,12 +128,11 @@
     async fn send_on(
         &self,
         mut connection: TargetConnection,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         address: SocketAddr,
         deadline: Instant,
     ) -> std::result::Result<TargetExchange, FailedSend> {
         let failed = |error| FailedSend { error, request: None };
-        let mut request = request;
         let too_many = limit_informational(&mut request);
         let sent = async {
             tokio::select! {
@@ -141,24 +140,20 @@
                 () = too_many.notified() => None,
             }
         };
-        let sent = match timeout_at(deadline, sent).await {
-            Ok(Some(sent)) => Ok(sent),
-            Ok(None) => return Err(failed(SendError::Failed)),
-            Err(elapsed) => Err(elapsed),
-        };
-        match sent {
-            Ok(Ok(response)) => {
+        match timeout_at(deadline, sent).await {
+            Ok(Some(Ok(response))) => {
                 let (parts, body) = Response::into_parts(response);
                 let (status, headers) = (parts.status, parts.headers);
                 let buffered = self.buffered.clone();
                 Ok(TargetExchange { status, headers, body, connection, address, buffered })
             }
-            Ok(Err(mut error)) => match error.take_message() {
+            Ok(Some(Err(mut error))) => match error.take_message() {
                 Some(request) => {
                     Err(FailedSend { error: SendError::NotSent, request: Some(request) })
                 }
                 None => Err(failed(SendError::Failed)),
             },
+            Ok(None) => Err(failed(SendError::Failed)),
             Err(_) => Err(failed(SendError::TimeOver)),
         }
     }
@@ -220,7 +215,7 @@
     request: Option<Request<Full<Bytes>>>,
 }
 
-// Returns what is notified when the answer to a request is preceded by too many informational answers.
+// Limits the informational answers before the answer to a request; the result is notified when there are too many.
 fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
     let too_many = Arc::new(Notify::new());
     let (notifier, received) = (too_many.clone(), AtomicUsize::new(0));
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -178,6 +178,7 @@
     settings.forward.incarnation = previous.forward.incarnation;
     settings.forward.seed = previous.forward.seed;
     settings.forward.allowance.restarted = previous.forward.allowance.restarted;
+    settings.forward.term.first_start = previous.forward.term.first_start;
     core.log.event("reloaded", &describe(&settings));
     core.update(|state| state.reload(settings.forward.clone()));
     core.settings.replace(settings);
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -114,10 +114,8 @@
             core.write_entry.notify_one();
         }
     }
-    match [known.filter(|known| answered < *known), sent_in].into_iter().flatten().next() {
-        Some(expected) if expected != answered => Err(StoreError::OtherEra { answered, expected }),
-        _ => Ok(()),
-    }
+    let expected = known.filter(|known| answered < *known).or(sent_in).unwrap_or(answered);
+    if expected == answered { Ok(()) } else { Err(StoreError::OtherEra { answered, expected }) }
 }
 
 /// The entries that are known from the store, so that a new full read shows which ones were removed.
@@ -177,18 +175,16 @@
         let timeout = ClockSpan::from_ms(wait.as_ms() + WATCH_MARGIN.as_ms());
         match call_with_timeout(core, &call, timeout).await {
             Ok(StoreAnswer::Items { items, revision, last_change, .. }) => {
-                let read_to = |number| StoreRevision::new(after.era(), number);
-                let (answered, last_change) = (read_to(revision), read_to(last_change));
-                after = after.max(answered);
+                after = after.max(StoreRevision::new(after.era(), revision));
                 // The changes are applied before the freshness proof, which covers them.
                 apply_items(core, listed, items);
-                let has_changes = last_change.number() > 0;
-                if has_changes {
-                    core.handle(ForwardEvent::StoreChanged { revision: last_change });
+                if last_change > 0 {
+                    let revision = StoreRevision::new(after.era(), last_change);
+                    core.handle(ForwardEvent::StoreChanged { revision });
                 }
                 backoff.record_success(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
-                if has_changes || step == StoreStep::Read {
+                if last_change > 0 || step == StoreStep::Read {
                     core.sleep(batch_delay(core)).await;
                 }
             }
@@ -221,34 +217,32 @@
     listed: &mut ListedNames,
 ) -> Result<StoreRevision> {
     let sent_at = core.now();
-    let listed_in = core.read(|state| state.store_era());
     let mut seen = ListedNames::default();
-    let mut first_revision = None;
+    let mut first = None;
     let mut page = None;
     let mut all_items = Vec::new();
-    loop {
+    let first_revision = loop {
         let call_page = StoreCall::List { after: page };
         let StoreAnswer::Items { items, revision, next, .. } = call(core, &call_page).await? else {
             return Err(StoreError::Refused);
         };
         // Pages are read at different revisions. The watch starts from the first one and repeats any later change.
-        first_revision = first_revision.or(Some(revision));
         let era = core.read(|state| state.store_era()).unwrap_or_default();
-        if let Some(expected) = listed_in.filter(|listed_in| *listed_in != era) {
-            return Err(StoreError::OtherEra { answered: era, expected });
+        let first_revision = *first.get_or_insert(StoreRevision::new(era, revision));
+        if first_revision.era() != era {
+            return Err(StoreError::OtherEra { answered: era, expected: first_revision.era() });
         }
         all_items.extend(items);
         page = next;
         if page.is_none() {
-            break;
+            break first_revision;
         }
-    }
+    };
     apply_items(core, &mut seen, all_items);
     remove_missing(core, listed, &seen);
     *listed = seen;
     core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
-    let era = core.read(|state| state.store_era()).unwrap_or_default();
-    Ok(StoreRevision::new(era, first_revision.unwrap_or(0)))
+    Ok(first_revision)
 }
 
 fn remove_missing<P: PlatformAdapter>(
