Observability: read the limit that a target names, and log it with each placement

No source file read Server-Limit, and no log line told a limit, so that the logs can't tell whether routers don't know a limit (H1) or each keeps it by itself (H2).

The adapter reads the header; each change of a target's limit is a log line and a counter, and request_placed shows the limit of the chosen target. An answer without a limit ends it only if its request was sent after the limit was last named. No request is placed otherwise than before.

--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod store_watch;
 mod targets;
+mod throttle;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -32,6 +33,7 @@
 };
 
 use godwitroad_quarantine::QuarantineSettings;
+use godwitroad_throttle::ThrottleTable;
 
 use crate::{
     AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChoiceSettings,
@@ -208,6 +210,7 @@
     loads: LoadTable,
     health: HealthTable,
     quarantine: PromptQuarantine,
+    throttle: ThrottleTable,
     // Whether the last message was ignored, as it may have waited while this router was suspended.
     ignores_gossip: bool,
     term: OrderTerm,
@@ -292,6 +295,7 @@
             loads: LoadTable::default(),
             health: HealthTable::new(settings.health),
             quarantine: PromptQuarantine::new(settings.quarantine),
+            throttle: ThrottleTable::default(),
             ignores_gossip: false,
             term: OrderTerm::new(settings.term.clone()),
             weights: WeightPlan::new(settings.weights),
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -68,6 +68,7 @@
             RosterChange::Started => {
                 self.cached_segments.remove(&FeedSource::Target(name.clone()));
                 self.health.restart(now, &name);
+                self.throttle.remove(tag_of(name.as_str()));
                 self.store_progress.record_urgent();
                 actions.push(ForwardAction::Notice("target_started", detail));
             }
@@ -151,6 +152,7 @@
         self.cached_segments.remove(&FeedSource::Target(name.clone()));
         self.loads.remove_target(name);
         self.health.remove(name);
+        self.throttle.remove(tag_of(name.as_str()));
     }
 
     /// Returns the names of the registered targets.
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use godwitroad_base::ClockSpan;
+use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_forward::{AnswerPhase, AttemptOutcome, ForwardRequest, NextStep, SendPlan};
 use http::{
     HeaderMap, Method, Request, StatusCode, Uri,
@@ -87,6 +87,7 @@
         let exchange = sent.map_err(|error| self.outcome(error, AnswerPhase::Waiting))?;
         core.metrics.record("attempts.head_ms", core.now().since(now).as_ms());
         let metadata = core.platform.read_answer(exchange.status, &exchange.headers);
+        self.record_limit(now, &metadata);
         self.verify(&exchange, &metadata)?;
         self.record_metadata(&metadata);
         Ok(exchange)
@@ -141,6 +142,16 @@
         if is_own && is_unencoded && is_authentic { Ok(()) } else { Err(AttemptOutcome::Failed) }
     }
 
+    // A rejection also tells how much the target takes, unless another target sent it.
+    fn record_limit(&self, sent_at: ClockTime, metadata: &AnswerMetadata) {
+        let id = &self.request().arrival.id;
+        let is_own = metadata.request_id.as_deref() == Some(id.as_ref());
+        if is_own && !metadata.is_mismatch {
+            let now = self.core.now();
+            self.core.update(|state| state.record_limit(now, &self.plan, sent_at, metadata.limit));
+        }
+    }
+
     fn record_metadata(&mut self, metadata: &AnswerMetadata) {
         let now = self.core.now();
         let core = self.core.clone();
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -13,7 +13,7 @@
 use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_forward::{
     AttemptOutcome, ForwardAction, ForwardArrival, ForwardEvent, ForwardRefusal, ForwardRequest,
-    ForwardState, NextStep, SendPlan,
+    ForwardState, NextStep, RequestRate, SendPlan,
 };
 use godwitroad_frontend::NodeClock;
 use tokio::{
@@ -141,10 +141,12 @@
         request: &mut ForwardRequest,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let now = self.now();
-        let (plan, version, proof, has_urgent_gossip) = self.update(|state| {
+        let (plan, version, proof, has_urgent_gossip, limit) = self.update(|state| {
             let version = state.config_version();
             let proof = state.proof_age(now).map(ClockSpan::as_ms);
-            (state.choose_target(now, request), version, proof, state.has_urgent_gossip())
+            let plan = state.choose_target(now, request);
+            let limit = plan.as_ref().ok().and_then(|plan| state.target_limit(&plan.target));
+            (plan, version, proof, state.has_urgent_gossip(), limit)
         });
         if has_urgent_gossip {
             self.send_gossip.notify_one();
@@ -154,7 +156,7 @@
         let detail = format!(
             "route={} account={} config_version={version} proof_age_ms={proof:?} target={} address={} offer={} \
              wait_estimate_ms={} prompt={:?} shared={} shared_tokens={} salt={} held={} held_anywhere={} read={} fetch={:?} keep={:?} weights={:?} \
-             time_left_ms={}",
+             limit={:?} time_left_ms={}",
             request.route.name,
             plan.account.as_ref().map_or("-", |account| account.as_str()),
             plan.target,
@@ -171,6 +173,7 @@
             plan.fetch_from,
             plan.save_to,
             plan.version,
+            limit.map(RequestRate::per_second),
             plan.time_left.as_ms(),
         );
         self.log.request("request_placed", &request.arrival.id, &detail);
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use godwitroad_base::{ClockSpan, ModelName, StoreEra, StoreRevision, TargetName, VmName};
 use godwitroad_forward::{
-    CacheEventBatch, ForwardArrival, ForwardRules, LoadReport, PeerPlace, SendPlan, TargetRecord,
+    CacheEventBatch, ForwardArrival, ForwardRules, LimitNotice, LoadReport, PeerPlace, SendPlan,
+    TargetRecord,
 };
 use godwitroad_orders::{ActivityMark, WeightAnswer, WeightOrder, WeightReport};
 use http::{HeaderMap, Request, StatusCode};
@@ -50,6 +51,8 @@
     pub load: Option<LoadReport>,
     /// The version of the weights that produced the answer; `None` if it wasn't reported.
     pub version: Option<u64>,
+    /// The rate of requests that the target takes, if it names one.
+    pub limit: LimitNotice,
 }
 
 /// A call to the platform's store.
