Keep the requests of all routers within the limit that a target names

What callers saw: an engine that had named a limit of 1.2 and 2.3 requests a second went on to get its usual share, 22 and 23 in 4 s (allowed 12 and 19), with all that this does to a server in need.

Cause: nothing read the header, and nothing between routers could hold a rate of a target: placement looks at each router's own estimate of the wait. The class: a limit for the whole fleet that each sender would have to keep together with the others.

Fix: the crate throttle has a bucket for each such target, which all routers share: gossip tells what each has sent and heard. A rate can be far below one request per router and second, so routers take turns, and a router whose turn is later sends only when the bucket is fuller; a small rate is shared by few routers. A router that can't reach all others uses its part. An answer without a limit ends it if its request was sent after the limit was last named. A request beyond all limits is refused at once (503 targets_limited, not run), with the time at which the caller can be served. The bound follows from the design: inflow + what the bucket holds + one request per router in turn stays below one and a half times the rate + 5.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,7 +31,7 @@
 pub use godwitroad_quarantine::{
     AnswerPhase, CrashReport, PartKey, QuarantineNotes, QuarantineSettings, WithheldPart,
 };
-pub use godwitroad_throttle::{LimitNotice, RequestRate};
+pub use godwitroad_throttle::{LimitNotice, LimitReport, LimitStatement, RequestRate};
 pub use load::{LoadEntry, LoadReport, LoadTable, WorkSum};
 pub use peers::{GossipMessage, MIN_PEER_TIMEOUT, PeerPlace, PeerState, PeerTable, ReloadEntry};
 pub use request::{
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -9,7 +9,9 @@
 use godwitroad_base::{ClockSpan, ClockTime, StoreRevision, VmName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{QuarantineNotes, allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry};
+use crate::{
+    LimitReport, QuarantineNotes, allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
+};
 
 /// The name and location of a router, from its entry in the store or from its gossip messages.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -69,6 +71,9 @@
     /// that don't know it read the rest.
     #[serde(skip)]
     pub quarantine: Box<QuarantineNotes>,
+    /// What the sender knows of targets that name a limit, encoded after the quarantine.
+    #[serde(skip)]
+    pub limits: Vec<LimitReport>,
 }
 
 /// A target that now serves other weights: the target's tag, the model's tag, the version.
@@ -109,7 +114,9 @@
             self.loads.pop();
         } else {
             // Sorted by the account's last admission, latest first.
-            return self.usage.pop().is_some() || self.quarantine.drop_least_important();
+            return self.usage.pop().is_some()
+                || self.quarantine.drop_least_important()
+                || self.limits.pop().is_some();
         }
         true
     }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -56,6 +56,8 @@
     Overloaded,
     /// All targets that were tried rejected the request.
     TargetsRefused,
+    /// All usable targets have got as many requests as they take.
+    TargetsLimited,
     /// The prompt has a part that crashes targets.
     PromptWithheld,
     /// The deadline passed before the request was sent to a target.
@@ -90,6 +92,7 @@
             | RefusalReason::NoTarget
             | RefusalReason::Overloaded
             | RefusalReason::TargetsRefused
+            | RefusalReason::TargetsLimited
             | RefusalReason::PromptWithheld
             | RefusalReason::TimeOver => 503,
         }
@@ -107,6 +110,7 @@
             RefusalReason::NoTarget => "no_target",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::TargetsRefused => "targets_refused",
+            RefusalReason::TargetsLimited => "targets_limited",
             RefusalReason::PromptWithheld => "prompt_withheld",
             RefusalReason::TimeOver => "time_over",
             RefusalReason::TargetFailed => "target_failed",
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -23,6 +23,9 @@
 /// Limit of usage entries, and of load entries, in a message, so that it fits one datagram.
 const MAX_ENTRIES: usize = 32;
 
+/// Limit of targets with a named limit in a message. Each message lists other ones.
+const MAX_LIMITS: usize = 16;
+
 /// Limit of known peers in one message.
 const MAX_KNOWN_PEERS: usize = 10;
 
@@ -68,6 +71,7 @@
             reloaded: self.reloaded.unexpired(now, repeat_span),
             sent_prompts: self.sent_prompts.unexpired(now, repeat_span),
             weight_versions: self.announcement_ages(now),
+            limits: self.throttle.reports(now, MAX_LIMITS, self.sequence as usize * MAX_LIMITS),
             quarantine: Box::new(self.quarantine.notes(now, repeat_span, self.sequence)),
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
@@ -126,6 +130,7 @@
             self.receive_reloads(&message.reloaded, actions);
             self.receive_sent_prompts(now, &message.sent_prompts);
             self.receive_quarantine(now, &message.quarantine);
+            self.receive_limits(now, &message);
         }
         let (revision, urgent) = self.store_progress.revisions();
         if message.urgent_revision > urgent.max(revision) {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -33,7 +33,7 @@
 };
 
 use godwitroad_quarantine::QuarantineSettings;
-use godwitroad_throttle::ThrottleTable;
+use godwitroad_throttle::{ReturnQueue, ThrottleTable};
 
 use crate::{
     AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChoiceSettings,
@@ -211,6 +211,8 @@
     health: HealthTable,
     quarantine: PromptQuarantine,
     throttle: ThrottleTable,
+    // When callers of each service were told to return because of its targets' limits.
+    return_queues: BTreeMap<ServiceName, ReturnQueue>,
     // Whether the last message was ignored, as it may have waited while this router was suspended.
     ignores_gossip: bool,
     term: OrderTerm,
@@ -296,6 +298,7 @@
             health: HealthTable::new(settings.health),
             quarantine: PromptQuarantine::new(settings.quarantine),
             throttle: ThrottleTable::default(),
+            return_queues: BTreeMap::new(),
             ignores_gossip: false,
             term: OrderTerm::new(settings.term.clone()),
             weights: WeightPlan::new(settings.weights),
@@ -469,6 +472,7 @@
         );
         actions.push(ForwardAction::Notice("configuration_in_force", detail));
         self.retry_budgets.retain(|service, _| rules.services.contains_key(service));
+        self.return_queues.retain(|service, _| rules.services.contains_key(service));
         self.rules = Some(rules);
     }
 
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -89,6 +89,7 @@
         }
         request.begun_version = plan.version;
         let targets = self.usable_targets(now, request);
+        let Ok(targets) = self.targets_within_limits(now, request, targets) else { return false };
         let has_other = targets.iter().any(|record| version_of(request, record) == plan.version);
         has_other && self.retry_budget(&request.service).take_spare()
     }
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -92,6 +92,9 @@
         if let Err(refusal) = self.screen_prompt(now, request) {
             return Err(self.settle_refusal(request, refusal));
         }
+        let records = self
+            .targets_within_limits(now, request, records)
+            .map_err(|refusal| self.settle_refusal(request, refusal))?;
         let plan = match engine {
             Some(engine) => self.choose_engine_target(now, request, &rules, engine, &records),
             None => self.choose_plain_target(now, request, &records),
@@ -100,6 +103,7 @@
         request.tried.push(plan.target.clone());
         request.attempts += 1;
         self.loads.add_work(&plan.target, plan.work);
+        self.throttle.record_sent(tag_of(plan.target.as_str()));
         Ok(plan)
     }
 
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -13,7 +13,7 @@
 use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_forward::{
     AttemptOutcome, ForwardAction, ForwardArrival, ForwardEvent, ForwardRefusal, ForwardRequest,
-    ForwardState, NextStep, RequestRate, SendPlan,
+    ForwardState, NextStep, SendPlan,
 };
 use godwitroad_frontend::NodeClock;
 use tokio::{
@@ -145,7 +145,12 @@
             let version = state.config_version();
             let proof = state.proof_age(now).map(ClockSpan::as_ms);
             let plan = state.choose_target(now, request);
-            let limit = plan.as_ref().ok().and_then(|plan| state.target_limit(&plan.target));
+            let limit = plan.as_ref().ok().and_then(|plan| {
+                Some((
+                    state.target_limit(&plan.target)?.per_second(),
+                    state.limit_level(&plan.target)?,
+                ))
+            });
             (plan, version, proof, state.has_urgent_gossip(), limit)
         });
         if has_urgent_gossip {
@@ -173,7 +178,7 @@
             plan.fetch_from,
             plan.save_to,
             plan.version,
-            limit.map(RequestRate::per_second),
+            limit,
             plan.time_left.as_ms(),
         );
         self.log.request("request_placed", &request.arrival.id, &detail);
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -119,9 +119,12 @@
     let mut message = message.clone();
     loop {
         let mut bytes = postcard::to_extend(&message, vec![FORMAT_VERSION]).ok()?;
-        if !message.quarantine.is_empty() {
+        if !message.quarantine.is_empty() || !message.limits.is_empty() {
             bytes = postcard::to_extend(&*message.quarantine, bytes).ok()?;
         }
+        if !message.limits.is_empty() {
+            bytes = postcard::to_extend(&message.limits, bytes).ok()?;
+        }
         if bytes.len() <= MAX_DATAGRAM_BYTES {
             return Some(bytes);
         }
@@ -138,8 +141,13 @@
         return None;
     }
     let (mut message, rest): (GossipMessage, _) = postcard::take_from_bytes(payload).ok()?;
+    if rest.is_empty() {
+        return Some(message);
+    }
+    let (quarantine, rest) = postcard::take_from_bytes(rest).ok()?;
+    message.quarantine = Box::new(quarantine);
     if !rest.is_empty() {
-        message.quarantine = Box::new(postcard::from_bytes(rest).ok()?);
+        message.limits = postcard::from_bytes(rest).ok()?;
     }
     Some(message)
 }
