--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,7 +29,8 @@
 };
 pub use freshness::{ConfigFreshness, ContactSettings};
 pub use godwitroad_quarantine::{
-    AnswerPhase, CrashReport, PartKey, QuarantineNotes, QuarantineSettings, WithheldPart,
+    AnswerPhase, CrashReport, PartKey, QuarantineNotes, QuarantineSettings, RequestDigest,
+    WithheldPart,
 };
 pub use godwitroad_throttle::{LimitNotice, LimitReport, LimitStatement, RequestRate};
 pub use load::{LoadEntry, LoadReport, LoadTable, WorkSum};
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -4,7 +4,7 @@
 
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, ModelName, ServiceName, TargetName};
 use godwitroad_config::KeyHash;
-use godwitroad_quarantine::AnswerPhase;
+use godwitroad_quarantine::{AnswerPhase, PartKey, RequestDigest};
 
 use crate::{
     load::WorkSum,
@@ -29,6 +29,8 @@
     pub prompt: Vec<PromptPart>,
     /// The declared numbers of tokens: of the prompt, and the maximum of the answer.
     pub tokens: Option<(u64, u64)>,
+    /// The digest by which the request is recognized when it comes again.
+    pub digest: RequestDigest,
     /// How long the caller will wait, if it says so.
     pub max_wait: Option<ClockSpan>,
     /// The number of the last event that the caller received, if it resumes a stream.
@@ -251,6 +253,12 @@
         self.route.repeatable || self.route.streaming && self.route.resumable
     }
 
+    /// Returns the key by which the account's request is recognized when it comes again.
+    pub fn repeat_key(&self) -> PartKey {
+        let account = self.account.as_ref().map_or("", |account| account.name.as_str());
+        self.arrival.digest.key_for(account)
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: ClockTime) -> ClockSpan {
         self.deadline.since(now)
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use godwitroad_base::{ClockSpan, ClockTime};
-use godwitroad_forward::{AnswerPhase, AttemptOutcome, ForwardRequest, NextStep, SendPlan};
+use godwitroad_forward::{
+    AnswerPhase, AttemptOutcome, ForwardRequest, NextStep, RequestDigest, SendPlan,
+};
 use http::{
     HeaderMap, Method, Request, StatusCode, Uri,
     header::{CONTENT_ENCODING, CONTENT_TYPE},
@@ -28,6 +30,13 @@
     pub(super) reads_chunks: bool,
 }
 
+impl CallerPayload {
+    /// Returns the digest of the request, which was sent to `host`.
+    pub(super) fn digest(&self, host: &str) -> RequestDigest {
+        RequestDigest::new(self.method.as_str(), host, &self.uri.to_string(), &self.body)
+    }
+}
+
 /// An attempt in progress. Dropping it before [`finish`](Self::finish) reports to the decision state that the caller
 /// disconnected.
 #[derive(Debug)]
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -67,8 +67,9 @@
     core.metrics.count("requests.arrived", 1);
     let limits = core.read(|state| state.rules().map(|rules| rules.limits)).unwrap_or_default();
     let request_parts = match read_head(&core, &request, &limits) {
-        Ok((arrival, mut payload)) => read_body(body, &limits).await.map(|body| {
+        Ok((mut arrival, mut payload)) => read_body(body, &limits).await.map(|body| {
             payload.body = body;
+            arrival.digest = payload.digest(&arrival.host);
             (arrival, payload)
         }),
         Err(unreadable) => Err(unreadable),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,6 +8,7 @@
 //! The crate is deterministic and does no I/O: its caller passes in the time and exchanges reports between routers.
 
 mod completion;
+mod digest;
 mod notes;
 mod outage;
 mod part;
@@ -15,6 +16,7 @@
 mod suspect;
 mod table;
 
+pub use digest::RequestDigest;
 pub use notes::{CrashReport, QuarantineNotes};
 pub use part::PartKey;
 pub use settings::QuarantineSettings;
