--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod crash_fleet;
+
 use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc};
 
 use godwitroad_base::{ClockSpan, ClockTime};
