Withhold a request that crashes targets and comes again

Cause: a failure was blamed on the target, or on the parts of a prompt. A plain request has no parts, and its crashes come while it waits for its answer, which alone was never enough. The class: the identity of an input that breaks its handlers was known for one kind of input only.

Fix: a digest of method, host, path, query and body, with the account, recognizes the request. The quarantine's mechanism withholds it from the third crash on, over all routers (retries from the second, and the last target of a service isn't risked at two crashes). Any complete answer clears it; at most three tests are sent over its whole life. A test that reached no target is taken back, and a retry counts from attempts that may have run, not from those that reached no target.

The fixtures give requests that differ digests that differ.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -74,6 +74,9 @@
     /// What the sender knows of targets that name a limit, encoded after the quarantine.
     #[serde(skip)]
     pub limits: Vec<LimitReport>,
+    /// What the sender knows of requests that crash targets and come again, encoded last.
+    #[serde(skip)]
+    pub repeats: Box<QuarantineNotes>,
 }
 
 /// A target that now serves other weights: the target's tag, the model's tag, the version.
@@ -116,6 +119,7 @@
             // Sorted by the account's last admission, latest first.
             return self.usage.pop().is_some()
                 || self.quarantine.drop_least_important()
+                || self.repeats.drop_least_important()
                 || self.limits.pop().is_some();
         }
         true
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -62,6 +62,8 @@
     TargetsLimited,
     /// The prompt has a part that crashes targets.
     PromptWithheld,
+    /// The same request has crashed several targets.
+    RequestWithheld,
     /// The deadline passed before the request was sent to a target.
     TimeOver,
     /// The request may have run; its target failed.
@@ -96,6 +98,7 @@
             | RefusalReason::TargetsRefused
             | RefusalReason::TargetsLimited
             | RefusalReason::PromptWithheld
+            | RefusalReason::RequestWithheld
             | RefusalReason::TimeOver => 503,
         }
     }
@@ -114,6 +117,7 @@
             RefusalReason::TargetsRefused => "targets_refused",
             RefusalReason::TargetsLimited => "targets_limited",
             RefusalReason::PromptWithheld => "prompt_withheld",
+            RefusalReason::RequestWithheld => "request_withheld",
             RefusalReason::TimeOver => "time_over",
             RefusalReason::TargetFailed => "target_failed",
             RefusalReason::TargetTimeout => "target_timeout",
@@ -161,6 +165,8 @@
     pub attempts: u32,
     /// Whether a target has run it or may have.
     pub may_have_run: bool,
+    /// Whether it was withheld and is sent to find out whether it crashes targets.
+    pub is_test: bool,
     /// The version of the weights on which its answer began. A continued answer stays on it where a target still serves
     /// it.
     pub begun_version: Option<u64>,
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -66,6 +66,7 @@
             tried: Vec::new(),
             attempts: 0,
             may_have_run: false,
+            is_test: false,
             begun_version: None,
         })
     }
@@ -126,6 +127,7 @@
             || self.throttle.has_unreported() && self.other_zone_rounds() == 1
             || self.allowance.needs_immediate_report()
             || self.quarantine.has_news()
+            || self.repeats.has_news()
     }
 
     /// Returns the budget of retries that this router may make for a service.
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -73,6 +73,7 @@
             weight_versions: self.announcement_ages(now),
             limits: self.throttle.reports(now, MAX_LIMITS, self.sequence as usize * MAX_LIMITS),
             quarantine: Box::new(self.quarantine.notes(now, repeat_span, self.sequence)),
+            repeats: Box::new(self.repeats.notes(now, repeat_span, self.sequence)),
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
@@ -129,7 +130,7 @@
             self.loads.replace_peer(before, &message.loads);
             self.receive_reloads(&message.reloaded, actions);
             self.receive_sent_prompts(now, &message.sent_prompts);
-            self.receive_quarantine(now, &message.quarantine);
+            self.receive_quarantine(now, &message.quarantine, &message.repeats);
             self.receive_limits(now, &message);
         }
         let (revision, urgent) = self.store_progress.revisions();
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -45,7 +45,7 @@
 use era::EraProgress;
 use health::HealthTable;
 use orders::WeightAnnouncement;
-use quarantine::PromptQuarantine;
+use quarantine::SharedQuarantine;
 use store_watch::StoreProgress;
 pub use store_watch::StoreStep;
 
@@ -87,6 +87,8 @@
     pub health: HealthSettings,
     /// When requests are withheld because of parts of their prompts that crash targets.
     pub quarantine: QuarantineSettings,
+    /// When requests are withheld that crash targets and come again.
+    pub repeats: QuarantineSettings,
 }
 
 /// An input to the decision state.
@@ -126,7 +128,7 @@
     /// A gossip message of another router was received.
     Gossip {
         /// The message.
-        message: GossipMessage,
+        message: Box<GossipMessage>,
         /// A time before its arrival. While this router was suspended, the message may have waited in the socket.
         arrived_after: ClockTime,
     },
@@ -209,7 +211,9 @@
     cached_segments: BTreeMap<FeedSource, CachedSegments>,
     loads: LoadTable,
     health: HealthTable,
-    quarantine: PromptQuarantine,
+    // Of parts of prompts, and of whole requests that come again.
+    quarantine: SharedQuarantine,
+    repeats: SharedQuarantine,
     throttle: ThrottleTable,
     // When callers of each service were told to return because of its targets' limits.
     return_queues: BTreeMap<ServiceName, ReturnQueue>,
@@ -275,6 +279,7 @@
                 return_span: ClockSpan::from_ms(1_500),
             },
             quarantine: QuarantineSettings::default(),
+            repeats: QuarantineSettings::for_requests(),
         }
     }
 }
@@ -296,7 +301,8 @@
             cached_segments: BTreeMap::new(),
             loads: LoadTable::default(),
             health: HealthTable::new(settings.health),
-            quarantine: PromptQuarantine::new(settings.quarantine),
+            quarantine: SharedQuarantine::new("part", settings.quarantine),
+            repeats: SharedQuarantine::new("request", settings.repeats),
             throttle: ThrottleTable::default(),
             return_queues: BTreeMap::new(),
             ignores_gossip: false,
@@ -411,7 +417,7 @@
                 self.remove_peer(now, &vm);
             }
             ForwardEvent::Gossip { message, arrived_after } => {
-                self.receive_gossip(now, message, arrived_after, actions);
+                self.receive_gossip(now, *message, arrived_after, actions);
             }
             ForwardEvent::CacheEvents { source, batch } => self.apply_cache_events(source, batch),
             ForwardEvent::TermHolder(owner) => {
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -89,7 +89,7 @@
         }
         request.begun_version = plan.version;
         let targets = self.usable_targets(now, request);
-        let Ok(targets) = self.targets_within_limits(now, request, targets) else { return false };
+        let Ok(targets) = self.targets_within_limits(now, request, &targets) else { return false };
         let has_other = targets.iter().any(|record| version_of(request, record) == plan.version);
         has_other && self.retry_budget(&request.service).take_spare()
     }
@@ -114,22 +114,14 @@
     ) -> NextStep {
         self.loads.remove_work(&plan.target, plan.work);
         match outcome {
-            AttemptOutcome::Complete { status } => {
-                request.may_have_run = true;
-                if (200..300).contains(&status) {
-                    self.record_sound_answer(now, request);
-                }
-                if status >= 500 && request.is_repeatable() && self.may_retry(now, request) {
-                    return NextStep::Again;
-                }
-                NextStep::Deliver
-            }
+            AttemptOutcome::Complete { status } => self.finish_complete(now, request, status),
             AttemptOutcome::Rejected { .. } => {
                 request.attempts -= 1;
                 let can_try_another = request.tried.len() < MAX_TARGETS_TRIED;
                 if can_try_another && self.may_retry(now, request) {
                     return NextStep::Again;
                 }
+                self.refund_test(request);
                 self.end_with_retry_after(request, RefusalReason::TargetsRefused)
             }
             AttemptOutcome::NotSent => {
@@ -141,6 +133,7 @@
                 {
                     return NextStep::Again;
                 }
+                self.refund_test(request);
                 self.end_with_retry_after(request, RefusalReason::NoTarget)
             }
             AttemptOutcome::Lost { .. } | AttemptOutcome::Failed => {
@@ -172,6 +165,24 @@
         }
     }
 
+    fn finish_complete(
+        &mut self,
+        now: ClockTime,
+        request: &mut ForwardRequest,
+        status: u16,
+    ) -> NextStep {
+        request.may_have_run = true;
+        if (200..300).contains(&status) {
+            self.record_sound_answer(now, request);
+        } else {
+            self.record_survived_request(now, request);
+        }
+        if status >= 500 && request.is_repeatable() && self.may_retry(now, request) {
+            return NextStep::Again;
+        }
+        NextStep::Deliver
+    }
+
     fn record_target_failure(&mut self, now: ClockTime, plan: &SendPlan, outcome: AttemptOutcome) {
         if self.health.record_failure(now, &plan.target) {
             let detail = format!("target={} outcome={outcome:?}", plan.target);
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -89,12 +89,13 @@
             let refusal = ForwardRefusal::after(RefusalReason::NoTarget, NO_TARGET_RETRY_AFTER);
             return Err(self.settle_refusal(request, refusal));
         }
-        if let Err(refusal) = self.screen_prompt(now, request) {
-            return Err(self.settle_refusal(request, refusal));
-        }
-        let records = self
-            .targets_within_limits(now, request, records)
-            .map_err(|refusal| self.settle_refusal(request, refusal))?;
+        // The limits come first, so that no trial of a withheld request is spent on one that isn't sent.
+        let within_limits = self.targets_within_limits(now, request, &records);
+        let screened = within_limits.and_then(|allowed| {
+            self.screen_request(now, request, &records)?;
+            Ok(allowed)
+        });
+        let records = screened.map_err(|refusal| self.settle_refusal(request, refusal))?;
         let plan = match engine {
             Some(engine) => self.choose_engine_target(now, request, &rules, engine, &records),
             None => self.choose_plain_target(now, request, &records),
--- a/crates/forward/src/state/throttle.rs
+++ b/crates/forward/src/state/throttle.rs
@@ -84,7 +84,7 @@
         &mut self,
         now: ClockTime,
         request: &ForwardRequest,
-        records: Vec<Arc<TargetRecord>>,
+        records: &[Arc<TargetRecord>],
     ) -> std::result::Result<Vec<Arc<TargetRecord>>, ForwardRefusal> {
         // A stream that has begun would break.
         let is_urgent = request.begun_version.is_some();
@@ -92,13 +92,13 @@
         let mut allowed = Vec::with_capacity(records.len());
         for record in records {
             let Some(rate) = self.target_limit(&record.name) else {
-                allowed.push(record);
+                allowed.push(record.clone());
                 continue;
             };
-            let position = self.position_for(now, &record);
+            let position = self.position_for(now, record);
             let tag = tag_of(record.name.as_str());
             match self.throttle.check(now, tag, position, is_urgent) {
-                Ok(()) => allowed.push(record),
+                Ok(()) => allowed.push(record.clone()),
                 Err(wait) => {
                     first = Some(first.map_or(wait, |first| first.min(wait)));
                     per_second += rate.per_second() / position.reachable as f64;
--- a/crates/forward/tests/quarantine.rs
+++ b/crates/forward/tests/quarantine.rs
@@ -85,7 +85,10 @@
     let withheld = awake.gossip_message(7_100);
     assert!(!withheld.quarantine.withheld.is_empty(), "the part crashes targets by now");
     for message in [cleared, withheld] {
-        suspended.handle(7_200, ForwardEvent::Gossip { message, arrived_after: at(250) });
+        suspended.handle(
+            7_200,
+            ForwardEvent::Gossip { message: Box::new(message), arrived_after: at(250) },
+        );
     }
     let answer = suspended.gossip_message(7_300);
     assert_eq!(answer.quarantine.cleared, [], "nothing was answered meanwhile");
--- a/crates/forward/tests/support/crash_fleet.rs
+++ b/crates/forward/tests/support/crash_fleet.rs
@@ -317,6 +317,7 @@
             model: Some("m".into()),
             prompt,
             tokens: Some((2_000, 10)),
+            digest: RequestDigest::new("POST", HOST, "/stream/x", &self.requests.to_le_bytes()),
             ..arrival("/stream/x", Some("key-one"))
         };
         let router = self.random.below(ROUTERS as u64) as usize;
@@ -376,7 +377,8 @@
         self.messages = later;
         for (_, to, message) in due {
             let arrived_after = at(self.drained_at[to]);
-            self.routers[to].handle(now, ForwardEvent::Gossip { message, arrived_after });
+            self.routers[to]
+                .handle(now, ForwardEvent::Gossip { message: Box::new(message), arrived_after });
         }
         for router in 0..ROUTERS {
             if !self.is_suspended(now, router) {
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -10,8 +10,8 @@
 use godwitroad_config::KeyHash;
 use godwitroad_forward::{
     AccountRule, CallerLimits, EngineRule, ForwardAction, ForwardArrival, ForwardEvent,
-    ForwardRules, ForwardSettings, ForwardState, GossipMessage, PeerPlace, PromptPart, RouteRule,
-    ServiceRule, SharedCacheStore, TargetRecord,
+    ForwardRules, ForwardSettings, ForwardState, GossipMessage, PeerPlace, PromptPart,
+    RequestDigest, RouteRule, ServiceRule, SharedCacheStore, TargetRecord,
 };
 
 pub(crate) const HOST: &str = "models.example";
@@ -148,7 +148,10 @@
 
     /// Passes on a message that arrives at this moment.
     pub(crate) fn receive(&mut self, now: u64, message: GossipMessage) {
-        self.handle(now, ForwardEvent::Gossip { message, arrived_after: at(now) });
+        self.handle(
+            now,
+            ForwardEvent::Gossip { message: Box::new(message), arrived_after: at(now) },
+        );
     }
 
     pub(crate) fn gossip_message(&mut self, now: u64) -> GossipMessage {
@@ -205,6 +208,7 @@
         model: Some("m".into()),
         prompt: vec![part("root", 2_500), part(session, 3_800), part(own, 2_900)],
         tokens: Some((9_200, 10)),
+        digest: RequestDigest::new("POST", HOST, "/stream/x", own.as_bytes()),
         ..arrival("/stream/x", Some("key-one"))
     }
 }
--- a/crates/forward/tests/target_limits.rs
+++ b/crates/forward/tests/target_limits.rs
@@ -244,7 +244,8 @@
         self.messages = later;
         for (_, to, message) in due {
             let arrived_after = at(self.drained_at[to]);
-            self.routers[to].handle(now, ForwardEvent::Gossip { message, arrived_after });
+            self.routers[to]
+                .handle(now, ForwardEvent::Gossip { message: Box::new(message), arrived_after });
         }
         for router in 0..routers {
             if !self.is_suspended(now, router) {
--- a/crates/forward/tests/withdrawal.rs
+++ b/crates/forward/tests/withdrawal.rs
@@ -126,7 +126,10 @@
             let node = &mut self.nodes[to];
             if time >= node.peers_cut_until {
                 let arrived_after = at(node.drained_at);
-                node.router.handle(now, ForwardEvent::Gossip { message, arrived_after });
+                node.router.handle(
+                    now,
+                    ForwardEvent::Gossip { message: Box::new(message), arrived_after },
+                );
             }
         }
         let node = &mut self.nodes[index];
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -99,7 +99,10 @@
         match decode(&buffer[..length]) {
             // A message counts only if it comes from the address that it claims.
             Some(message) if message.place.address == from.ip() => {
-                core.handle(ForwardEvent::Gossip { message, arrived_after: drained_at });
+                core.handle(ForwardEvent::Gossip {
+                    message: Box::new(message),
+                    arrived_after: drained_at,
+                });
             }
             _ => core.metrics.count("notes.unreadable", 1),
         }
@@ -119,12 +122,16 @@
     let mut message = message.clone();
     loop {
         let mut bytes = postcard::to_extend(&message, vec![FORMAT_VERSION]).ok()?;
-        if !message.quarantine.is_empty() || !message.limits.is_empty() {
+        let (has_limits, has_repeats) = (!message.limits.is_empty(), !message.repeats.is_empty());
+        if !message.quarantine.is_empty() || has_limits || has_repeats {
             bytes = postcard::to_extend(&*message.quarantine, bytes).ok()?;
         }
-        if !message.limits.is_empty() {
+        if has_limits || has_repeats {
             bytes = postcard::to_extend(&message.limits, bytes).ok()?;
         }
+        if has_repeats {
+            bytes = postcard::to_extend(&*message.repeats, bytes).ok()?;
+        }
         if bytes.len() <= MAX_DATAGRAM_BYTES {
             return Some(bytes);
         }
@@ -146,8 +153,13 @@
     }
     let (quarantine, rest) = postcard::take_from_bytes(rest).ok()?;
     message.quarantine = Box::new(quarantine);
+    if rest.is_empty() {
+        return Some(message);
+    }
+    let (limits, rest) = postcard::take_from_bytes(rest).ok()?;
+    message.limits = limits;
     if !rest.is_empty() {
-        message.limits = postcard::from_bytes(rest).ok()?;
+        message.repeats = Box::new(postcard::from_bytes(rest).ok()?);
     }
     Some(message)
 }
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -64,6 +64,9 @@
 /// Limit of crashes that count for one part.
 const MAX_CRASHES: usize = 16;
 
+/// The time within which the crashes of an outage count once.
+const OUTAGE_SPAN: ClockSpan = ClockSpan::from_ms(50);
+
 /// The time within which reports on one target are about the same crash.
 const SAME_CRASH_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
@@ -82,11 +85,15 @@
 }
 
 impl EvidenceWeight {
-    fn add(&mut self, crash: Option<PartCrash>) {
+    fn add(&mut self, crash: Option<PartCrash>, settings: &QuarantineSettings) {
         let Some(crash) = crash else { return };
-        let is_beginning = u32::from(crash.beginning);
-        self.beginnings += is_beginning;
-        self.points += 1 + is_beginning * (QuarantineSettings::BEGINNING_POINTS - 1);
+        self.beginnings += u32::from(crash.beginning);
+        self.points += if crash.beginning { settings.beginning_points } else { 1 };
+    }
+
+    /// Returns the sum over all crashes.
+    pub(crate) fn points(self) -> u32 {
+        self.points
     }
 
     /// Returns whether the evidence is enough to withhold the part.
@@ -94,9 +101,9 @@
         self.points >= settings.threshold && self.beginnings >= settings.min_beginnings
     }
 
-    /// Returns whether another crash could be enough.
+    /// Returns whether the evidence is enough to withhold a retry.
     pub(crate) fn is_near(self, settings: &QuarantineSettings) -> bool {
-        self.points + QuarantineSettings::BEGINNING_POINTS >= settings.threshold
+        self.points >= settings.retry_threshold
     }
 }
 
@@ -123,8 +130,12 @@
 
     /// Returns the weight of all crashes. Those within `burst_span` of each other count once, unless the same request was
     /// sent from one target to the next, and those in an outage of other causes don't count.
-    pub(crate) fn weight(&self, burst_span: ClockSpan, outages: &OutageLog) -> EvidenceWeight {
-        self.weight_of(self.crashes.iter(), burst_span, outages)
+    pub(crate) fn weight(
+        &self,
+        settings: &QuarantineSettings,
+        outages: &OutageLog,
+    ) -> EvidenceWeight {
+        self.weight_of(self.crashes.iter(), settings, outages)
     }
 
     /// Returns the crashes, oldest first.
@@ -141,16 +152,14 @@
         settings: &QuarantineSettings,
         outages: &OutageLog,
     ) -> bool {
-        let own_weight = self.weight(settings.burst_span, outages);
+        let own_weight = self.weight(settings, outages);
         if self.withheld.is_some() && !own_weight.is_enough(settings) {
             return false;
         }
         let is_covered = self.crashes_without(other).next().is_none();
         let covers_other = other.crashes_without(self).next().is_none();
         (is_covered || !covers_other)
-            && !self
-                .weight_of(self.crashes_without(other), settings.burst_span, outages)
-                .is_enough(settings)
+            && !self.weight_of(self.crashes_without(other), settings, outages).is_enough(settings)
     }
 
     // Returns the crashes that the other part can't have caused: it was in no request at that target, or none whose answer
@@ -166,33 +175,49 @@
     fn weight_of<'a>(
         &self,
         crashes: impl Iterator<Item = &'a PartCrash>,
-        burst_span: ClockSpan,
+        settings: &QuarantineSettings,
         outages: &OutageLog,
     ) -> EvidenceWeight {
         let mut weight = EvidenceWeight::default();
         let mut burst: Option<PartCrash> = None;
-        for crash in crashes.filter(|crash| !self.is_by_outage(crash, outages)) {
+        for crash in crashes {
+            let Some(burst_span) = self.burst_span_of(crash, settings, outages) else { continue };
             match &mut burst {
                 Some(first) if !crash.retry && crash.at.since(first.at) < burst_span => {
                     first.beginning |= crash.beginning;
                 }
                 _ => {
-                    weight.add(burst);
+                    weight.add(burst, settings);
                     burst = Some(*crash);
                 }
             }
         }
-        weight.add(burst);
+        weight.add(burst, settings);
         weight
     }
 
-    // Returns whether a crash was part of an outage that also took targets where no answer on this part was beginning. An
-    // outage of only such targets is what many requests with a deadly part cause at once.
-    fn is_by_outage(&self, crash: &PartCrash, outages: &OutageLog) -> bool {
+    // Returns the time within which earlier crashes count together with this one; `None` if it doesn't count, as it was part
+    // of an outage that also took targets which had no such request, or none whose answer was beginning. An outage of only
+    // such targets is what many requests with a deadly part cause at once.
+    fn burst_span_of(
+        &self,
+        crash: &PartCrash,
+        settings: &QuarantineSettings,
+        outages: &OutageLog,
+    ) -> Option<ClockSpan> {
+        let counts_waiting = settings.min_beginnings == 0;
         let is_own = |target: u32| {
             let own = PartCrash { target, ..*crash };
-            self.crashes.iter().any(|known| known.beginning && known.is_same(&own))
+            let counts = |known: &PartCrash| known.beginning || counts_waiting;
+            self.crashes.iter().any(|known| counts(known) && known.is_same(&own))
+        };
+        let Some(mut targets) = outages.outage_at(crash.at) else {
+            return Some(settings.burst_span);
         };
-        outages.outage_at(crash.at).is_some_and(|mut targets| !targets.all(is_own))
+        if !targets.all(is_own) {
+            return None;
+        }
+        // Waiting requests may be on all targets, whatever the cause of the outage.
+        Some(if counts_waiting { OUTAGE_SPAN } else { settings.burst_span })
     }
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -86,7 +86,7 @@
         crash: PartCrash,
         keys: &[PartKey],
     ) -> Vec<PartKey> {
-        let (span, burst_span) = (self.settings.protection_span, self.settings.burst_span);
+        let span = self.settings.protection_span;
         if self.outages.record(crash.target, crash.at) {
             self.release();
         }
@@ -100,7 +100,7 @@
             suspect.last_request = suspect.last_request.max(crash.at);
             suspect.add(crash);
             if suspect.withheld.is_none()
-                && suspect.weight(burst_span, &self.outages).is_enough(&self.settings)
+                && suspect.weight(&self.settings, &self.outages).is_enough(&self.settings)
             {
                 let until = now + self.settings.withheld_span(0);
                 suspect.withheld = Some(WithheldSpan::new(until));
@@ -116,7 +116,7 @@
         let (settings, outages) = (self.settings, &self.outages);
         for suspect in self.suspects.values_mut() {
             let is_own = suspect.withheld.is_some_and(|withheld| !withheld.adopted);
-            if is_own && !suspect.weight(settings.burst_span, outages).is_enough(&settings) {
+            if is_own && !suspect.weight(&settings, outages).is_enough(&settings) {
                 suspect.withheld = None;
             }
         }
@@ -178,11 +178,11 @@
         let is_excused = self.is_excused(key, keys);
         let Some(span) = suspect.withheld else {
             // A retry costs a second target within moments, before the first crash is known everywhere.
-            let weight = suspect.weight(self.settings.burst_span, &self.outages);
+            let weight = suspect.weight(&self.settings, &self.outages);
             let is_risky = is_retry && !is_excused && weight.is_near(&self.settings);
             return if is_risky { PartJudgement::Withheld } else { PartJudgement::Sent };
         };
-        if is_retry {
+        if is_retry || span.trials.saturating_add(span.probes) >= self.settings.max_tests {
             PartJudgement::Withheld
         } else if is_excused && span.probes < MAX_PROBES && now >= span.probed_until {
             PartJudgement::Probed
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Takes back a test by a request that reached no target.
+    pub fn refund_test(&mut self, key: PartKey) {
+        if let Some(span) = self.withheld_span_mut(key) {
+            // A trial comes later than the probes.
+            let count = if span.trials > 0 { &mut span.trials } else { &mut span.probes };
+            *count = count.saturating_sub(1);
+        }
+    }
+
     fn withheld_span_mut(&mut self, key: PartKey) -> Option<&mut WithheldSpan> {
         self.suspects.get_mut(&key)?.withheld.as_mut()
     }
@@ -284,6 +293,17 @@
         self.suspects.get(&key).is_some_and(|suspect| suspect.withheld.is_some())
     }
 
+    /// Returns the weight of the crashes against a part, in points.
+    pub fn points(&self, key: PartKey) -> u32 {
+        let suspect = self.suspects.get(&key);
+        suspect.map_or(0, |suspect| suspect.weight(&self.settings, &self.outages).points())
+    }
+
+    /// Returns whether crashes suffice that only ended requests which still waited for their answers.
+    pub fn counts_waiting_alone(&self) -> bool {
+        self.settings.min_beginnings == 0
+    }
+
     /// Returns the crashes that count against a part, oldest first.
     pub fn crashes(&self, key: PartKey) -> &[PartCrash] {
         self.suspects.get(&key).map_or(&[], SuspectPart::crashes)
