Daemon: withhold a request that crashes targets and comes again

In the simulated fleet a plain request sent 15 times crashed 15 targets.

The daemon computes the digest of each request, and its routers exchange crashes, completions and withheld requests as they do for blocks. Only a lost connection counts against a request (a new kind of report), as an engine that answers 429 or 500 lives. After the change the same request crashes three targets, and each sound one beside it is answered.

Test: router/tests/fleet.rs, a_request_that_crashes_its_targets_and_comes_again_soon_reaches_none; without the digest it fails with 15.

--- a/crates/daemon/src/http_client.rs
+++ b/crates/daemon/src/http_client.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// Returns whether the connection was lost after the request may have been sent.
+pub(crate) fn is_connection_lost(error: &SendRequestError) -> bool {
+    matches!(
+        error,
+        SendRequestError::Connect(ConnectError::Disconnected) | SendRequestError::Send(_)
+    )
+}
+
 /// Returns whether only the end of the connection marks the end of an answer's body.
 ///
 /// Such an answer can't be told from one that was broken off, and for HTTP/1.1 the underlying client takes its body for
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -9,11 +9,11 @@
 
 use actix_web::http::{
     Method,
-    header::{HeaderMap, HeaderName, HeaderValue},
+    header::{HOST, HeaderMap, HeaderName, HeaderValue},
 };
 use bytes::Bytes;
 use godwitroad_config::KeyHash;
-use godwitroad_router::{CallerError, ErrorKind, RequestArrival, RunOutcome};
+use godwitroad_router::{CallerError, ErrorKind, RequestArrival, RequestDigest, RunOutcome};
 
 pub use body::{EngineBody, EngineOverrides, EnginePath};
 pub use headers::TraceParent;
@@ -93,7 +93,7 @@
     key: Option<CallerKey>,
     body: Bytes,
 ) -> Result<(RequestArrival, CallerRequest)> {
-    let key = key.as_ref();
+    let (key, received) = (key.as_ref(), body.clone());
     let options = headers::parse_options(head.headers, key)?;
     let mut arrival = RequestArrival {
         path: head.path.to_string(),
@@ -117,6 +117,8 @@
     let query = key.map_or_else(|| head.query.to_string(), |key| key.remove_from_query(head.query));
     let target =
         if query.is_empty() { head.path.to_string() } else { format!("{}?{query}", head.path) };
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or("");
+    arrival.digest = Some(RequestDigest::new(head.method.as_str(), host, &target, &received));
     let request = CallerRequest {
         method: head.method.clone(),
         target,
--- a/crates/daemon/src/target/attempt.rs
+++ b/crates/daemon/src/target/attempt.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum AttemptEnd {
     Complete,
+    /// The connection was lost after the request may have been sent.
+    Lost,
     Failed {
         sent: bool,
         rejected: bool,
@@ -76,6 +78,11 @@
         };
         match end {
             AttemptEnd::Complete => {}
+            AttemptEnd::Lost => {
+                span.mark_failed();
+                self.telemetry.count("target.failures");
+                self.report(AttemptReport::Lost);
+            }
             AttemptEnd::Failed { sent, rejected } => {
                 span.mark_failed();
                 self.telemetry.count("target.failures");
@@ -92,7 +99,11 @@
         let mut response = match request.send_body(body).await {
             Ok(response) => response,
             Err(error) => {
-                return AttemptEnd::Failed { sent: http_client::was_sent(&error), rejected: false };
+                return if http_client::is_connection_lost(&error) {
+                    AttemptEnd::Lost
+                } else {
+                    AttemptEnd::Failed { sent: http_client::was_sent(&error), rejected: false }
+                };
             }
         };
         let status = response.status().as_u16();
@@ -191,7 +202,7 @@
         let mut chunks = ChunkReader::new(self.order.id, first);
         let mut parser = SseParser::new();
         while let Some(part) = self.next_part(response).await {
-            let Ok(part) = part else { return FAILED_AFTER_SEND };
+            let Ok(part) = part else { return AttemptEnd::Lost };
             let mut state = EventState::Open;
             let parsed =
                 parser.push(&part, |event| self.handle_event(event, &mut chunks, &mut state));
@@ -234,7 +245,7 @@
         // A stream that is no valid text of events is passed on unchecked.
         let mut events = is_event_stream(response).then(SseParser::new);
         while let Some(part) = self.next_part(response).await {
-            let Ok(part) = part else { return FAILED_AFTER_SEND };
+            let Ok(part) = part else { return AttemptEnd::Lost };
             if events.as_mut().is_some_and(|events| events.push(&part, |_| ()).is_err()) {
                 events = None;
             }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -63,6 +63,7 @@
         ErrorKind::Overloaded => "overloaded",
         ErrorKind::TargetUnavailable => "target_unavailable",
         ErrorKind::PromptWithheld => "prompt_withheld",
+        ErrorKind::RequestWithheld => "request_withheld",
         ErrorKind::TargetFailed => "target_failed",
         ErrorKind::ClaimUnavailable => "claim_unavailable",
         ErrorKind::ClaimPending => "claim_pending",
--- a/crates/daemon/tests/targets.rs
+++ b/crates/daemon/tests/targets.rs
@@ -76,7 +76,10 @@
     let mut reports = Vec::new();
     loop {
         if let RouterEvent::Attempt { report, .. } = events.recv().unwrap() {
-            let is_last = matches!(report, AttemptReport::Ended | AttemptReport::Failed { .. });
+            let is_last = matches!(
+                report,
+                AttemptReport::Ended | AttemptReport::Failed { .. } | AttemptReport::Lost
+            );
             reports.push(report);
             if is_last {
                 return reports;
@@ -88,6 +91,7 @@
 fn failure(reports: &[AttemptReport]) -> Option<(bool, bool)> {
     match reports.last() {
         Some(AttemptReport::Failed { sent, rejected }) => Some((*sent, *rejected)),
+        Some(AttemptReport::Lost) => Some((true, false)),
         _ => None,
     }
 }
--- a/crates/router/src/action.rs
+++ b/crates/router/src/action.rs
@@ -176,6 +176,8 @@
     TargetUnavailable,
     /// The prompt has a block that crashes targets.
     PromptWithheld,
+    /// The same request has crashed several targets.
+    RequestWithheld,
     /// The target failed.
     TargetFailed,
     /// The idempotency key could not be claimed.
@@ -265,6 +267,7 @@
             ErrorKind::Overloaded
             | ErrorKind::TargetUnavailable
             | ErrorKind::PromptWithheld
+            | ErrorKind::RequestWithheld
             | ErrorKind::ClaimUnavailable
             | ErrorKind::NotReady
             | ErrorKind::ZoneCutOff => 503,
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{ClockSpan, ClockTime, RequestId};
+use godwitroad_base::{AccountName, ClockSpan, ClockTime, RequestId};
 use godwitroad_config::{
     CutOffPolicy, ModelConfig, RepeatRule, RouteConfig, ServiceConfig, ServiceKind,
 };
@@ -135,8 +135,11 @@
         let output = arrival.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
         let output = if service.kind == ServiceKind::Engine { output } else { 0 };
         let key = arrival.idempotency_key.as_deref().map(Arc::from);
+        let name = account.as_ref().map_or("", AccountName::as_str);
+        let repeat_key = arrival.digest.map(|digest| digest.key_for(name));
         let facts = RequestFacts {
             account,
+            repeat_key,
             key: arrival.key,
             chain,
             cache_salt,
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -41,6 +41,10 @@
             }
             AttemptReport::Data(bytes) => self.accept_body_bytes(context, id, bytes),
             AttemptReport::Ended => self.end_answer(context, id, attempt),
+            AttemptReport::Lost => {
+                self.record_lost_request(context, id);
+                self.fail_attempt(context, id, NotRunProof::from_failed_attempt(true, false));
+            }
             AttemptReport::Failed { sent, rejected } => {
                 self.fail_attempt(context, id, NotRunProof::from_failed_attempt(sent, rejected));
             }
@@ -82,6 +86,7 @@
                 let has_gone_on = tokens_before < TOKENS_OF_BEGINNING
                     && entry.log.tokens() >= TOKENS_OF_BEGINNING;
                 let chain = has_gone_on.then(|| entry.facts.chain.clone());
+                let repeat_key = entry.facts.repeat_key;
                 if entry.caller == CallerState::Connected {
                     entry.log.add_pending(event.data.len() as u64);
                     let paused = entry.log.take_pause_change();
@@ -90,7 +95,7 @@
                     context.pause(id, attempt, paused);
                 }
                 if let Some(chain) = chain {
-                    self.record_sound_answer(context.now, &chain);
+                    self.record_sound_answer(context.now, &chain, repeat_key);
                 }
             }
             TokenOutcome::Repeated | TokenOutcome::Stale => {}
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -115,8 +115,8 @@
         id: RequestId,
         matches: &PrefixMatches,
     ) {
-        if self.is_withheld(context.now, id) {
-            return self.refuse_withheld(context, id);
+        if let Some(kind) = self.withheld_because(context.now, id) {
+            return self.refuse_waiting(context, id, kind, None);
         }
         let Some(entry) = self.requests.get_mut(id) else { return };
         let facts = &entry.facts;
--- a/crates/router/src/ending.rs
+++ b/crates/router/src/ending.rs
@@ -37,8 +37,13 @@
         let used = entry.used_tokens();
         self.remove_from_queue(id, used);
         let Some(mut entry) = self.requests.remove(id) else { return };
-        if matches!(end, RequestEnd::Answered) && entry.log.tokens() > 0 {
-            self.record_sound_answer(context.now, &entry.facts.chain);
+        if matches!(end, RequestEnd::Answered) {
+            let repeat_key = entry.facts.repeat_key;
+            if entry.log.tokens() > 0 {
+                self.record_sound_answer(context.now, &entry.facts.chain, repeat_key);
+            } else {
+                self.repeats.record_sound(context.now, repeat_key.as_slice());
+            }
         }
         self.release_target(context, id, &mut entry, &end);
         self.settle_rate(context, id, &entry, used);
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -7,6 +7,7 @@
 
 use godwitroad_base::{ClockSpan, ModelName, NodeId, RequestId, TargetName, VmName};
 use godwitroad_config::{ConfigDocument, KeyHash, PriorityClass};
+use godwitroad_quarantine::RequestDigest;
 use godwitroad_store::{CallId, StoreOutcome};
 use serde::{Deserialize, Serialize};
 
@@ -91,6 +92,8 @@
     pub connection: u64,
     /// The path of the HTTP request, which selects the route.
     pub path: String,
+    /// The digest by which the request is recognized when it comes again; `None` if it isn't known.
+    pub digest: Option<RequestDigest>,
     /// The hash of the caller's API key, if the request has one.
     pub key: Option<KeyHash>,
     /// The model that the body names, if any.
@@ -136,7 +139,9 @@
     Data(Arc<[u8]>),
     /// The answer is complete.
     Ended,
-    /// The attempt ended without a complete answer.
+    /// The connection was lost after a byte of the request may have reached the target, as when the target crashes.
+    Lost,
+    /// The attempt ended without a complete answer for another reason.
     Failed {
         /// Whether a byte of the request may have reached the target.
         sent: bool,
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -136,7 +136,10 @@
                 self.process(now, FleetEvent::Rates(RateEvent::Peer { from, message }))
             }
             // `RouterState` handles these messages itself.
-            PeerMessage::Index(_) | PeerMessage::Load(_) | PeerMessage::Quarantine(_) => Vec::new(),
+            PeerMessage::Index(_)
+            | PeerMessage::Load(_)
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::Repeats(_) => Vec::new(),
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -35,6 +35,7 @@
     VmState,
 };
 pub use fleet::FleetSettings;
+pub use godwitroad_quarantine::RequestDigest;
 pub use message::{LoadUpdate, PeerMessage};
 pub use placement::PlacementSettings;
 pub use state::{RouterSettings, RouterState};
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -44,6 +44,8 @@
     Load(LoadUpdate),
     /// Blocks of prompts that crash targets.
     Quarantine(QuarantineNotes),
+    /// Requests that crash targets and come again.
+    Repeats(QuarantineNotes),
 }
 
 /// The load reports and dispatches that a router sends to its peers periodically.
@@ -67,6 +69,7 @@
             PeerMessage::Index(_) => "index",
             PeerMessage::Load(_) => "load",
             PeerMessage::Quarantine(_) => "quarantine",
+            PeerMessage::Repeats(_) => "repeats",
         }
     }
 }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Withholds requests whose prompts have a block that crashes targets; see [`godwitroad_quarantine`].
+//! Withholds requests that crash targets: those whose prompts have a block that does, and those that do so themselves and
+//! come again. See [`godwitroad_quarantine`].
 
 use std::collections::BTreeSet;
 
@@ -24,121 +25,86 @@
 /// The time between two messages about withheld blocks, for routers that were started meanwhile.
 const REPEAT_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
-/// The quarantine of one router and what it has to tell its peers.
+/// A quarantine of one router and what it has to tell its peers.
 #[derive(Debug)]
-pub(crate) struct PromptQuarantine {
+pub(crate) struct SharedQuarantine {
     table: QuarantineTable,
     news: QuarantineNotes,
     last_repeat: ClockTime,
 }
 
-impl PromptQuarantine {
-    pub(crate) fn new(now: ClockTime) -> PromptQuarantine {
-        PromptQuarantine {
-            table: QuarantineTable::new(QuarantineSettings::default()),
+impl SharedQuarantine {
+    pub(crate) fn new(now: ClockTime, settings: QuarantineSettings) -> SharedQuarantine {
+        SharedQuarantine {
+            table: QuarantineTable::new(settings),
             news: QuarantineNotes::default(),
             last_repeat: now,
         }
     }
-}
 
-impl RouterState {
-    /// Returns whether a request must not be dispatched because of a block of its prompt.
-    pub(crate) fn is_withheld(&mut self, now: ClockTime, id: RequestId) -> bool {
-        let Some(entry) = self.requests.get(id) else { return false };
-        // A stream that has sent tokens goes on.
-        if entry.log.tokens() > 0 {
-            return false;
-        }
-        let keys = block_keys(&entry.facts.chain);
-        let is_retry = !entry.failed_targets.is_empty();
-        let (fleet, own) = (&self.fleet, &self.settings.node.vm);
-        let may_try = |key: PartKey| {
-            let members = member_names(fleet);
-            rendezvous::owner(key.hash(), &members).is_none_or(|owner| members[owner] == *own)
-        };
-        let verdict = self.quarantine.table.screen(now, &keys, is_retry, may_try);
+    fn is_withheld(
+        &mut self,
+        now: ClockTime,
+        keys: &[PartKey],
+        is_retry: bool,
+        may_try: impl Fn(PartKey) -> bool,
+    ) -> bool {
+        let verdict = self.table.screen(now, keys, is_retry, may_try);
         if let PartVerdict::Trial(_) = verdict {
-            // The others must know at once that this request tests the block.
-            self.quarantine.last_repeat = ClockTime::ZERO;
+            // The others must know at once that this request tests the key.
+            self.last_repeat = ClockTime::ZERO;
         }
         matches!(verdict, PartVerdict::Withheld(_))
     }
 
-    /// Records that an attempt was lost whose request may have run.
-    pub(crate) fn record_lost_answer(
+    fn record_lost(
         &mut self,
         context: &mut EventContext<'_>,
-        id: RequestId,
-        target: &TargetName,
+        crash: PartCrash,
+        keys: Vec<PartKey>,
     ) {
-        let Some(entry) = self.requests.get(id) else { return };
-        let phase = answer_phase(entry);
-        let keys = block_keys(&entry.facts.chain);
-        if phase == AnswerPhase::Continuing || keys.is_empty() {
-            return;
-        }
-        let tag = TargetTag::of(target.as_str());
-        let crash = PartCrash {
-            target: (tag.0 >> 32) as u32,
-            at: context.now,
-            beginning: phase == AnswerPhase::Beginning,
-            retry: !entry.failed_targets.is_empty(),
-        };
         let protected = self.record_crash(context, crash, &keys);
         let parts: Vec<PartKey> = keys.into_iter().filter(|key| !protected.contains(key)).collect();
         if !parts.is_empty() {
             let PartCrash { target, beginning, retry, .. } = crash;
             let report = CrashReport { target, age_ms: 0, beginning, retry, parts };
-            self.quarantine.news.crashes.push(report);
+            self.news.crashes.push(report);
         }
     }
 
-    /// Records that the answer to a request was complete or went on past its beginning.
-    pub(crate) fn record_sound_answer(&mut self, now: ClockTime, chain: &PrefixChain) {
-        let cleared = self.quarantine.table.record_completion(now, &block_keys(chain));
-        self.quarantine.news.cleared.extend(cleared);
+    /// Records that an answer on these keys was complete or went on past its beginning.
+    pub(crate) fn record_sound(&mut self, now: ClockTime, keys: &[PartKey]) {
+        let cleared = self.table.record_completion(now, keys);
+        self.news.cleared.extend(cleared);
     }
 
-    /// Applies what another router tells about the quarantine.
-    pub(crate) fn receive_quarantine(
-        &mut self,
-        context: &mut EventContext<'_>,
-        notes: &QuarantineNotes,
-    ) {
-        self.quarantine.table.record_completion(context.now, &notes.cleared);
+    /// Applies what another router tells.
+    pub(crate) fn receive(&mut self, context: &mut EventContext<'_>, notes: &QuarantineNotes) {
+        self.table.record_completion(context.now, &notes.cleared);
         for report in &notes.crashes {
             let at = context.now - ClockSpan::from_ms(report.age_ms.into());
             let CrashReport { target, beginning, retry, .. } = *report;
             let crash = PartCrash { target, at, beginning, retry };
             let protected = self.record_crash(context, crash, &report.parts);
-            self.quarantine.news.cleared.extend(protected);
+            self.news.cleared.extend(protected);
         }
         for part in &notes.withheld {
-            if !self.quarantine.table.adopt(context.now, part) {
-                self.quarantine.news.cleared.push(part.key);
+            if !self.table.adopt(context.now, part) {
+                self.news.cleared.push(part.key);
             }
         }
     }
 
-    /// Sends the news to all other routers, and the withheld blocks from time to time.
-    pub(crate) fn announce_quarantine(&mut self, context: &mut EventContext<'_>) {
-        if context.now.since(self.quarantine.last_repeat) >= REPEAT_SPAN {
-            self.quarantine.last_repeat = context.now;
-            self.quarantine.table.expire(context.now);
-            let mut withheld = self.quarantine.table.withheld(context.now);
+    /// Returns the news for the peers, with the withheld keys from time to time.
+    fn take_news(&mut self, now: ClockTime) -> Option<QuarantineNotes> {
+        if now.since(self.last_repeat) >= REPEAT_SPAN {
+            self.last_repeat = now;
+            self.table.expire(now);
+            let mut withheld = self.table.withheld(now);
             withheld.truncate(MAX_WITHHELD);
-            self.quarantine.news.withheld = withheld;
-        }
-        if self.quarantine.news.is_empty() {
-            return;
-        }
-        let notes = std::mem::take(&mut self.quarantine.news);
-        let own = self.settings.node.vm.clone();
-        for to in member_names(&self.fleet).into_iter().filter(|vm| *vm != own) {
-            let message = PeerMessage::Quarantine(notes.clone());
-            context.actions.push(RouterAction::Peer { to, message });
+            self.news.withheld = withheld;
         }
+        (!self.news.is_empty()).then(|| std::mem::take(&mut self.news))
     }
 
     fn record_crash(
@@ -148,7 +114,7 @@
         keys: &[PartKey],
     ) -> Vec<PartKey> {
         let is_withheld = |table: &QuarantineTable, key: &PartKey| table.is_withheld(*key);
-        let table = &mut self.quarantine.table;
+        let table = &mut self.table;
         let known: BTreeSet<PartKey> =
             keys.iter().copied().filter(|key| is_withheld(table, key)).collect();
         let protected = table.record_crash(context.now, crash, keys);
@@ -158,11 +124,90 @@
         }
         protected
     }
+}
 
-    /// Refuses a waiting request with a withheld block. Nothing says that it will ever be served.
-    pub(crate) fn refuse_withheld(&mut self, context: &mut EventContext<'_>, id: RequestId) {
-        self.refuse_waiting(context, id, ErrorKind::PromptWithheld, None);
+impl RouterState {
+    /// Returns the error with which a request must be refused because it, or a block of its prompt, crashes targets.
+    pub(crate) fn withheld_because(&mut self, now: ClockTime, id: RequestId) -> Option<ErrorKind> {
+        let entry = self.requests.get(id)?;
+        // A stream that has sent tokens goes on.
+        if entry.log.tokens() > 0 {
+            return None;
+        }
+        let blocks = block_keys(&entry.facts.chain);
+        let is_retry = !entry.failed_targets.is_empty();
+        let (fleet, own) = (&self.fleet, &self.settings.node.vm);
+        let may_try = |key: PartKey| {
+            let members = member_names(fleet);
+            rendezvous::owner(key.hash(), &members).is_none_or(|owner| members[owner] == *own)
+        };
+        let request = entry.facts.repeat_key;
+        if self.repeats.is_withheld(now, request.as_slice(), is_retry, may_try) {
+            return Some(ErrorKind::RequestWithheld);
+        }
+        let is_withheld = self.quarantine.is_withheld(now, &blocks, is_retry, may_try);
+        is_withheld.then_some(ErrorKind::PromptWithheld)
     }
+
+    /// Records that an attempt was lost whose request may have run.
+    pub(crate) fn record_lost_answer(
+        &mut self,
+        context: &mut EventContext<'_>,
+        id: RequestId,
+        target: &TargetName,
+    ) {
+        let Some(entry) = self.requests.get(id) else { return };
+        let keys = block_keys(&entry.facts.chain);
+        let Some(crash) = crash_of(context.now, entry, target) else { return };
+        if !keys.is_empty() {
+            self.quarantine.record_lost(context, crash, keys);
+        }
+    }
+
+    /// Records that the connection to a request's target was lost, which is evidence against the request itself. Other
+    /// failures are answers of a target that lives.
+    pub(crate) fn record_lost_request(&mut self, context: &mut EventContext<'_>, id: RequestId) {
+        let Some(entry) = self.requests.get(id) else { return };
+        let (Some(key), Some(placed)) = (entry.facts.repeat_key, &entry.placed) else { return };
+        let Some(crash) = crash_of(context.now, entry, &placed.target) else { return };
+        self.repeats.record_lost(context, crash, vec![key]);
+    }
+
+    /// Records that the answer to a request was complete or went on past its beginning.
+    pub(crate) fn record_sound_answer(
+        &mut self,
+        now: ClockTime,
+        chain: &PrefixChain,
+        repeat_key: Option<PartKey>,
+    ) {
+        self.quarantine.record_sound(now, &block_keys(chain));
+        self.repeats.record_sound(now, repeat_key.as_slice());
+    }
+
+    /// Sends the news to all other routers.
+    pub(crate) fn announce_quarantine(&mut self, context: &mut EventContext<'_>) {
+        let blocks = self.quarantine.take_news(context.now).map(PeerMessage::Quarantine);
+        let requests = self.repeats.take_news(context.now).map(PeerMessage::Repeats);
+        let own = self.settings.node.vm.clone();
+        for message in blocks.into_iter().chain(requests) {
+            for to in member_names(&self.fleet).into_iter().filter(|vm| *vm != own) {
+                let message = message.clone();
+                context.actions.push(RouterAction::Peer { to, message });
+            }
+        }
+    }
+}
+
+// Returns the crash of a target that ended an attempt; `None` if the answer had gone on past its beginning.
+fn crash_of(now: ClockTime, entry: &RequestEntry, target: &TargetName) -> Option<PartCrash> {
+    let phase = answer_phase(entry);
+    let tag = TargetTag::of(target.as_str());
+    (phase != AnswerPhase::Continuing).then_some(PartCrash {
+        target: (tag.0 >> 32) as u32,
+        at: now,
+        beginning: phase == AnswerPhase::Beginning,
+        retry: !entry.failed_targets.is_empty(),
+    })
 }
 
 // Returns the names of all routers in the rosters, this one included.
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -46,6 +46,7 @@
             ErrorKind::Overloaded => "the request can't be served before its deadline",
             ErrorKind::TargetUnavailable => "no target can take the request",
             ErrorKind::PromptWithheld => "the prompt has a block that crashes targets",
+            ErrorKind::RequestWithheld => "the same request has crashed several targets",
             ErrorKind::TargetFailed => "the target failed before the answer was complete",
             ErrorKind::ClaimUnavailable => "the idempotency key can't be claimed at the moment",
             ErrorKind::ClaimPending => "a request with this idempotency key runs or is about to",
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -6,6 +6,7 @@
 use godwitroad_config::{KeyHash, PriorityClass, RepeatRule, RouteConfig};
 use godwitroad_lifecycle::LifeStage;
 use godwitroad_prefix::PrefixChain;
+use godwitroad_quarantine::PartKey;
 use godwitroad_queue::{QueuePriority, QueuedRequest};
 use godwitroad_stream::StreamLog;
 
@@ -28,6 +29,8 @@
     pub(crate) deadline: ClockTime,
     pub(crate) is_streaming: bool,
     pub(crate) idempotency_key: Option<Arc<str>>,
+    /// Recognizes the account's request when it comes again.
+    pub(crate) repeat_key: Option<PartKey>,
 }
 
 /// A request that has not ended.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,6 +12,7 @@
 use godwitroad_limits::{RateEvent, RateTable};
 use godwitroad_member::{MemberEvent, MemberReport};
 use godwitroad_prefix::ShardEvent;
+use godwitroad_quarantine::QuarantineSettings;
 use godwitroad_queue::{FairQueue, QueueSettings};
 use godwitroad_stream::LogSettings;
 use godwitroad_sync::SyncEvent;
@@ -23,7 +24,7 @@
     explain::ExplainLog,
     fleet::{FleetComponents, FleetEvent, FleetOutcome},
     placement::{MAX_BROADCAST_ZONES, RequestPlacement},
-    quarantine::PromptQuarantine,
+    quarantine::SharedQuarantine,
     request::RequestTable,
     stop::{HandoffProgress, StopPhase},
     view::ConfigView,
@@ -65,7 +66,9 @@
     pub(crate) requests: RequestTable,
     pub(crate) rates: LocalRates,
     pub(crate) placement: RequestPlacement,
-    pub(crate) quarantine: PromptQuarantine,
+    /// Of blocks of prompts, and of whole requests that come again.
+    pub(crate) quarantine: SharedQuarantine,
+    pub(crate) repeats: SharedQuarantine,
     pub(crate) queues: BTreeMap<ServiceName, FairQueue>,
     /// The serials of the requests whose cached prefix is being looked up.
     pub(crate) pending_lookups: BTreeSet<u64>,
@@ -120,7 +123,8 @@
                 &settings.placement,
                 random.fork(),
             ),
-            quarantine: PromptQuarantine::new(now),
+            quarantine: SharedQuarantine::new(now, QuarantineSettings::default()),
+            repeats: SharedQuarantine::new(now, QuarantineSettings::for_requests()),
             queues: BTreeMap::new(),
             pending_lookups: BTreeSet::new(),
             stalled: false,
@@ -224,7 +228,10 @@
                 self.handle_shard_actions(context, actions);
             }
             PeerMessage::Load(update) => self.placement.apply_load_update(context.now, update),
-            PeerMessage::Quarantine(notes) => self.receive_quarantine(context, &notes),
+            PeerMessage::Quarantine(notes) => {
+                self.quarantine.receive(context, &notes);
+            }
+            PeerMessage::Repeats(notes) => self.repeats.receive(context, &notes),
             message => {
                 if let Some(fleet) = &mut self.fleet {
                     let outcomes = fleet.handle_message(context.now, from, message);
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -6,7 +6,9 @@
 
 use godwitroad_config::RateConfig;
 use godwitroad_prefix::BLOCK_BYTES;
-use godwitroad_router::{CallerReply, ErrorKind, RequestArrival, RouterEvent, RunOutcome};
+use godwitroad_router::{
+    CallerReply, ErrorKind, RequestArrival, RequestDigest, RouterEvent, RunOutcome,
+};
 use support::{
     chat, document,
     fleet::{FakeFleet, FaultRates},
@@ -111,6 +113,37 @@
     }
 }
 
+/// Guards against a request to a plain service that crashes one target after the other, and against sound requests that are
+/// refused with it.
+#[test]
+fn a_request_that_crashes_its_targets_and_comes_again_soon_reaches_none() {
+    let mut fleet = started_fleet(8);
+    fleet.deadly = Some("deadly");
+    let request = |body: &str| RequestArrival {
+        prompt: Arc::from(body.as_bytes()),
+        digest: Some(RequestDigest::new("POST", "", "/register", body.as_bytes())),
+        ..with_idempotency_key("secret-1", body)
+    };
+    let names: Vec<String> = fleet.vms.keys().map(|vm| vm.to_string()).collect();
+    let (mut deadly, mut sound) = (Vec::new(), Vec::new());
+    for round in 0..15 {
+        let vm = |shift: usize| &names[(round + shift) % names.len()];
+        let arrival = RequestArrival { idempotency_key: None, ..request("deadly") };
+        deadly.push(fleet.request(vm(0), arrival));
+        sound.push(fleet.request(vm(4), request(&format!("sound {round}"))));
+        // Crashes of one target within a second count as one.
+        fleet.run(1_100);
+    }
+    fleet.run(4_000);
+    assert!(fleet.crashes.len() <= 3, "{} targets crashed", fleet.crashes.len());
+    for id in &deadly[5..] {
+        assert_eq!(error_of(&fleet, *id), (ErrorKind::RequestWithheld, RunOutcome::NotRun));
+    }
+    for id in &sound {
+        assert_eq!(fleet.last_reply(*id), Some(&CallerReply::End));
+    }
+}
+
 #[test]
 fn retry_through_any_router_gets_the_recorded_answer() {
     let mut fleet = started_fleet(4);
--- a/crates/router/tests/support/fleet.rs
+++ b/crates/router/tests/support/fleet.rs
@@ -380,6 +380,10 @@
             attempt,
             report,
         };
+        if self.deadly.is_some_and(|text| body.contains(text)) {
+            self.crashes.push(self.now);
+            return self.schedule(10, report(AttemptReport::Lost));
+        }
         if self.random.chance(self.faults.target_dies_before) {
             let failed = AttemptReport::Failed { sent: true, rejected: false };
             return self.schedule(10, report(failed));
