Requests that come again: one router sends the tests, the first trial after 10 s

Now only the router that may send trials sends probes, one of them, and three tests in all. A sound request that is withheld wrongly waits 10 s instead of 30 s.

--- a/crates/quarantine/src/settings.rs
+++ b/crates/quarantine/src/settings.rs
@@ -23,6 +23,10 @@
     pub evidence_span: ClockSpan,
     /// The time for which a part is withheld before one request with it is sent on trial. It doubles with each trial.
     pub trial_span: ClockSpan,
+    /// Whether one router alone sends all tests, so that there are never too many before the others know of them.
+    pub is_exclusive: bool,
+    /// Limit of requests that are sent because another part may be the cause of the crashes.
+    pub max_probes: u32,
     /// Limit of requests that are sent although they are withheld, on trial or because another part may be the cause.
     pub max_tests: u32,
     /// The longest time between two trials, and the time after which a part that no request contains is forgotten.
@@ -41,7 +45,9 @@
             min_beginnings: 0,
             // Many callers may send the request at the same time, so that its targets crash soon after each other.
             burst_span: ClockSpan::ZERO,
-            trial_span: ClockSpan::from_secs(30),
+            trial_span: ClockSpan::from_secs(10),
+            is_exclusive: true,
+            max_probes: 1,
             max_tests: 3,
             ..QuarantineSettings::default()
         }
@@ -66,6 +72,8 @@
             protection_span: ClockSpan::from_secs(2),
             evidence_span: ClockSpan::from_secs(120),
             trial_span: ClockSpan::from_secs(10),
+            is_exclusive: false,
+            max_probes: 2,
             max_tests: u32::MAX,
             max_trial_span: ClockSpan::from_secs(600),
         }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -58,10 +58,7 @@
     outages: OutageLog,
 }
 
-/// Limit of requests with a withheld part that are sent because another part may be the cause.
-const MAX_PROBES: u32 = 2;
-
-/// The time between two such requests, in which the first one begins to be answered or crashes its target.
+/// The time between two requests with a withheld part that are sent because another part may be the cause, in which the first one begins to be answered or crashes its target.
 const PROBE_SPAN: ClockSpan = ClockSpan::from_ms(1_500);
 
 /// Limit of parts under suspicion. A caller can send any number of parts, but each withheld one costs three targets.
@@ -184,7 +181,11 @@
         };
         if is_retry || span.trials.saturating_add(span.probes) >= self.settings.max_tests {
             PartJudgement::Withheld
-        } else if is_excused && span.probes < MAX_PROBES && now >= span.probed_until {
+        } else if is_excused
+            && span.probes < self.settings.max_probes
+            && now >= span.probed_until
+            && (!self.settings.is_exclusive || may_try(key))
+        {
             PartJudgement::Probed
         } else if now >= span.until && may_try(key) {
             PartJudgement::Tried
