--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -58,7 +58,8 @@
     outages: OutageLog,
 }
 
-/// The time between two requests with a withheld part that are sent because another part may be the cause, in which the first one begins to be answered or crashes its target.
+/// The time between two requests with a withheld part that are sent because another part may be the cause. In it the first
+/// one begins to be answered or crashes its target.
 const PROBE_SPAN: ClockSpan = ClockSpan::from_ms(1_500);
 
 /// Limit of parts under suspicion. A caller can send any number of parts, but each withheld one costs three targets.
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -113,8 +113,7 @@
     }
 }
 
-/// Guards against a request to a plain service that crashes one target after the other, and against sound requests that are
-/// refused with it.
+/// Guards against one request that crashes target after target, and against sound ones that are refused with it.
 #[test]
 fn a_request_that_crashes_its_targets_and_comes_again_soon_reaches_none() {
     let mut fleet = started_fleet(8);
