Connect to targets through a peer when this router can't reach them

The logs show each request placed at up to four targets, each of which ended as `NotSent` after the connect limit of 350 ms, and then `no_target`.

The cause is that a router had no way to a target but its own links, and took a lost link for a target that is down. Now a connection that hangs for 100 ms or fails is also opened through a peer. Only if the peer succeeds where this router does not, the target counts as out of reach; later connections go through peers at once, and a direct one is tried once a second until it succeeds. From two such targets on, with no answer from any other, all count as out of reach.

The peer only copies bytes to a target that it lists and reaches itself, so there is one hop at most and every decision stays with the router that has the request: it can't run twice, and a connection that breaks behind the peer is a broken connection to the target. The end of the target's bytes is marked, so that a peer that dies isn't taken for the end of an answer that ends with its connection.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod leaving;
 mod load;
 mod peers;
+mod reach;
 mod recent;
 mod request;
 mod roster;
@@ -42,6 +43,7 @@
 pub use peers::{
     DeferralEntry, GossipMessage, MIN_PEER_TIMEOUT, PeerPlace, PeerState, PeerTable, ReloadEntry,
 };
+pub use reach::{DirectOutcome, ReachChange, ReachNotes, ReachSettings};
 pub use request::{
     AttemptOutcome, ForwardArrival, ForwardRefusal, ForwardRequest, NextStep, RefusalReason,
     SendPlan,
@@ -54,7 +56,8 @@
     CacheEvent, CacheEventBatch, CachedSegments, PromptPart, SegmentKey, SentPromptEntry,
 };
 pub use state::{
-    FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RetryBounds, StoreStep,
+    ConnectPlan, FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RelayPeer,
+    RetryBounds, StoreStep,
 };
 
 /// Returns the 32-bit tag that stands for a name in gossip messages: the upper half of the name's 64-bit hash.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, allowance::UsageEntry,
+    LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, ReachNotes, allowance::UsageEntry,
     load::LoadEntry, segments::SentPromptEntry,
 };
 
@@ -88,6 +88,9 @@
     /// Targets that reject the sender's requests, encoded after those that leave.
     #[serde(skip)]
     pub deferrals: Vec<DeferralEntry>,
+    /// Targets that the sender doesn't reach directly, encoded after those that reject requests.
+    #[serde(skip)]
+    pub reach: ReachNotes,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -78,6 +78,7 @@
             origins: Box::new(origins),
             leaving: self.roster.leaving_runs().notices(now, repeat_span),
             deferrals: self.rejection_entries(now),
+            reach: self.reach.notes(),
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod placement;
 mod quarantine;
+mod reach;
 mod store_watch;
 mod targets;
 mod throttle;
@@ -43,8 +44,8 @@
 use crate::{
     AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChoiceSettings,
     ConfigFreshness, ContactSettings, ForwardRefusal, ForwardRules, GossipMessage, LoadTable,
-    OriginNotes, OriginSettings, PeerPlace, PeerTable, RefusalReason, ReloadEntry, SentPromptEntry,
-    TargetRecord, TargetRoster, recent::RecentEntries,
+    OriginNotes, OriginSettings, PeerPlace, PeerTable, ReachSettings, RefusalReason, ReloadEntry,
+    SentPromptEntry, TargetRecord, TargetRoster, reach::ReachTable, recent::RecentEntries,
 };
 
 use deferral::DeferralQueues;
@@ -52,6 +53,7 @@
 use health::HealthTable;
 use orders::WeightAnnouncement;
 use quarantine::SharedQuarantine;
+pub use reach::{ConnectPlan, RelayPeer};
 use store_watch::StoreProgress;
 pub use store_watch::StoreStep;
 
@@ -99,6 +101,8 @@
     pub repeats: QuarantineSettings,
     /// The bounds of what is remembered of streams that callers may take up.
     pub origins: OriginSettings,
+    /// When targets count as out of reach, and how connections to them are opened.
+    pub reach: ReachSettings,
 }
 
 /// An input to the decision state.
@@ -225,6 +229,7 @@
     cached_segments: BTreeMap<FeedSource, CachedSegments>,
     loads: LoadTable,
     health: HealthTable,
+    reach: ReachTable,
     // Of parts of prompts, and of whole requests that come again.
     quarantine: SharedQuarantine,
     repeats: SharedQuarantine,
@@ -301,6 +306,7 @@
             quarantine: QuarantineSettings::default(),
             repeats: QuarantineSettings::for_requests(),
             origins: OriginSettings::default(),
+            reach: ReachSettings::default(),
         }
     }
 }
@@ -322,6 +328,7 @@
             cached_segments: BTreeMap::new(),
             loads: LoadTable::default(),
             health: HealthTable::new(settings.health),
+            reach: ReachTable::new(settings.reach),
             quarantine: SharedQuarantine::new("part", settings.quarantine),
             repeats: SharedQuarantine::new("request", settings.repeats),
             throttle: ThrottleTable::default(),
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -78,6 +78,7 @@
             RosterChange::Started => {
                 self.cached_segments.remove(&FeedSource::Target(name.clone()));
                 self.health.restart(now, &name);
+                self.reach.forget(&name);
                 self.throttle.remove(tag_of(name.as_str()));
                 self.forget_rejections(now, &name);
                 self.store_progress.record_urgent();
@@ -179,6 +180,7 @@
         self.cached_segments.remove(&FeedSource::Target(name.clone()));
         self.loads.remove_target(name);
         self.health.remove(name);
+        self.reach.forget(name);
         self.throttle.remove(tag_of(name.as_str()));
         self.forget_rejections(now, name);
     }
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -18,6 +18,7 @@
     client::{SendError, TargetExchange},
     core::SharedCore,
     platform::{AnswerMetadata, PlatformAdapter},
+    relay::{self, DialTarget},
 };
 
 /// A caller's request as it is forwarded, without hop-by-hop headers.
@@ -106,8 +107,20 @@
         let request = self.build_request(payload, resume);
         let (address, fresh_connection) = (self.plan.address, self.plan.fresh_connection);
         let id = self.request().arrival.id.clone();
-        let sent = core.client.send(address, request, Some(&id), fresh_connection, deadline).await;
+        let target = &self.plan.target;
+        let open = async |deadline| {
+            let started_ms = self.plan.started_ms;
+            let dial = DialTarget { name: target, started_ms, address, request: &id };
+            relay::open_connection(&core, dial, deadline).await
+        };
+        let sent = core
+            .client
+            .send_over(address, request, Some(&id), fresh_connection, deadline, open)
+            .await;
         let exchange = sent.map_err(|error| self.outcome(error, AnswerPhase::Waiting))?;
+        if !exchange.is_relayed && core.update(|state| state.record_direct_answer(core.now())) {
+            core.send_gossip.notify_one();
+        }
         core.metrics.record("attempts.head_ms", core.now().since(now).as_ms());
         let metadata = core.platform.read_answer(exchange.status, &exchange.headers);
         self.record_demands(now, &metadata);
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     task::AbortHandle,
     time::{Instant, timeout_at},
@@ -22,7 +23,7 @@
 
 /// The time for which written bytes may stay unacknowledged before the connection counts as dead. The longest round trip
 /// takes some tens of milliseconds, and a lost packet is retransmitted within a few hundred milliseconds.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The idle time before the first keepalive probe, and the time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,10 +36,25 @@
 
 /// A connection and the task that drives it. Dropping it closes the connection.
 #[derive(Debug)]
-pub(super) struct TargetConnection {
+pub(crate) struct TargetConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     has_requests: bool,
+    is_relayed: bool,
+}
+
+/// Sets the options by which a connection to a process that can no longer be reached ends: for how long written bytes may
+/// stay unacknowledged, and how an idle connection is probed.
+pub(crate) fn set_liveness(stream: &TcpStream, unacknowledged_timeout: Duration) {
+    // If the system rejects an option, a dead connection is only detected later.
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(unacknowledged_timeout));
 }
 
 impl TargetConnection {
@@ -47,18 +63,22 @@
     /// # Errors
     ///
     /// Returns [`SendError::NotSent`] if the connection can't be established.
-    pub(super) async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetConnection> {
+    pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetConnection> {
         let connect = timeout_at(deadline, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connect else { return Err(SendError::NotSent) };
-        // If the system rejects an option, a dead connection is only detected later.
-        let _ = stream.set_nodelay(true);
-        let socket = SockRef::from(&stream);
-        let keepalive = TcpKeepalive::new()
-            .with_time(KEEPALIVE_INTERVAL)
-            .with_interval(KEEPALIVE_INTERVAL)
-            .with_retries(KEEPALIVE_RETRIES);
-        let _ = socket.set_tcp_keepalive(&keepalive);
-        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        set_liveness(&stream, UNACKNOWLEDGED_TIMEOUT);
+        TargetConnection::over(stream, false).await
+    }
+
+    /// Starts HTTP on a stream that is connected to the target; `is_relayed` says that this is through a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] if the stream is closed.
+    pub(crate) async fn over<S>(stream: S, is_relayed: bool) -> Result<TargetConnection>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
@@ -66,7 +86,12 @@
         let (sender, connection) = handshake.map_err(|_| SendError::NotSent)?;
         // The result is dropped because an error also reaches the task that waits for an answer on the connection.
         let task = actix_rt::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(TargetConnection { sender, task, has_requests: false })
+        Ok(TargetConnection { sender, task, has_requests: false, is_relayed })
+    }
+
+    /// Returns whether the connection leads through a peer.
+    pub(super) fn is_relayed(&self) -> bool {
+        self.is_relayed
     }
 
     /// Records that a request follows, and returns whether it is the first on this connection.
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,7 +9,7 @@
 //! only if it can't be an earlier one: by the id in it, if no request with that id was sent to the address before, or
 //! because its request is the first on its connection. Bytes that arrive on an idle connection close it.
 
-mod connection;
+pub(crate) mod connection;
 mod pool;
 mod sent;
 
@@ -36,7 +36,7 @@
     time::{Instant, timeout_at},
 };
 
-use connection::TargetConnection;
+pub(crate) use connection::TargetConnection;
 use pool::ConnectionPool;
 use sent::SentRequests;
 
@@ -87,6 +87,8 @@
     pub framing: BodyFraming,
     /// Whether the request was the first on its connection, so that this can't be the answer to an earlier one.
     pub is_first: bool,
+    /// Whether the connection leads through a peer.
+    pub is_relayed: bool,
     body: Incoming,
     // What was read of the body ahead of its use.
     read_ahead: BytesMut,
@@ -106,6 +108,9 @@
 /// that takes much longer is down or unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The time after which a request that ends unanswered leaves its path in doubt.
+const UNANSWERED_TIME: Duration = Duration::from_millis(500);
+
 /// The size limit of an answer body that is buffered completely.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 4 << 20;
 
@@ -133,6 +138,24 @@
         id: Option<&str>,
         fresh_connection: bool,
         deadline: Instant,
+    ) -> Result<TargetExchange> {
+        let open = async |deadline| TargetConnection::open(address, deadline).await;
+        self.send_over(address, request, id, fresh_connection, deadline, open).await
+    }
+
+    /// Like [`send`](Self::send), with new connections opened by `open`, which gets the time limit for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that states whether the request may have been sent.
+    pub(crate) async fn send_over(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        id: Option<&str>,
+        fresh_connection: bool,
+        deadline: Instant,
+        open: impl AsyncFnOnce(Instant) -> Result<TargetConnection>,
     ) -> Result<TargetExchange> {
         let mut request = request.map(Full::new);
         let was_sent = id.is_some_and(|id| self.sent.borrow_mut().record(address, id));
@@ -151,7 +174,7 @@
             }
         }
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connection = TargetConnection::open(address, connect_deadline).await?;
+        let connection = open(connect_deadline).await?;
         let sent = self.send_on(connection, request, address, deadline).await;
         sent.map_err(|failure| failure.error)
     }
@@ -166,6 +189,8 @@
         let failed = |error| FailedSend { error, request: None };
         let too_many = limit_informational(&mut request);
         let is_first = connection.begin_request();
+        let is_relayed = connection.is_relayed();
+        let mut unanswered = UnansweredRequest::new(&self.pool, address, !is_first);
         let sent = async {
             tokio::select! {
                 sent = connection.send(request) => Some(sent),
@@ -174,6 +199,7 @@
         };
         match timeout_at(deadline, sent).await {
             Ok(Some(Ok(response))) => {
+                unanswered.pool = None;
                 let (parts, body) = Response::into_parts(response);
                 let (status, headers) = (parts.status, parts.headers);
                 let framing = BodyFraming::of(&headers, &body);
@@ -184,6 +210,7 @@
                     headers,
                     framing,
                     is_first,
+                    is_relayed,
                     body,
                     read_ahead,
                     connection,
@@ -264,6 +291,38 @@
     pub fn close_idle(&self, address: SocketAddr) {
         self.pool.borrow_mut().close_idle(address);
     }
+
+    /// Closes the idle connections to an address that lead through a peer, or those that don't.
+    pub(crate) fn close_paths(&self, address: SocketAddr, relayed: bool) {
+        self.pool.borrow_mut().close_paths(address, relayed);
+    }
+
+    /// Adds a connection on which nothing was sent to the pool.
+    pub(crate) fn add_unused(&self, address: SocketAddr, connection: TargetConnection) {
+        self.pool.borrow_mut().put(address, connection, &HeaderMap::new());
+    }
+}
+
+// A request on a reused connection that has no answer yet. If it ends unanswered after some time, the path may be lost, and
+// the other idle connections to the address are closed so that no further request depends on them.
+struct UnansweredRequest<'a> {
+    pool: Option<&'a RefCell<ConnectionPool>>,
+    address: SocketAddr,
+    sent_at: Instant,
+}
+
+impl<'a> UnansweredRequest<'a> {
+    fn new(pool: &'a RefCell<ConnectionPool>, address: SocketAddr, is_reused: bool) -> Self {
+        UnansweredRequest { pool: is_reused.then_some(pool), address, sent_at: Instant::now() }
+    }
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool.filter(|_| self.sent_at.elapsed() >= UNANSWERED_TIME) {
+            pool.borrow_mut().close_idle(self.address);
+        }
+    }
 }
 
 // A failed send; the request is present if no byte of it was written.
--- a/crates/proxy/src/client/pool.rs
+++ b/crates/proxy/src/client/pool.rs
@@ -71,6 +71,13 @@
     pub(super) fn close_idle(&mut self, address: SocketAddr) {
         self.idle.remove(&address);
     }
+
+    /// Closes the idle connections to an address that lead through a peer, or those that don't.
+    pub(super) fn close_paths(&mut self, address: SocketAddr, relayed: bool) {
+        if let Some(idle) = self.idle.get_mut(&address) {
+            idle.retain(|entry| entry.connection.is_relayed() != relayed);
+        }
+    }
 }
 
 // Returns how long the connection can stay idle, or `None` if the target closes it immediately.
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -45,6 +45,8 @@
     pub(crate) write_entry: Notify,
     /// The requests that were read and whose answers aren't complete.
     pub(crate) open_requests: Cell<usize>,
+    /// The connections to targets that are relayed for other routers.
+    pub(crate) open_relays: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     /// Set to `true` to make callers' connections close as soon as they are idle.
     pub(crate) closing: watch::Sender<bool>,
@@ -70,6 +72,7 @@
             check_store: Notify::new(),
             write_entry: Notify::new(),
             open_requests: Cell::new(0),
+            open_relays: Cell::new(0),
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
             clock,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod origins;
 pub mod platform;
+mod relay;
 mod run;
 mod serve;
 mod settings;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -12,7 +12,7 @@
     core::{ProxyCore, SharedCore},
     feeds, gossip, order_lease, origins,
     platform::PlatformAdapter,
-    serve,
+    relay, serve,
     settings::ProxySettings,
     store,
     supervision::run_supervised,
@@ -65,6 +65,7 @@
     let gossip_socket = gossip::open(settings.peers).await;
     let gossip_socket =
         gossip_socket.with_context(|| format!("can't open {} for gossip", settings.peers))?;
+    let relays = serve::bind(settings.peers).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     log.event("started", &describe(&settings));
@@ -79,6 +80,7 @@
     spawn(serve::serve_ready(core.clone(), ready));
     spawn(serve::serve_metrics(core.clone(), metrics));
     spawn(serve::serve_callers(core.clone(), callers));
+    spawn(relay::serve_peers(core.clone(), relays));
     spawn(watch_settings(core.clone(), hangup));
     terminate.recv().await.ok_or_else(|| anyhow!("the signals can't be received"))?;
     stop(&core).await;
@@ -133,7 +135,8 @@
             core.closing.send_replace(true);
         }
         let is_rolling_out = core.read(|state| state.is_rolling_out(core.now()));
-        let is_done = elapsed >= DRAIN_TIME && core.open_requests.get() == 0 && !is_rolling_out;
+        let open = core.open_requests.get() + core.open_relays.get();
+        let is_done = elapsed >= DRAIN_TIME && open == 0 && !is_rolling_out;
         if is_done || elapsed >= grace {
             break;
         }
@@ -141,9 +144,10 @@
     }
     order_lease::release(core).await;
     let detail = format!(
-        "after_ms={} open_requests={}",
+        "after_ms={} open_requests={} open_relays={}",
         core.now().since(started).as_ms(),
-        core.open_requests.get()
+        core.open_requests.get(),
+        core.open_relays.get(),
     );
     core.log.event("stopped", &detail);
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -124,7 +124,8 @@
     }
 }
 
-async fn accept<P: PlatformAdapter>(
+/// Accepts a connection; returns `None` after a failure, which is logged.
+pub(crate) async fn accept<P: PlatformAdapter>(
     core: &SharedCore<P>,
     listener: &TcpListener,
 ) -> Option<(TcpStream, SocketAddr)> {
--- /dev/null
+++ b/crates/proxy/tests/unit/relay.rs
@@ -0,0 +1,108 @@
+//! Tests of the opening message and of the chunks in which a peer passes on a target's bytes.
+
+use std::io::ErrorKind;
+
+use actix_rt::System;
+use proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest};
+use tokio::io::AsyncReadExt;
+use yare::parameterized;
+
+use super::{
+    OpeningAnswer, OpeningError, RelayOpening,
+    stream::{LENGTH_BYTES, MAX_CHUNK_BYTES, RelayStream, write_chunk},
+};
+
+fn opening() -> RelayOpening {
+    RelayOpening { target: "i-7f3a".into(), started_ms: 1_782_000_000_000, request: "9c41".into() }
+}
+
+fn read_opening(mut bytes: &[u8]) -> Result<RelayOpening, OpeningError> {
+    System::new().block_on(RelayOpening::read(&mut bytes))
+}
+
+// Returns what the router reads from these bytes of its peer, and how reading ended.
+fn read_stream(bytes: &[u8]) -> (Vec<u8>, std::io::Result<usize>) {
+    let mut read = Vec::new();
+    let end = System::new().block_on(RelayStream::new(bytes).read_to_end(&mut read));
+    (read, end)
+}
+
+fn chunks(parts: &[&[u8]]) -> Vec<u8> {
+    let mut written = Vec::new();
+    for part in parts {
+        let mut chunk = [&[0; LENGTH_BYTES][..], part].concat();
+        System::new().block_on(write_chunk(&mut written, &mut chunk)).expect("memory is writable");
+    }
+    written
+}
+
+#[test]
+fn an_opening_is_read_as_it_was_written() {
+    let bytes = opening().encode().expect("a short opening");
+    assert_eq!(read_opening(&bytes).expect("a readable opening"), opening());
+    for length in 0..bytes.len() {
+        assert!(read_opening(&bytes[..length]).is_err(), "{length} of {} bytes", bytes.len());
+    }
+    let long = RelayOpening { request: "x".repeat(1_000), ..opening() };
+    assert_eq!(long.encode(), None);
+}
+
+#[parameterized(
+    another_version = { &[2, 0, 1, 0] },
+    too_large = { &[1, 255, 255, 0] },
+    more_than_an_opening = { &[1, 0, 6, 1, 97, 5, 1, 98, 7] },
+    no_text = { &[1, 0, 5, 1, 255, 5, 1, 98] },
+    another_protocol = { b"GET /readyz HTTP/1.1\r\n\r\n" },
+)]
+fn an_unreadable_opening_is_refused(bytes: &[u8]) {
+    let error = read_opening(bytes).expect_err("an unreadable opening");
+    assert!(!matches!(error, OpeningError::Connection(_)), "{error}");
+}
+
+#[test]
+fn each_answer_to_an_opening_has_a_code_of_its_own() {
+    for answer in OpeningAnswer::ALL {
+        assert_eq!(OpeningAnswer::from_code(answer.code()), Some(answer));
+    }
+    assert_eq!(OpeningAnswer::from_code(200), None);
+}
+
+#[test]
+fn bytes_of_a_target_end_only_at_the_mark_of_their_end() {
+    let whole = chunks(&[b"HTTP/1.1 200 OK\r\n", b"\r\nbody", b""]);
+    let (read, end) = read_stream(&whole);
+    assert_eq!((read.as_slice(), end.ok()), (&b"HTTP/1.1 200 OK\r\n\r\nbody"[..], Some(23)));
+    for length in 0..whole.len() {
+        let (_, end) = read_stream(&whole[..length]);
+        assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset), "{length}");
+    }
+    let large = u16::try_from(MAX_CHUNK_BYTES + 1).expect("two bytes").to_be_bytes();
+    let (_, end) = read_stream(&large);
+    assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::InvalidData));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_an_opening_or_an_error(
+        version in prop_oneof![Just(1), any::<u8>()],
+        rest in prop::collection::vec(any::<u8>(), 0..80),
+    ) {
+        let bytes = [&[version][..], &rest].concat();
+        if let Ok(opening) = read_opening(&bytes) {
+            let encoded = opening.encode().expect("it was short enough to be read");
+            assert_eq!(read_opening(&encoded).expect("a readable opening"), opening);
+        }
+    }
+
+    #[test]
+    fn chunks_are_read_as_they_were_written(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..300), 0..8)
+            .prop_map(|parts: Vec<Vec<u8>>| parts)
+    ) {
+        let mut all: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+        all.push(b"");
+        let (read, end) = read_stream(&chunks(&all));
+        assert!(end.is_ok());
+        assert_eq!(read, parts.concat());
+    }
+}
