Ask peers of several availability zones, and last those that failed

The peers of the own zone were asked first, and a refusal by one of them ended the search, as if the target itself were down; the peers that could connect were never asked.

Each peer is now followed by one of another zone. A peer that failed where another one succeeded is asked last for 2 s, and only if all failed no peer is asked for this target for as long. A connection that is reset right after it was established is a lost path as well: an unsent request is sent through a peer, two connections that end before an answer have peers asked, and a probe counts only if its connection lasts.

--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use godwitroad_base::{ClockSpan, ClockTime, TargetName};
+use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName};
 use serde::{Deserialize, Serialize};
 
 use crate::tag_of;
@@ -23,6 +23,11 @@
     pub cut_evidence: usize,
     /// The maximum number of peers that are asked for one connection.
     pub max_peers: usize,
+    /// The time for which a peer that failed where another one succeeded is asked last, and for which no peer is asked for a
+    /// target that none could connect to.
+    pub failure_memory: ClockSpan,
+    /// The number of successive direct connections that end before their first answer, from which on peers are asked as well.
+    pub closed_evidence: u32,
 }
 
 impl Default for ReachSettings {
@@ -31,7 +36,9 @@
             hedge_delay: ClockSpan::from_ms(100),
             probe_interval: ClockSpan::from_ms(1_000),
             cut_evidence: 2,
-            max_peers: 3,
+            max_peers: 4,
+            failure_memory: ClockSpan::from_ms(2_000),
+            closed_evidence: 2,
         }
     }
 }
@@ -66,6 +73,11 @@
     last_direct: ClockTime,
     // Direct attempts at targets that count as out of reach only because all others are.
     probes: BTreeMap<TargetName, ClockTime>,
+    // The successive direct connections to each target that ended before their first answer.
+    closed: BTreeMap<TargetName, u32>,
+    failed_peers: BTreeMap<VmName, ClockTime>,
+    // When no peer could connect to a target.
+    unreachable: BTreeMap<TargetName, ClockTime>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +119,9 @@
             is_cut: false,
             last_direct: ClockTime::ZERO,
             probes: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            failed_peers: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
         }
     }
 
@@ -120,6 +135,53 @@
         !is_lost && !self.is_cut
     }
 
+    /// Returns whether direct connections to a target end before they bring an answer.
+    pub(crate) fn is_doubtful(&self, target: &TargetName) -> bool {
+        self.closed.get(target).is_some_and(|closed| *closed >= self.settings.closed_evidence)
+    }
+
+    /// Records that a direct connection to a target ended before its first answer.
+    pub(crate) fn record_closed(&mut self, target: &TargetName) {
+        *self.closed.entry(target.clone()).or_default() += 1;
+    }
+
+    /// Records which peers could not connect to a target, and whether another one could.
+    pub(crate) fn record_peers(
+        &mut self,
+        now: ClockTime,
+        target: &TargetName,
+        failed: &[VmName],
+        is_connected: bool,
+    ) {
+        if is_connected {
+            self.failed_peers.extend(failed.iter().map(|peer| (peer.clone(), now)));
+            self.unreachable.remove(target);
+        } else if !failed.is_empty() {
+            self.unreachable.insert(target.clone(), now);
+        }
+    }
+
+    /// Returns whether a peer lately failed where another one succeeded.
+    pub(crate) fn has_failed(&self, now: ClockTime, peer: &VmName) -> bool {
+        self.is_remembered(now, self.failed_peers.get(peer))
+    }
+
+    /// Returns whether no peer could lately connect to a target.
+    pub(crate) fn is_unreachable(&self, now: ClockTime, target: &TargetName) -> bool {
+        self.is_remembered(now, self.unreachable.get(target))
+    }
+
+    fn is_remembered(&self, now: ClockTime, failed_at: Option<&ClockTime>) -> bool {
+        failed_at.is_some_and(|at| now.since(*at) < self.settings.failure_memory)
+    }
+
+    /// Drops what is no longer remembered.
+    pub(crate) fn expire(&mut self, now: ClockTime) {
+        let memory = self.settings.failure_memory;
+        self.failed_peers.retain(|_, at| now.since(*at) < memory);
+        self.unreachable.retain(|_, at| now.since(*at) < memory);
+    }
+
     /// Returns whether all targets seem to be out of reach.
     pub(crate) fn is_cut(&self) -> bool {
         self.is_cut
@@ -142,7 +204,7 @@
         std::mem::take(&mut self.is_cut)
     }
 
-    /// Records that a target was connected to directly.
+    /// Records that a direct connection to a target has proved itself.
     pub(crate) fn record_direct(&mut self, now: ClockTime, target: &TargetName) -> ReachChange {
         let cut = self.record_answer(now);
         let target = self.forget(target);
@@ -170,6 +232,7 @@
     /// Forgets a target that is gone or whose path has come back; returns whether it was out of reach.
     pub(crate) fn forget(&mut self, target: &TargetName) -> bool {
         self.probes.remove(target);
+        self.closed.remove(target);
         let was_lost = self.lost.remove(target).is_some();
         if self.lost.is_empty() {
             self.is_cut = false;
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -540,6 +540,7 @@
             segments.expire(now);
         }
         self.loading_until.retain(|_, until| now < *until);
+        self.reach.expire(now);
         self.observe_builds(now);
         self.end_deferrals(now, actions);
         self.loads.set_peers(self.peers.reachable(now).map(|(message, _)| message));
--- a/crates/forward/src/state/reach.rs
+++ b/crates/forward/src/state/reach.rs
@@ -1,11 +1,11 @@
 //! Paths to targets: directly, or through a peer that reaches them.
 
-use std::net::IpAddr;
+use std::{collections::BTreeMap, net::IpAddr};
 
-use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName, rendezvous};
+use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName, ZoneName, rendezvous};
 
 use super::{ForwardAction, ForwardState};
-use crate::{DirectOutcome, ReachChange, TargetRecord, tag_of};
+use crate::{DirectOutcome, PeerPlace, ReachChange, TargetRecord, tag_of};
 
 /// A peer through which a target can be connected to.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,9 +19,9 @@
 /// How to open a connection to a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ConnectPlan {
-    /// Whether to try a direct connection.
+    /// Whether to try a direct connection beside the peers.
     pub tries_direct: bool,
-    /// The time to wait for the direct connection before a peer is asked.
+    /// The time to wait for the direct connection before a peer is asked; zero if the target is out of reach.
     pub peer_delay: ClockSpan,
 }
 
@@ -33,18 +33,19 @@
         target: &TargetName,
         started_ms: u64,
     ) -> ConnectPlan {
-        if self.reach.is_direct(target, started_ms) {
-            return ConnectPlan {
-                tries_direct: true,
-                peer_delay: self.reach.settings().hedge_delay,
-            };
+        if self.reach.is_direct(target, started_ms) && !self.reach.is_doubtful(target) {
+            let peer_delay = self.reach.settings().hedge_delay;
+            return ConnectPlan { tries_direct: true, peer_delay };
         }
-        // Without a peer, the direct path is all there is.
-        let tries_direct =
-            self.reach.take_probe(now, target) || self.relay_peers(now, target).is_empty();
+        let tries_direct = self.reach.take_probe(now, target);
         ConnectPlan { tries_direct, peer_delay: ClockSpan::ZERO }
     }
 
+    /// Returns whether a run of a target is reached directly, as far as is known.
+    pub fn is_direct(&self, target: &TargetName, started_ms: u64) -> bool {
+        self.reach.is_direct(target, started_ms)
+    }
+
     /// Returns a target that a peer asks to be connected to, or `None` if this router doesn't list this run of it or doesn't
     /// reach it directly.
     pub fn relay_target(&self, target: &TargetName, started_ms: u64) -> Option<&TargetRecord> {
@@ -72,7 +73,7 @@
         is_back
     }
 
-    /// Records that a target was connected to directly.
+    /// Records that a direct connection to a target has proved itself.
     pub fn record_direct_path(&mut self, now: ClockTime, target: &TargetName) -> ReachChange {
         let change = self.reach.record_direct(now, target);
         if change.target {
@@ -112,25 +113,52 @@
     }
 
     /// Returns the peers to ask for a connection to a target, one after the other: those that reach it as far as they know,
-    /// in this zone first, then in this region. Among equally near ones the order is random.
+    /// the nearest first. Each is followed by one of another availability zone, as the VMs of a zone may be cut together.
     pub fn relay_peers(&mut self, now: ClockTime, target: &TargetName) -> Vec<RelayPeer> {
+        if self.reach.is_unreachable(now, target) {
+            return Vec::new();
+        }
         let key = self.random.next_u64();
         let (own, tag) = (&self.settings.place, tag_of(target.as_str()));
-        let mut peers = Vec::new();
+        let mut zones: BTreeMap<&ZoneName, Vec<(bool, u64, &PeerPlace)>> = BTreeMap::new();
         for (message, _) in self.peers.reachable(now) {
             if !message.stopping && message.reach.reaches(tag) {
-                let distance = self.distance(&own.zone, &message.place.zone);
-                let score = rendezvous::score(key, message.place.vm.as_str());
-                peers.push((distance, score, &message.place));
+                let place = &message.place;
+                let score = rendezvous::score(key, place.vm.as_str());
+                let has_failed = self.reach.has_failed(now, &place.vm);
+                zones.entry(&place.zone).or_default().push((has_failed, score, place));
             }
         }
-        peers.sort_by_key(|(distance, score, _)| (*distance, *score));
-        let nearest = peers.into_iter().take(self.reach.settings().max_peers);
-        nearest
-            .map(|(_, _, place)| RelayPeer { vm: place.vm.clone(), address: place.address })
+        let mut peers = Vec::new();
+        for (zone, mut members) in zones {
+            members.sort_by_key(|(has_failed, score, _)| (*has_failed, *score));
+            let distance = self.distance(&own.zone, zone);
+            let ranked = members.into_iter().enumerate();
+            peers.extend(ranked.map(|(rank, (failed, _, place))| (failed, rank, distance, place)));
+        }
+        peers.sort_by_key(|(has_failed, rank, distance, _)| (*has_failed, *rank, *distance));
+        let first = peers.into_iter().take(self.reach.settings().max_peers);
+        first
+            .map(|(_, _, _, place)| RelayPeer { vm: place.vm.clone(), address: place.address })
             .collect()
     }
 
+    /// Records which peers could not connect to a target, and whether another one could.
+    pub fn record_relay(
+        &mut self,
+        now: ClockTime,
+        target: &TargetName,
+        failed: &[VmName],
+        is_connected: bool,
+    ) {
+        self.reach.record_peers(now, target, failed, is_connected);
+    }
+
+    /// Records that a direct connection to a target ended before its first answer.
+    pub fn record_closed_path(&mut self, target: &TargetName) {
+        self.reach.record_closed(target);
+    }
+
     fn notice(&mut self, event: &'static str, detail: String) {
         self.notices.push(ForwardAction::Notice(event, detail));
     }
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -18,7 +18,7 @@
     client::{SendError, TargetExchange},
     core::SharedCore,
     platform::{AnswerMetadata, PlatformAdapter},
-    relay::{self, DialTarget},
+    relay::{self, TargetDialer},
 };
 
 /// A caller's request as it is forwarded, without hop-by-hop headers.
@@ -108,18 +108,19 @@
         let (address, fresh_connection) = (self.plan.address, self.plan.fresh_connection);
         let id = self.request().arrival.id.clone();
         let target = &self.plan.target;
-        let open = async |deadline| {
-            let started_ms = self.plan.started_ms;
-            let dial = DialTarget { name: target, started_ms, address, request: &id };
-            relay::open_connection(&core, dial, deadline).await
-        };
+        let started_ms = self.plan.started_ms;
+        let dialer = TargetDialer { core: &core, name: target, started_ms, address, request: &id };
         let sent = core
             .client
-            .send_over(address, request, Some(&id), fresh_connection, deadline, open)
+            .send_over(&dialer, address, request, Some(&id), fresh_connection, deadline)
             .await;
         let exchange = sent.map_err(|error| self.outcome(error, AnswerPhase::Waiting))?;
-        if !exchange.is_relayed && core.update(|state| state.record_direct_answer(core.now())) {
-            core.send_gossip.notify_one();
+        if !exchange.is_relayed {
+            if exchange.is_first {
+                relay::record_direct(&core, target, address);
+            } else if core.update(|state| state.record_direct_answer(core.now())) {
+                core.send_gossip.notify_one();
+            }
         }
         core.metrics.record("attempts.head_ms", core.now().since(now).as_ms());
         let metadata = core.platform.read_answer(exchange.status, &exchange.headers);
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -109,7 +109,7 @@
 
     /// Returns whether the connection can take another request now: the previous request was written completely, its
     /// answer is complete, and nothing else was received.
-    pub(super) fn is_ready(&mut self) -> bool {
+    pub(crate) fn is_ready(&mut self) -> bool {
         matches!(self.sender.ready().now_or_never(), Some(Ok(())))
     }
 }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -40,6 +40,33 @@
 use pool::ConnectionPool;
 use sent::SentRequests;
 
+/// Opens the new connections for the requests to one target.
+pub(crate) trait ConnectionDialer {
+    /// Opens a connection. `was_closed` says that a direct one has just been closed with the request unread.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] if no connection could be opened within the deadline.
+    async fn open(&self, was_closed: bool, deadline: Instant) -> Result<TargetConnection>;
+
+    /// Records that a new direct connection ended before it brought an answer.
+    fn record_closed(&self) {}
+}
+
+// Opens connections from this router only.
+struct DirectDialer {
+    address: SocketAddr,
+}
+
+impl ConnectionDialer for DirectDialer {
+    async fn open(&self, was_closed: bool, deadline: Instant) -> Result<TargetConnection> {
+        if was_closed {
+            return Err(SendError::NotSent);
+        }
+        TargetConnection::open(self.address, deadline).await
+    }
+}
+
 /// Why a call failed, and whether the request may have reached the other side.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum SendError {
@@ -139,23 +166,23 @@
         fresh_connection: bool,
         deadline: Instant,
     ) -> Result<TargetExchange> {
-        let open = async |deadline| TargetConnection::open(address, deadline).await;
-        self.send_over(address, request, id, fresh_connection, deadline, open).await
+        let dialer = DirectDialer { address };
+        self.send_over(&dialer, address, request, id, fresh_connection, deadline).await
     }
 
-    /// Like [`send`](Self::send), with new connections opened by `open`, which gets the time limit for it.
+    /// Like [`send`](Self::send), with new connections opened by `dialer`.
     ///
     /// # Errors
     ///
     /// Returns an error that states whether the request may have been sent.
     pub(crate) async fn send_over(
         &self,
+        dialer: &impl ConnectionDialer,
         address: SocketAddr,
         request: Request<Bytes>,
         id: Option<&str>,
         fresh_connection: bool,
         deadline: Instant,
-        open: impl AsyncFnOnce(Instant) -> Result<TargetConnection>,
     ) -> Result<TargetExchange> {
         let mut request = request.map(Full::new);
         let was_sent = id.is_some_and(|id| self.sent.borrow_mut().record(address, id));
@@ -173,8 +200,19 @@
                 }
             }
         }
-        let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connection = open(connect_deadline).await?;
+        let connect_deadline = || deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let connection = dialer.open(false, connect_deadline()).await?;
+        let is_relayed = connection.is_relayed();
+        let failure = match self.send_on(connection, request, address, deadline).await {
+            Ok(exchange) => return Ok(exchange),
+            Err(failure) => failure,
+        };
+        if is_relayed || failure.error == SendError::TimeOver {
+            return Err(failure.error);
+        }
+        dialer.record_closed();
+        let Some(request) = failure.request else { return Err(failure.error) };
+        let connection = dialer.open(true, connect_deadline()).await?;
         let sent = self.send_on(connection, request, address, deadline).await;
         sent.map_err(|failure| failure.error)
     }
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -6,18 +6,18 @@
 };
 
 use actix_rt::spawn;
-use godwitroad_base::TargetName;
+use godwitroad_base::{ClockSpan, TargetName};
 use godwitroad_forward::{ConnectPlan, DirectOutcome, ReachChange, RelayPeer};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::{OpeningAnswer, RelayOpening, stream::RelayStream};
 use crate::{
     client::{
-        Result, SendError, TargetConnection,
+        ConnectionDialer, Result, SendError, TargetConnection,
         connection::{UNACKNOWLEDGED_TIMEOUT, set_liveness},
     },
     core::SharedCore,
@@ -27,15 +27,20 @@
 /// The time limit for one peer, which covers its own connection to the target.
 const PEER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The time limit for a direct attempt that goes on after a peer has connected.
+/// The time limit for a direct attempt beside the peers.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// The run of a target to connect to, and the request for which.
-#[derive(Clone, Debug)]
-pub(crate) struct DialTarget<'a> {
+/// The time for which a direct connection must last to show that the target is reached again.
+const PROBE_HOLD: Duration = Duration::from_millis(100);
+
+/// Opens connections to a run of a target, directly or through a peer.
+pub(crate) struct TargetDialer<'a, P> {
+    pub(crate) core: &'a SharedCore<P>,
     pub(crate) name: &'a TargetName,
+    /// The start of the target's run, in Unix milliseconds.
     pub(crate) started_ms: u64,
     pub(crate) address: SocketAddr,
+    /// The id of the request, for the logs of both routers.
     pub(crate) request: &'a str,
 }
 
@@ -43,12 +48,17 @@
 const MAX_LOGGED_ID: usize = 64;
 
 /// Why a peer gave no connection to a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, thiserror::Error)]
 enum RelayFailure {
+    #[error("the opening is too large")]
     TooLarge,
+    #[error("the connection to the peer failed")]
     Connection,
+    #[error("the peer didn't answer in time")]
     TimeOver,
+    #[error("the peer answered {0:?}")]
     Refused(OpeningAnswer),
+    #[error("the peer's answer can't be read")]
     Unreadable,
 }
 
@@ -58,40 +68,39 @@
     }
 }
 
-impl RelayFailure {
-    // Returns whether the peer tried to connect to the target and failed.
-    fn is_unreachable(self) -> bool {
-        matches!(self, RelayFailure::Refused(OpeningAnswer::Unreachable))
+impl<P: PlatformAdapter> ConnectionDialer for TargetDialer<'_, P> {
+    // A peer is asked at once if the target is known to be out of reach, and otherwise if the direct attempt fails or hangs.
+    async fn open(&self, was_closed: bool, deadline: Instant) -> Result<TargetConnection> {
+        if was_closed {
+            return open_through_peers(self, DirectOutcome::Failed, deadline).await;
+        }
+        let (core, now) = (self.core, self.core.now());
+        let plan = core.update(|state| state.plan_connect(now, self.name, self.started_ms));
+        if plan.peer_delay == ClockSpan::ZERO {
+            return open_out_of_reach(self, &plan, deadline).await;
+        }
+        let hedge_at = deadline.min(core.deadline(plan.peer_delay));
+        open_hedged(self, hedge_at, deadline).await
+    }
+
+    fn record_closed(&self) {
+        self.core.update(|state| state.record_closed_path(self.name));
     }
 }
 
-/// Opens a connection to a target.
-///
-/// A peer is asked at once if the target is known to be out of reach, and otherwise if the direct attempt fails or hangs.
-///
-/// # Errors
-///
-/// Returns [`SendError::NotSent`] if neither this router nor a peer could connect within the deadline.
-pub(crate) async fn open_connection<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    target: DialTarget<'_>,
+// Opens a direct connection, and one through a peer if that hasn't succeeded at `hedge_at`; the first one is used.
+async fn open_hedged<P: PlatformAdapter>(
+    target: &TargetDialer<'_, P>,
+    hedge_at: Instant,
     deadline: Instant,
 ) -> Result<TargetConnection> {
-    let plan = core.update(|state| state.plan_connect(core.now(), target.name, target.started_ms));
-    if plan.peer_delay.as_ms() == 0 {
-        return open_out_of_reach(core, &target, &plan, deadline).await;
-    }
     let mut direct = Box::pin(TargetConnection::open(target.address, deadline));
-    let hedge_at = deadline.min(core.deadline(plan.peer_delay));
     let outcome = match timeout_at(hedge_at, &mut direct).await {
-        Ok(Ok(connection)) => {
-            record_direct(core, target.name, target.address);
-            return Ok(connection);
-        }
+        Ok(Ok(connection)) => return Ok(connection),
         Ok(Err(_)) => DirectOutcome::Failed,
         Err(_) => DirectOutcome::Pending,
     };
-    let relayed = open_through_peers(core, &target, outcome, deadline);
+    let relayed = open_through_peers(target, outcome, deadline);
     if outcome == DirectOutcome::Failed {
         return relayed.await;
     }
@@ -99,90 +108,94 @@
     tokio::select! {
         biased;
         connected = &mut direct => match connected {
-            Ok(connection) => {
-                record_direct(core, target.name, target.address);
-                Ok(connection)
-            }
+            Ok(connection) => Ok(connection),
             Err(_) => relayed.await,
         },
         connected = &mut relayed => match connected {
             Ok(connection) => Ok(connection),
-            Err(_) => {
-                let connection = direct.await?;
-                record_direct(core, target.name, target.address);
-                Ok(connection)
-            }
+            Err(_) => direct.await,
         },
     }
 }
 
-// Opens a connection to a target out of reach. A direct attempt that is due runs beside the peers and outlasts them.
+// Opens a connection to a target out of reach. A direct attempt that is due runs beside the peers.
 async fn open_out_of_reach<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    target: &DialTarget<'_>,
+    target: &TargetDialer<'_, P>,
     plan: &ConnectPlan,
     deadline: Instant,
 ) -> Result<TargetConnection> {
+    let core = target.core;
     if plan.tries_direct {
-        let (core, name, address) = (core.clone(), target.name.clone(), target.address);
-        spawn(async move {
-            let probe = TargetConnection::open(address, Instant::now() + PROBE_TIMEOUT).await;
-            if let Ok(connection) = probe {
-                record_direct(&core, &name, address);
-                core.client.add_unused(address, connection);
-            }
-        });
+        spawn(probe_direct(core.clone(), target.name.clone(), target.address));
+    }
+    let is_lost = core.read(|state| !state.is_direct(target.name, target.started_ms));
+    let direct = if is_lost { DirectOutcome::Skipped } else { DirectOutcome::Failed };
+    match open_through_peers(target, direct, deadline).await {
+        Ok(connection) => Ok(connection),
+        // Without a peer, the direct path is all there is.
+        Err(_) => TargetConnection::open(target.address, deadline).await,
+    }
+}
+
+// A new connection may be reset right after it was established, so it counts only if it lasts for a while.
+async fn probe_direct<P: PlatformAdapter>(
+    core: SharedCore<P>,
+    target: TargetName,
+    address: SocketAddr,
+) {
+    let probe = TargetConnection::open(address, Instant::now() + PROBE_TIMEOUT).await;
+    let Ok(mut connection) = probe else { return };
+    sleep(PROBE_HOLD).await;
+    if connection.is_ready() {
+        record_direct(&core, &target, address);
+        core.client.add_unused(address, connection);
     }
-    open_through_peers(core, target, DirectOutcome::Skipped, deadline).await
 }
 
 async fn open_through_peers<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    target: &DialTarget<'_>,
+    target: &TargetDialer<'_, P>,
     direct: DirectOutcome,
     deadline: Instant,
 ) -> Result<TargetConnection> {
+    let core = target.core;
     let started = core.now();
     let peers = core.update(|state| state.relay_peers(started, target.name));
-    let needed = if direct == DirectOutcome::Failed { 1 } else { 2 };
-    let mut unreachable = 0;
+    let mut failed = Vec::new();
     for peer in peers {
         let peer_deadline = deadline.min(Instant::now() + PEER_TIMEOUT);
-        let opened = timeout_at(peer_deadline, open_through(core, target, &peer)).await;
+        let opened = timeout_at(peer_deadline, open_through(target, &peer)).await;
         let result = opened.unwrap_or(Err(RelayFailure::TimeOver));
+        let error = result.as_ref().err().map(RelayFailure::to_string);
         let detail = format!(
-            "target={} peer={} direct={direct:?} error={:?} elapsed_ms={}",
+            "target={} peer={} direct={direct:?} error={error:?} elapsed_ms={}",
             target.name,
             peer.vm,
-            result.as_ref().err(),
             core.now().since(started).as_ms(),
         );
         core.log.request("relay_opened", target.request, &detail);
-        let Ok(connection) = result else {
-            core.metrics.count("relays.failed", 1);
-            if result.is_err_and(RelayFailure::is_unreachable) {
-                unreachable += 1;
-            }
-            // The target itself is down if others can't connect to it either.
-            if unreachable >= needed {
-                break;
-            }
-            continue;
-        };
-        core.metrics.count("relays.opened", 1);
-        record_lost(core, target, direct, &peer);
-        return Ok(connection);
+        if let Ok(connection) = result {
+            core.metrics.count("relays.opened", 1);
+            let now = core.now();
+            core.update(|state| state.record_relay(now, target.name, &failed, true));
+            record_lost(target, direct, &peer);
+            return Ok(connection);
+        }
+        core.metrics.count("relays.failed", 1);
+        failed.push(peer.vm);
+        if Instant::now() >= deadline {
+            break;
+        }
     }
+    core.update(|state| state.record_relay(core.now(), target.name, &failed, false));
     Err(SendError::NotSent)
 }
 
 async fn open_through<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    target: &DialTarget<'_>,
+    target: &TargetDialer<'_, P>,
     peer: &RelayPeer,
 ) -> std::result::Result<TargetConnection, RelayFailure> {
     let (own_address, port) = {
-        let settings = core.settings.borrow();
+        let settings = target.core.settings.borrow();
         (settings.forward.place.address, settings.peers.port())
     };
     let opening = RelayOpening {
@@ -212,7 +225,7 @@
     socket.connect(to).await
 }
 
-fn record_direct<P: PlatformAdapter>(
+pub(crate) fn record_direct<P: PlatformAdapter>(
     core: &SharedCore<P>,
     target: &TargetName,
     address: SocketAddr,
@@ -226,11 +239,11 @@
 }
 
 fn record_lost<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    target: &DialTarget<'_>,
+    target: &TargetDialer<'_, P>,
     direct: DirectOutcome,
     peer: &RelayPeer,
 ) {
+    let core = target.core;
     let now = core.now();
     let change = core.update(|state| {
         state.record_lost_path(now, target.name, target.started_ms, direct, &peer.vm)
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-pub(crate) use dial::{DialTarget, open_connection};
+pub(crate) use dial::{TargetDialer, record_direct};
 pub(crate) use serve::serve_peers;
 
 /// A `Result` with an [`OpeningError`].
