A connection to a target survives lost keepalive probes

Callers got a 502, or a cut stream, though their target was sound: its machine had received no packets for 0.3 s to 1.45 s, and the target itself had sent nothing for two seconds, as when it computes.

Linux applies TCP_USER_TIMEOUT to keepalive probes in place of their count. With 1.5 s, and probes after 1 s and 2 s, the first lost probe ended the connection when the second was due. In platform/tests/unreachable_targets.rs, six of eight requests ended 2.0 s after the target's last bytes.

The time limit is now 3.5 s, longer than the three probes, so that the connection ends at the fourth second only if all three are lost. The eight tests pass. The limit also covers written bytes. Repeatable requests are offered to another target meanwhile; others may not be sent again anyway.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -20,15 +20,18 @@
 
 use super::{Result, SendError};
 
-/// The time for which written bytes may stay unacknowledged before the connection counts as dead. The longest round trip
-/// takes some tens of milliseconds, and a lost packet is retransmitted within a few hundred milliseconds.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The time for which written bytes may stay unacknowledged before the connection counts as dead.
+///
+/// Linux also applies it to keepalive probes, in place of their count: each time a probe is due, a connection with an
+/// unanswered one is dead if nothing has arrived for this long. It is therefore longer than the time until the last probe
+/// of [`KEEPALIVE_RETRIES`], and a sound target's machine may be unreachable for more than a second.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// The idle time before the first keepalive probe, and the time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The number of unanswered keepalive probes after which the connection counts as dead.
-const KEEPALIVE_RETRIES: u32 = 2;
+const KEEPALIVE_RETRIES: u32 = 3;
 
 /// The limit of bytes that a connection buffers, and thereby of an answer's head. A head without end fails the call.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
