A connection isn't closed for idleness or in a stop while a received request is unread

Callers got neither an answer nor a refusal to a whole request that arrived on a kept connection before it was closed.

When the HTTP service gets the signal to close a connection, it still reads from the socket, but drops what it reads. A process that found a request and the end of the idle time in the same turn of its event loop polled the signal first: one that had been busy or stood still, or one that had just got a shorter idle time with its configuration. The same held for the time at which a stopping process closes its idle connections.

The signal now waits while the socket holds unread bytes and no request is open. The service then reads and answers the request, and the idle time counts from there.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -1,9 +1,13 @@
 //! The connections of callers, which are closed when they have been idle for the time limit in force.
+//!
+//! The HTTP service drops what it reads after the signal to close a connection, so the signal waits while received bytes
+//! are unread. A busy process may find a request and the reason to close its connection at the same time.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     future::Future,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -14,11 +18,12 @@
 use bytes::Bytes;
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::CallerLimits;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     task_local,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 
 /// The longest time until a lowered time limit applies to a connection that is already idle.
@@ -27,6 +32,9 @@
 /// The minimum interval at which a connection with an open request is checked.
 const OPEN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The interval at which a connection that is to be closed is checked for bytes that are unread.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 task_local! {
     /// The activity of the connection that the current task serves.
     static CURRENT_ACTIVITY: Rc<ConnectionActivity>;
@@ -35,6 +43,7 @@
 /// What a connection last did.
 #[derive(Debug)]
 struct ConnectionActivity {
+    stream: Rc<RefCell<TcpStream>>,
     // The requests whose answers aren't complete.
     open_requests: Cell<usize>,
     // Whether bytes were received since the last answer, or there was none yet.
@@ -49,6 +58,13 @@
         self.last.set(Instant::now());
     }
 
+    // Returns whether bytes were received that the HTTP service hasn't read.
+    fn has_unread_bytes(&self) -> bool {
+        let stream = self.stream.borrow();
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&*stream).peek(&mut byte).is_ok_and(|length| length > 0)
+    }
+
     // Returns the time at which the connection has to be closed if nothing happens until then.
     fn deadline(&self, limits: CallerLimits) -> Instant {
         let duration = |span: ClockSpan| Duration::from_millis(span.as_ms());
@@ -120,14 +136,16 @@
 /// A caller's connection that records what it last did.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     activity: Rc<ConnectionActivity>,
 }
 
 impl CallerStream {
     /// Wraps a connection that was just accepted.
     pub(crate) fn new(stream: TcpStream) -> CallerStream {
+        let stream = Rc::new(RefCell::new(stream));
         let activity = Rc::new(ConnectionActivity {
+            stream: stream.clone(),
             open_requests: Cell::new(0),
             is_receiving: Cell::new(true),
             last: Cell::new(Instant::now()),
@@ -135,7 +153,8 @@
         CallerStream { stream, activity }
     }
 
-    /// Serves the connection with the future that `serve` returns. In that call, [`idle_end`] refers to this connection.
+    /// Serves the connection with the future that `serve` returns. In that call, [`idle_end`] and [`read_end`] refer to
+    /// this connection.
     pub(crate) async fn serve<F: Future>(self, serve: impl FnOnce(CallerStream) -> F) -> F::Output {
         let activity = self.activity.clone();
         CURRENT_ACTIVITY.scope(activity, async move { serve(self).await }).await
@@ -153,21 +172,40 @@
     async move {
         loop {
             let (now, deadline) = (Instant::now(), activity.deadline(limits()));
-            if deadline <= now {
+            if now < deadline {
+                sleep_until(deadline.min(now + LIMIT_CHECK_INTERVAL)).await;
+            } else if activity.has_unread_bytes() {
+                sleep(UNREAD_CHECK_INTERVAL).await;
+            } else {
                 return;
             }
-            sleep_until(deadline.min(now + LIMIT_CHECK_INTERVAL)).await;
+        }
+    }
+}
+
+/// Completes when `end` has completed and the HTTP service has read what was received on the connection of the current
+/// task. Bytes that follow an open request don't count.
+///
+/// # Panics
+///
+/// Panics if the current task doesn't serve a [`CallerStream`].
+pub(crate) fn read_end(end: impl Future<Output = ()>) -> impl Future<Output = ()> {
+    let activity = CURRENT_ACTIVITY.with(Rc::clone);
+    async move {
+        end.await;
+        while activity.open_requests.get() == 0 && activity.has_unread_bytes() {
+            sleep(UNREAD_CHECK_INTERVAL).await;
         }
     }
 }
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        let result = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer));
         self.activity.record(true);
         Poll::Ready(result)
     }
@@ -175,20 +213,20 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        let result = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes));
         self.activity.record(self.activity.is_receiving.get());
         Poll::Ready(result)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(context)
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     answer,
-    caller_stream::{CallerStream, ConnectionRequest, idle_end},
+    caller_stream::{CallerStream, ConnectionRequest, idle_end, read_end},
     core::SharedCore,
     platform::PlatformAdapter,
 };
@@ -174,7 +174,7 @@
         // The service closes a connection after this signal, but not before the answer to an open request.
         .graceful_shutdown_signal(move || {
             let idle_end = idle_end(limits.clone());
-            let stop_end = stop_end(closing.clone());
+            let stop_end = read_end(stop_end(closing.clone()));
             async move {
                 tokio::select! {
                     () = idle_end => {}
