A stream that nobody knows goes on only where the router knows the versions of a second ago

What callers saw: a stream that had begun at a target of a new software version went on at one of the old version (ORDER). It was taken up at a router that had been cut off from the store and its peers, or frozen, while the new version joined.

Cause: a router took a stream without a record for one of the only version that it knew, as long as its freshness proof was valid: 2 to 4.5 s, and without end where keys need no proof. Others begin streams at a version one second after they have seen it.

Why this works: a stream that began by now at another version began at a router that had seen it a second before. A read of the store that started since then shows the version. Without the store, each other router's message tells how far it has read. The request that needs it makes the router read at once, at most once per pause between reads; a read that shows an older copy of the store doesn't count.

Edits outside crates/forward: await_origin in crates/proxy/src/answer/caller.rs wakes the task that reads the store.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -104,6 +104,10 @@
     pub place: PeerPlace,
     /// When its last message arrived; `None` before the first.
     pub last_received: Option<ClockTime>,
+    /// A time before the arrival of its last message, which may have waited in the socket.
+    pub arrived_after: Option<ClockTime>,
+    /// When the first message of its current run arrived.
+    pub run_since: Option<ClockTime>,
     /// The time without a message after which it counts as unreachable.
     pub timeout: ClockSpan,
     /// Its last message; `None` before the first.
@@ -146,7 +150,14 @@
 
 impl PeerState {
     fn new(place: PeerPlace) -> PeerState {
-        PeerState { place, last_received: None, timeout: MIN_PEER_TIMEOUT, last_message: None }
+        PeerState {
+            place,
+            last_received: None,
+            arrived_after: None,
+            run_since: None,
+            timeout: MIN_PEER_TIMEOUT,
+            last_message: None,
+        }
     }
 
     /// Returns whether a message from the peer arrived within its timeout.
@@ -185,12 +196,23 @@
     }
 
     /// Stores a message if it is newer than the last one from its sender, and returns whether it is; after `timeout`
-    /// without another message the sender counts as unreachable.
-    pub fn receive(&mut self, now: ClockTime, message: GossipMessage, timeout: ClockSpan) -> bool {
+    /// without another message the sender counts as unreachable. The message arrived at some time from `arrived_after` on.
+    pub fn receive(
+        &mut self,
+        now: ClockTime,
+        arrived_after: ClockTime,
+        message: GossipMessage,
+        timeout: ClockSpan,
+    ) -> bool {
         let is_newer = self.is_newer(&message);
         self.upsert(message.place.clone());
         if let Some(peer) = self.peers.get_mut(&message.place.vm).filter(|_| is_newer) {
+            let before = peer.last_message.as_ref().map(|last| last.incarnation);
+            if before != Some(message.incarnation) {
+                peer.run_since = Some(now);
+            }
             peer.last_received = Some(now);
+            peer.arrived_after = Some(arrived_after.min(now));
             peer.timeout = timeout;
             peer.last_message = Some(message);
         }
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -144,7 +144,7 @@
         if message.urgent_revision > urgent.max(revision) {
             actions.push(ForwardAction::CheckStore);
         }
-        if !self.peers.receive(now, message, timeout) {
+        if !self.peers.receive(now, arrived_after, message, timeout) {
             return;
         }
         for tag in loading {
--- a/crates/forward/src/state/origins.rs
+++ b/crates/forward/src/state/origins.rs
@@ -5,10 +5,10 @@
 use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_origins::{BuildTag, ServiceTag, StreamOrigin};
 
-use super::{ForwardState, placement::NO_TARGET_RETRY_AFTER};
+use super::{ForwardState, gossip::MAX_GOSSIP_DELAY, placement::NO_TARGET_RETRY_AFTER};
 use crate::{
     ForwardRefusal, ForwardRequest, ForwardRules, OriginNotes, RefusalReason, SendPlan,
-    TargetRecord,
+    TargetRecord, peers::PeerState,
 };
 
 /// The time from the end of a route's time limit in which a caller may still take up a stream that broke there.
@@ -57,13 +57,51 @@
         }
     }
 
-    /// Returns whether a request takes up a stream of which this router doesn't know where it began, and a peer may tell.
+    /// Returns whether a request takes up a stream of which this router doesn't know where it began, and a peer or the store may
+    /// tell.
     pub fn may_learn_origin(&self, now: ClockTime, request: &ForwardRequest) -> bool {
-        request.begun_build.is_none()
+        let is_unknown = request.begun_build.is_none()
             && request.takes_up_stream()
-            && request.stream_key().is_some()
-            && self.find_origin(now, request).is_none()
-            && self.peers.reachable(now).next().is_some()
+            && self.find_origin(now, request).is_none();
+        let may_peers_tell =
+            || request.stream_key().is_some() && self.peers.reachable(now).next().is_some();
+        is_unknown && (self.lacks_view(now, request) || may_peers_tell())
+    }
+
+    /// Makes the next step a read of the store if that may tell where a request's stream began; returns whether it may.
+    pub fn request_view(&mut self, now: ClockTime, request: &ForwardRequest) -> bool {
+        let may_tell = self.may_learn_origin(now, request) && self.lacks_view(now, request);
+        if may_tell {
+            self.store_progress.want_view();
+        }
+        may_tell
+    }
+
+    // Returns whether the stream of a request began at the only build that this router knows, unless there are others.
+    fn lacks_view(&self, now: ClockTime, request: &ForwardRequest) -> bool {
+        let service = ServiceTag::new(&request.service);
+        let origin = self.origins.origin(now, service, request.stream_key());
+        matches!(origin, StreamOrigin::Only(_)) && !self.knows_builds(now)
+    }
+
+    // Returns whether this router knows all builds at which streams may have begun by now. Other routers begin streams at a build
+    // only some time after they have seen it, so that it suffices to know the builds of that time ago.
+    fn knows_builds(&self, now: ClockTime) -> bool {
+        let settling = self.settings.origins.settling;
+        let Some(viewed_from) = self.store_progress.viewed_from() else { return false };
+        if now.since(viewed_from) <= settling {
+            return true;
+        }
+        // While the store is away, it suffices that every other router has said since then that it has read no further. A
+        // router says so of changes, and not of the listing with which a run starts.
+        let (revision, _) = self.store_progress.revisions();
+        let longest = settling.saturating_sub(MAX_GOSSIP_DELAY);
+        let has_no_news = |peer: &PeerState| {
+            peer.arrived_after.is_some_and(|at| now.since(at) <= longest)
+                && peer.run_since.is_some_and(|at| at <= viewed_from)
+                && peer.last_message.as_ref().is_some_and(|message| message.revision <= revision)
+        };
+        !self.peers.is_empty() && self.peers.iter().all(has_no_news)
     }
 
     // Finds the build at which the stream of a request that takes one up began.
@@ -84,8 +122,7 @@
         let service = ServiceTag::new(&request.service);
         match self.origins.origin(now, service, request.stream_key()) {
             StreamOrigin::Recorded(build) => Some(build),
-            // Without a valid freshness proof, other builds may serve meanwhile.
-            StreamOrigin::Only(build) => self.refusal_if_stale(now).is_none().then_some(build),
+            StreamOrigin::Only(build) => self.knows_builds(now).then_some(build),
             StreamOrigin::Unknown => None,
         }
     }
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -48,6 +48,10 @@
     has_urgent: bool,
     // When the store last answered.
     last_answer: Option<ClockTime>,
+    // When the newest read started whose answer shows the store as it was then, and not an older copy.
+    viewed_from: Option<ClockTime>,
+    // Whether a request waits for a newer one.
+    is_view_wanted: bool,
 }
 
 impl StoreProgress {
@@ -60,6 +64,22 @@
         self.last_answer = Some(now);
     }
 
+    /// Records a read that started at `read_from` and shows the store as it was then.
+    pub(super) fn record_view(&mut self, read_from: ClockTime) {
+        self.viewed_from = self.viewed_from.max(Some(read_from));
+        self.is_view_wanted = false;
+    }
+
+    /// Returns when the newest such read started.
+    pub(super) fn viewed_from(&self) -> Option<ClockTime> {
+        self.viewed_from
+    }
+
+    /// Makes the next step a read.
+    pub(super) fn want_view(&mut self) {
+        self.is_view_wanted = true;
+    }
+
     pub(super) fn revisions(&self) -> (StoreRevision, StoreRevision) {
         (self.last_revision, self.last_urgent_revision)
     }
@@ -68,6 +88,9 @@
 impl ForwardState {
     /// Returns what to do next to learn of changes after the revision `after`, up to which they have been read.
     pub fn next_store_step(&self, now: ClockTime, after: StoreRevision) -> StoreStep {
+        if self.store_progress.is_view_wanted {
+            return StoreStep::Read;
+        }
         if self.is_watcher(now) || self.proof_age(now).is_none_or(|age| age >= SELF_WATCH_PROOF_AGE)
         {
             return StoreStep::Watch(self.watch_wait(now));
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -17,6 +17,7 @@
     ) {
         if self.proves_freshness(now, read_from, actions) {
             self.freshness.record_proof(read_from);
+            self.store_progress.record_view(read_from);
         }
         self.era.end_listing();
         self.store_progress.record_answer(now);
--- a/crates/forward/tests/software_builds.rs
+++ b/crates/forward/tests/software_builds.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use godwitroad_base::SeededRandom;
+use godwitroad_base::{SeededRandom, StoreEra, StoreRevision};
 use godwitroad_forward::{
     ForwardArrival, ForwardEvent, GossipMessage, OriginNotes, RefusalReason, SendPlan, TargetRecord,
 };
@@ -190,6 +190,8 @@
             run.unseen.push((seen, ForwardEvent::Target(record.clone())));
             let removed = before.clone().map(|before| ForwardEvent::TargetRemoved(before.name));
             run.unseen.extend(removed.map(|event| (seen, event)));
+            let revision = StoreRevision::new(StoreEra::default(), now);
+            run.unseen.push((seen, ForwardEvent::StoreChanged { revision }));
         }
     }
 
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -261,9 +261,13 @@
     }
 }
 
-// Waits for a peer to tell where the stream began that a request takes up, if another router has just begun it.
+// Waits for a peer or the store to tell where the stream began that a request takes up, if another router has just begun it, or
+// if this router may not know all versions of the targets' software.
 async fn await_origin<P: PlatformAdapter>(core: &SharedCore<P>, request: &ForwardRequest) {
     let deadline = core.now() + ORIGIN_TIMEOUT;
+    if core.update(|state| state.request_view(core.now(), request)) {
+        core.check_store.notify_one();
+    }
     while core.now() < deadline && core.read(|state| state.may_learn_origin(core.now(), request)) {
         core.sleep(ORIGIN_CHECK_INTERVAL).await;
     }
