A stream goes on only with an event after the last one

Cause: a target that was to go on after an event, in an answer that broke or was silent or when the caller took the stream up, was believed whatever its first event was. Answers of another status, content type, encoding, id or without a stamp were never passed on.

Why this works: ids increase, so that the first event of a continuation has a larger id than the last one that the caller has received; the splitter refuses any other before a byte of it is passed on, and an offer isn't accepted by it. Comments may come before it. What a target sent before its first event is no partial event of the stream either.

--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a target run a request.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
 use godwitroad_base::ClockTime;
@@ -13,7 +13,7 @@
 };
 use tokio::time::Instant;
 
-use super::events::has_complete_event;
+use super::events::check_first_event;
 use crate::{
     client::{SendError, TargetExchange},
     core::SharedCore,
@@ -150,15 +150,27 @@
         if !is_usable {
             return Err(AttemptOutcome::Failed);
         }
-        let suffices = |bytes: &[u8]| is_streaming && has_complete_event(bytes);
+        let resume = self.required_resume(resume);
+        let goes_on = Cell::new(None);
+        let suffices = |bytes: &[u8]| {
+            goes_on.set(check_first_event(bytes, resume));
+            is_streaming && goes_on.get().is_some()
+        };
         let phase = AnswerPhase::Beginning;
         match answer.exchange.read_ahead(suffices, self.deadline()).await {
+            Ok(true) if goes_on.get() == Some(false) => Err(AttemptOutcome::Failed),
             Ok(sufficed) if sufficed == is_streaming => Ok(answer),
             Ok(_) => Err(AttemptOutcome::Lost { phase }),
             Err(error) => Err(self.outcome(error, phase)),
         }
     }
 
+    /// Returns the id after which the target's first event has to come. Only streams of routes that may be resumed are known to go
+    /// on.
+    pub(super) fn required_resume(&self, resume: Option<u64>) -> Option<u64> {
+        resume.filter(|_| self.request().route.resumable)
+    }
+
     fn build_request(&self, payload: &CallerPayload, resume: Option<u64>) -> Request<Bytes> {
         let mut headers = payload.headers.clone();
         let arrival = &self.request().arrival;
--- a/crates/proxy/src/answer/events.rs
+++ b/crates/proxy/src/answer/events.rs
@@ -1,52 +1,74 @@
 //! Splits a stream of server-sent events at event boundaries.
 //!
 //! A target may stop in the middle of an event. Only complete events are forwarded, so that another target can resume
-//! after the last one.
+//! after the last one. Ids increase, so that one that doesn't is no continuation.
+
+use std::iter;
 
 use bytes::{Bytes, BytesMut};
 use godwitroad_forward::AnswerPhase;
-use memchr::memmem;
+use memchr::{memchr2, memmem};
 
 /// The limit of an incomplete event, in bytes. Beyond it, the bytes of a target are no events, and buffering them would
 /// take memory without bound.
 pub(super) const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// A target sent more than [`MAX_EVENT_BYTES`] without completing an event.
+/// Why a target's bytes are no part of the stream.
 #[derive(Debug, Eq, PartialEq, thiserror::Error)]
-#[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
-pub(super) struct EventTooLarge;
+pub(super) enum UnfitEvent {
+    /// More than [`MAX_EVENT_BYTES`] complete no event.
+    #[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// The first event doesn't come after the last one that the caller has received.
+    #[error("the first event doesn't come after the last one received")]
+    NoContinuation,
+}
 
-/// A `Result` with an [`EventTooLarge`].
-type Result<T> = std::result::Result<T, EventTooLarge>;
+/// A `Result` with an [`UnfitEvent`].
+type Result<T> = std::result::Result<T, UnfitEvent>;
 
 /// Buffers the incomplete event at the end of a stream and records the id of the last complete event.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<u64>,
+    // The id after which the current target has to go on, until its first event.
+    resume: Option<u64>,
     // How often the current target's bytes have completed events.
     completions: u64,
 }
 
 impl EventSplitter {
+    /// Begins the part of a target, which has to go on after the event `resume`.
+    pub(super) fn begin(&mut self, resume: Option<u64>) {
+        self.resume = resume;
+    }
+
     /// Adds bytes and returns the events that are now complete, or `None` if there are none.
     ///
     /// # Errors
     ///
-    /// Returns an error if the incomplete event at the end exceeds [`MAX_EVENT_BYTES`].
+    /// Returns an error if the incomplete event at the end exceeds [`MAX_EVENT_BYTES`], or if the events don't go on where they
+    /// should.
     pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>> {
         // An event can end only in the new bytes or across their start.
         let searched = self.buffer.len().saturating_sub(EVENT_END_BYTES - 1);
         self.buffer.extend_from_slice(bytes);
         let Some(end) = end_of_events(&self.buffer[searched..]) else {
             let is_too_large = self.buffer.len() > MAX_EVENT_BYTES;
-            return if is_too_large { Err(EventTooLarge) } else { Ok(None) };
+            return if is_too_large { Err(UnfitEvent::TooLarge) } else { Ok(None) };
         };
         let events = self.buffer.split_to(searched + end).freeze();
-        self.completions += 1;
-        if let Some(id) = find_last_id(&events) {
-            self.last_id = Some(id);
+        if let Some(resume) = self.resume
+            && let Some(first) = event_ids(&events).next()
+        {
+            if first.is_none_or(|id| id <= resume) {
+                return Err(UnfitEvent::NoContinuation);
+            }
+            self.resume = None;
         }
+        self.completions += 1;
+        self.last_id = event_ids(&events).flatten().last().or(self.last_id);
         Ok(Some(events))
     }
 
@@ -79,7 +101,8 @@
     /// Takes the incomplete event of a target that stopped. The next bytes are those of another target.
     pub(super) fn take_partial(&mut self) -> Option<Bytes> {
         self.completions = 0;
-        let is_partial = self.is_inside_event();
+        // Before its first event, a target that has to go on may have sent anything.
+        let is_partial = self.resume.take().is_none() && self.is_inside_event();
         self.take_remaining().filter(|_| is_partial)
     }
 
@@ -103,9 +126,13 @@
 /// The length of the longest byte sequence that ends an event.
 const EVENT_END_BYTES: usize = 3;
 
-/// Returns whether the first bytes of a stream contain a complete event.
-pub(super) fn has_complete_event(bytes: &[u8]) -> bool {
-    end_of_events(bytes).is_some()
+/// Returns whether the first bytes of a stream contain a complete event, and if they do, whether it comes after the event
+/// `resume`.
+pub(super) fn check_first_event(bytes: &[u8], resume: Option<u64>) -> Option<bool> {
+    let end = end_of_events(bytes)?;
+    let Some(resume) = resume else { return Some(true) };
+    let first = event_ids(&bytes[..end]).next()?;
+    Some(first.is_some_and(|id| id > resume))
 }
 
 // Returns the position after the last empty line.
@@ -114,10 +141,30 @@
     ends.max().flatten()
 }
 
-fn find_last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+// Returns the id of each event, as far as it has one. Blocks without a field that reaches the caller's program are no events.
+fn event_ids(events: &[u8]) -> impl Iterator<Item = Option<u64>> {
+    let mut id = None;
+    let mut has_field = false;
+    lines(events).filter_map(move |line| {
+        if line.is_empty() {
+            return std::mem::take(&mut has_field).then(|| id.take());
+        }
+        if let Some(text) = line.strip_prefix(b"id:") {
+            id = std::str::from_utf8(text).ok().and_then(|text| text.trim().parse().ok());
+        }
+        has_field |= !line.starts_with(b":") && !line.starts_with(b"retry:");
+        None
+    })
+}
+
+// Returns the complete lines, which end with CR, LF or CRLF.
+fn lines(mut rest: &[u8]) -> impl Iterator<Item = &[u8]> {
+    iter::from_fn(move || {
+        let end = memchr2(b'\n', b'\r', rest)?;
+        let (line, after) = (&rest[..end], &rest[end..]);
+        rest = after.strip_prefix(b"\r\n").unwrap_or(&after[1..]);
+        Some(line)
+    })
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -59,12 +59,14 @@
         payload: Rc<CallerPayload>,
     ) -> CallerStream<P> {
         let head = AnswerHead::for_stream(&exchange, &payload);
+        let mut splitter = EventSplitter::default();
+        splitter.begin(attempt.required_resume(attempt.request().arrival.last_event));
         CallerStream {
             last_event_at: attempt.core().now(),
             core: attempt.core().clone(),
             payload,
             attempt: Some((attempt, exchange)),
-            splitter: EventSplitter::default(),
+            splitter,
             partial_event: None,
             head,
             has_begun: false,
@@ -156,6 +158,8 @@
         if self.splitter.last_id().is_none() {
             self.head = AnswerHead::for_stream(&exchange, &self.payload);
         }
+        let resume = self.splitter.last_id().or(attempt.request().arrival.last_event);
+        self.splitter.begin(attempt.required_resume(resume));
         self.attempt = Some((attempt, exchange));
         self.partial_event = None;
         self.is_relocation_declined = false;
--- a/crates/proxy/tests/unit/events.rs
+++ b/crates/proxy/tests/unit/events.rs
@@ -2,7 +2,7 @@
 
 use yare::parameterized;
 
-use super::{EventSplitter, EventTooLarge, MAX_EVENT_BYTES};
+use super::{EventSplitter, MAX_EVENT_BYTES, UnfitEvent, check_first_event};
 
 fn pushed(splitter: &mut EventSplitter, bytes: &[u8]) -> Option<Vec<u8>> {
     splitter.push(bytes).expect("an event of usual size").map(|events| events.to_vec())
@@ -14,7 +14,7 @@
     let chunk = [b'x'; 16 * 1024];
     let pushes = (0..).take_while(|_| splitter.push(&chunk) == Ok(None)).count();
     assert_eq!(pushes, MAX_EVENT_BYTES / chunk.len());
-    assert_eq!(splitter.push(&chunk), Err(EventTooLarge));
+    assert_eq!(splitter.push(&chunk), Err(UnfitEvent::TooLarge));
 }
 
 #[test]
@@ -73,3 +73,25 @@
     assert_eq!(pushed(&mut splitter, event.as_bytes()), Some(event.into()));
     assert_eq!((splitter.last_id(), splitter.is_inside_event()), (Some(4), false));
 }
+
+#[parameterized(
+    next = { b"id: 3\ndata: a\n\n", Some(true) },
+    later = { b"id: 7\r\ndata: a\r\n\r\n", Some(true) },
+    after_a_comment = { b": a\n\nretry: 9\n\nid:3\rdata: a\r\r", Some(true) },
+    same = { b"id: 2\ndata: a\n\nid: 3\ndata: b\n\n", Some(false) },
+    earlier = { b"id: 1\ndata: a\n\n", Some(false) },
+    without_an_id = { b"data: a\n\nid: 3\ndata: b\n\n", Some(false) },
+    with_another_id = { b"id: x\ndata: a\n\n", Some(false) },
+    inside_an_event = { b"ta: a\n\nid: 3\ndata: b\n\n", Some(false) },
+    incomplete = { b"id: 3\ndata: a\n", None },
+    comment = { b": a\n\n", None },
+)]
+fn only_an_event_after_the_last_one_goes_on(bytes: &[u8], goes_on: Option<bool>) {
+    assert_eq!(check_first_event(bytes, Some(2)), goes_on);
+    // The splitter decides the same, however the bytes are split.
+    let mut splitter = EventSplitter::default();
+    splitter.begin(Some(2));
+    let is_refused = bytes.iter().any(|byte| splitter.push(&[*byte]).is_err());
+    assert_eq!(is_refused, goes_on == Some(false));
+    assert_eq!(splitter.last_id().is_some(), goes_on == Some(true));
+}
