A broken stream isn't complete because another target has nothing to add

What callers saw: a stream that had broken off and whose next target answered an empty stream ended as complete before its last event (ORDER).

Cause: the end of a continuation counted as the end of the stream also if it brought no event.

Evidence: a_broken_stream_does_not_end_where_another_target_has_nothing_to_add failed for an empty chunked body, a length of 0 and a comment (200, complete after two of five events) and passes.

Why this works: within an answer, a continuation without an event fails like one that doesn't go on. A stream that broke after its last event ends as broken instead of complete; its caller takes it up and gets the target's own empty answer.

--- a/crates/proxy/src/answer/events.rs
+++ b/crates/proxy/src/answer/events.rs
@@ -77,6 +77,12 @@
         self.last_id
     }
 
+    /// Returns whether the current target has to go on with a stream of which the caller has received events in this answer, and
+    /// hasn't yet.
+    pub(super) fn awaits_continuation(&self) -> bool {
+        self.resume.is_some() && self.last_id.is_some()
+    }
+
     /// Returns the number of bytes after the last event boundary.
     pub(super) fn remaining_bytes(&self) -> usize {
         self.buffer.len()
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -303,6 +303,8 @@
             Ok(None) if is_cut(splitter, exchange.framing) => {
                 return Err(AttemptOutcome::Lost { phase: splitter.phase() });
             }
+            // The target before was cut off, so that the end of its part proves nothing, and neither does this one.
+            Ok(None) if splitter.awaits_continuation() => return Err(AttemptOutcome::Failed),
             Ok(None) => return Ok(StreamRead::End),
             Err(error) => return Err(attempt.outcome(error, splitter.phase())),
         }
