A stream without ids doesn't begin again within its answer

What callers saw: the events of a stream without ids twice, the second time from another target (ORDER).

Cause: with no id to go on after, the next target was asked for the stream from its beginning, although the caller had its first events.

Evidence: a_broken_stream_without_ids_does_not_begin_again_within_its_answer failed and passes.

Why this works: if the last event that was passed on has no id, the stream is offered to no other target, and ends as broken where its own does.

--- a/crates/proxy/src/answer/events.rs
+++ b/crates/proxy/src/answer/events.rs
@@ -34,6 +34,8 @@
     last_id: Option<u64>,
     // The id after which the current target has to go on, until its first event.
     resume: Option<u64>,
+    // Whether the last complete event has no id.
+    is_unnumbered: bool,
     // How often the current target's bytes have completed events.
     completions: u64,
 }
@@ -68,6 +70,9 @@
             self.resume = None;
         }
         self.completions += 1;
+        if let Some(last) = event_ids(&events).last() {
+            self.is_unnumbered = last.is_none();
+        }
         self.last_id = event_ids(&events).flatten().last().or(self.last_id);
         Ok(Some(events))
     }
@@ -77,6 +82,11 @@
         self.last_id
     }
 
+    /// Returns whether another target can be told where to go on.
+    pub(super) fn is_resumable(&self) -> bool {
+        !self.is_unnumbered
+    }
+
     /// Returns whether the current target has to go on with a stream of which the caller has received events in this answer, and
     /// hasn't yet.
     pub(super) fn awaits_continuation(&self) -> bool {
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -111,7 +111,11 @@
             silent_since: self.last_event_at,
         };
         let end = {
-            let first = pin!(read_events(attempt, exchange, &mut self.splitter));
+            let is_resumable = self.splitter.is_resumable();
+            let mut first = pin!(read_events(attempt, exchange, &mut self.splitter));
+            if !is_resumable {
+                return Some(first.as_mut().await);
+            }
             wait_or_hand_over(attempt, &self.payload, progress, first).await
         };
         match end {
@@ -130,7 +134,9 @@
     async fn relocate(&mut self) {
         let resume = self.resume();
         let Some((attempt, _)) = &mut self.attempt else { return };
-        if !self.has_begun || self.is_relocation_declined || !attempt.relocate() {
+        let may_move =
+            self.has_begun && self.splitter.is_resumable() && !self.is_relocation_declined;
+        if !may_move || !attempt.relocate() {
             return;
         }
         match offer_relocation(attempt, &self.payload, resume).await {
@@ -223,7 +229,7 @@
         drop(exchange);
         self.partial_event = self.splitter.take_partial();
         let (mut request, mut step) = attempt.finish(outcome);
-        while step == NextStep::Again {
+        while step == NextStep::Again && self.splitter.is_resumable() {
             let plan = match self.core.choose_target(&mut request) {
                 Ok(plan) => plan,
                 Err(refusal) => {
