An answer in another transfer coding than chunks isn't whole when its connection ends

Cause: any Transfer-Encoding counted as chunks, whose last one proves the end. hyper reads a body whose last coding is another one up to the end of its connection, which a crash ends in the same way.

Evidence: an_answer_whose_length_is_not_declared_is_not_whole failed for identity, and passes for identity, gzip, chunks within another coding and ten other kinds of heads, each closed and reset. Cuts at each byte of six kinds of answers passed before and pass.

Why this works: only a last coding of chunked counts as chunks; any other body is passed on without a declared end.

Edit in crates/proxy/src/client/: BodyFraming::of in mod.rs only.

--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -286,7 +286,10 @@
 
 impl BodyFraming {
     fn of(headers: &HeaderMap, body: &Incoming) -> BodyFraming {
-        if headers.contains_key(TRANSFER_ENCODING) {
+        // A body whose last transfer coding is another one ends with its connection.
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last_coding = codings.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
+        if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
             BodyFraming::Chunks
         } else if body.size_hint().exact().is_some() {
             BodyFraming::Length
