A worker's Server-Brittle is read on every answer, logged and told to peers

It is read on successes, failures and rejections; a fraction is cut off, a number beyond 65535 bounded, a negative, repeated or unreadable one ignored with a log line. Peers learn of it with its age in a section of its own at the end of a gossip message. It ends with an answer without it to a request sent after it was last named, and with the target's run. A new run of a target counts as brittle if another target of its service said so within 10 s.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,7 +35,8 @@
     WithheldPart,
 };
 pub use godwitroad_throttle::{
-    DeferralNotice, LimitNotice, LimitReport, LimitStatement, RequestRate,
+    BrittleNotice, BrittleReport, BrittleStatement, DeferralNotice, LimitNotice, LimitReport,
+    LimitStatement, RejectionBound, RequestRate, RoomStatement,
 };
 pub use leaving::{LeavingNotice, LeavingSign};
 pub use load::{LoadEntry, LoadReport, LoadTable, WorkSum};
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, allowance::UsageEntry,
+    BrittleReport, LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, allowance::UsageEntry,
     load::LoadEntry, segments::SentPromptEntry,
 };
 
@@ -88,6 +88,9 @@
     /// Targets that reject the sender's requests, encoded after those that leave.
     #[serde(skip)]
     pub deferrals: Vec<DeferralEntry>,
+    /// What the sender knows of brittle targets, encoded after those that reject requests.
+    #[serde(skip)]
+    pub brittle: Vec<BrittleReport>,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
@@ -138,6 +141,7 @@
                 || self.repeats.drop_least_important()
                 || self.deferrals.pop().is_some()
                 || self.limits.pop().is_some()
+                || self.brittle.pop().is_some()
                 || self.leaving.pop().is_some();
         }
         true
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -127,6 +127,7 @@
         self.has_new_sent_prompts && self.other_zone_rounds() == 1
             || self.throttle.has_unreported() && self.other_zone_rounds() == 1
             || self.roster.has_leaving_news() && self.other_zone_rounds() == 1
+            || self.has_brittle_news() && self.other_zone_rounds() == 1
             || self.allowance.needs_immediate_report()
             || self.quarantine.has_news()
             || self.repeats.has_news()
--- a/crates/forward/src/state/deferral.rs
+++ b/crates/forward/src/state/deferral.rs
@@ -175,6 +175,7 @@
             self.retry_budget(&service).return_trial();
         }
         self.deferrals.record_answer(now, tag_of(plan.target.as_str()));
+        self.record_brittle_acceptance(&plan.target);
         if let Some(age) = self.acceptance.record_acceptance(now, &plan.target) {
             let detail = format!("target={} age_ms={}", plan.target, age.as_ms());
             self.notices.push(ForwardAction::Notice("target_rejecting_ended", detail));
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -38,6 +38,7 @@
         self.sequence += 1;
         let usage = self.allowance.report(now, MAX_ENTRIES);
         let origins = self.origin_notes(now);
+        let brittle = self.brittle_reports(now);
         let loads = self.loads.own_work().map(|(target, work)| {
             let clamp = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
             let requests = u16::try_from(work.requests).unwrap_or(u16::MAX);
@@ -78,6 +79,7 @@
             origins: Box::new(origins),
             leaving: self.roster.leaving_runs().notices(now, repeat_span),
             deferrals: self.rejection_entries(now),
+            brittle,
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
@@ -139,6 +141,7 @@
             self.origins.receive(now, &message.origins);
             self.receive_leaving(now, &message, actions);
             self.receive_rejections(now, &message);
+            self.receive_brittle(now, &message);
         }
         let (revision, urgent) = self.store_progress.revisions();
         if message.urgent_revision > urgent.max(revision) {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! [`ForwardState::choose_target`] before each attempt, and [`ForwardState::finish_attempt`] with its outcome.
 
 mod admission;
+mod brittle;
 mod deferral;
 mod era;
 mod gossip;
@@ -47,6 +48,7 @@
     TargetRecord, TargetRoster, recent::RecentEntries,
 };
 
+use brittle::BrittleState;
 use deferral::DeferralQueues;
 use era::EraProgress;
 use health::HealthTable;
@@ -230,6 +232,7 @@
     repeats: SharedQuarantine,
     throttle: ThrottleTable,
     origins: OriginTable,
+    brittle: BrittleState,
     deferrals: DeferralTable,
     // When callers of each service and account were told to return because its targets are deferring.
     deferral_queues: DeferralQueues,
@@ -326,6 +329,7 @@
             repeats: SharedQuarantine::new("request", settings.repeats),
             throttle: ThrottleTable::default(),
             origins: OriginTable::new(settings.origins),
+            brittle: BrittleState::default(),
             deferrals: DeferralTable::default(),
             deferral_queues: DeferralQueues::new(),
             acceptance: AcceptanceTable::new(settings.acceptance),
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -132,6 +132,9 @@
     }
 
     fn record_target_failure(&mut self, now: ClockTime, plan: &SendPlan, outcome: AttemptOutcome) {
+        if matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Lost { .. }) {
+            self.record_brittle_loss(now, &plan.target);
+        }
         if self.health.record_failure(now, &plan.target) {
             let detail = format!("target={} outcome={outcome:?}", plan.target);
             self.notices.push(ForwardAction::Notice("target_on_probation", detail));
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -79,6 +79,7 @@
                 self.cached_segments.remove(&FeedSource::Target(name.clone()));
                 self.health.restart(now, &name);
                 self.throttle.remove(tag_of(name.as_str()));
+                self.restart_brittle(now, &name);
                 self.forget_rejections(now, &name);
                 self.store_progress.record_urgent();
                 actions.push(ForwardAction::Notice("target_started", detail));
@@ -180,6 +181,7 @@
         self.loads.remove_target(name);
         self.health.remove(name);
         self.throttle.remove(tag_of(name.as_str()));
+        self.forget_brittle(name);
         self.forget_rejections(now, name);
     }
 
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -223,6 +223,8 @@
             let now = self.core.now();
             self.core.update(|state| {
                 state.record_limit(now, &self.plan, sent_at, metadata.limit);
+                let is_rejection = metadata.is_not_run;
+                state.record_brittle(now, &self.plan, sent_at, metadata.brittle, is_rejection);
                 state.record_deferral(now, &self.plan, metadata.deferral);
             });
         }
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -143,6 +143,7 @@
         (message.origins.is_empty(), encode_section(&*message.origins)?),
         (message.leaving.is_empty(), encode_section(&message.leaving)?),
         (message.deferrals.is_empty(), encode_section(&message.deferrals)?),
+        (message.brittle.is_empty(), encode_section(&message.brittle)?),
     ];
     let last = sections.iter().rposition(|(is_empty, _)| !is_empty);
     let used = last.map_or(&[][..], |last| &sections[..=last]);
@@ -166,6 +167,7 @@
     message.origins = decode_section(&mut rest)?;
     message.leaving = decode_section(&mut rest)?;
     message.deferrals = decode_section(&mut rest)?;
+    message.brittle = decode_section(&mut rest)?;
     Some(message)
 }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use godwitroad_base::{ClockSpan, ModelName, StoreEra, StoreRevision, TargetName, VmName};
 use godwitroad_forward::{
-    CacheEventBatch, DeferralNotice, ForwardArrival, ForwardRules, LimitNotice, LoadReport,
-    OriginNotes, PeerPlace, SendPlan, TargetRecord,
+    BrittleNotice, CacheEventBatch, DeferralNotice, ForwardArrival, ForwardRules, LimitNotice,
+    LoadReport, OriginNotes, PeerPlace, SendPlan, TargetRecord,
 };
 use godwitroad_orders::{ActivityMark, WeightAnswer, WeightOrder, WeightReport};
 use http::{HeaderMap, Request, StatusCode};
@@ -53,6 +53,8 @@
     pub version: Option<u64>,
     /// The rate of requests that the target takes, if it names one.
     pub limit: LimitNotice,
+    /// Whether the target falls over if it has to reject many requests.
+    pub brittle: BrittleNotice,
     /// Whether the target says that it is leaving.
     pub is_leaving: bool,
     /// How long the target wants no requests, if the answer is a rejection that says so.
--- a/crates/proxy/tests/unit/gossip.rs
+++ b/crates/proxy/tests/unit/gossip.rs
@@ -1,8 +1,9 @@
 //! Tests of the encoding of gossip messages, also between routers of which only one knows the quarantine.
 
 use godwitroad_forward::{
-    CrashReport, ForwardSettings, ForwardState, GossipMessage, LeavingNotice, LeavingSign,
-    LimitReport, LimitStatement, PartKey, QuarantineNotes, RequestRate, WithheldPart,
+    BrittleReport, BrittleStatement, CrashReport, ForwardSettings, ForwardState, GossipMessage,
+    LeavingNotice, LeavingSign, LimitReport, LimitStatement, PartKey, QuarantineNotes,
+    RejectionBound, RequestRate, RoomStatement, WithheldPart,
 };
 
 use super::{FORMAT_VERSION, MAX_DATAGRAM_BYTES, decode, encode};
@@ -108,6 +109,26 @@
     assert_eq!(decode(&bytes), Some(message));
 }
 
+#[test]
+fn a_message_with_brittle_targets_comes_back_and_older_routers_read_the_rest() {
+    let statement = BrittleStatement { bound: RejectionBound::from_per_second(5.0), age_ms: 70 };
+    let report = BrittleReport {
+        target: 7,
+        run: u32::MAX,
+        statement: Some(statement),
+        room: RoomStatement { revision: 3, room: 4, proved: 2 },
+        in_progress: 2,
+        rejected: 9,
+        is_claiming: true,
+        is_refusing: false,
+    };
+    let message = GossipMessage { brittle: vec![report], ..message() };
+    let bytes = encode(&message).expect("a message that fits");
+    assert_eq!(decode(&bytes), Some(message.clone()));
+    let read_by_older: GossipMessage = postcard::from_bytes(&bytes[1..]).expect("a message");
+    assert_eq!(read_by_older, GossipMessage { brittle: Vec::new(), ..message });
+}
+
 #[test]
 fn routers_without_the_quarantine_read_and_are_read() {
     let plain = message();
--- a/crates/throttle/src/lib.rs
+++ b/crates/throttle/src/lib.rs
@@ -11,16 +11,22 @@
 //!
 //! The crate is deterministic and does no I/O: its caller passes in the time and exchanges reports between routers.
 
+mod brittle;
 mod bucket;
 mod deferral;
 mod queue;
 mod rate;
+mod rejection;
 mod report;
 mod table;
 
+pub use brittle::{BrittleChange, BrittleTable, RoomPosition};
 pub use bucket::FleetPosition;
 pub use deferral::{DeferralNotice, DeferralTable, EndedDeferral, MAX_DEFERRAL};
 pub use queue::ReturnQueue;
 pub use rate::{LimitNotice, RequestRate};
+pub use rejection::{
+    BrittleNotice, BrittleReport, BrittleStatement, RejectionBound, RoomStatement,
+};
 pub use report::{LimitReport, LimitStatement};
 pub use table::{LimitChange, ThrottleTable};
