Failing test: brittle targets fall again and again

Histories of one, four and nine routers beside three targets that bear five rejections a second and whose room shrinks from four to two four seconds after the sign. The fleet of the deferral histories is extended for it.

--- /dev/null
+++ b/crates/forward/tests/brittle_targets.rs
@@ -0,0 +1,49 @@
+//! Tests that targets that fall over if they reject too many requests seldom do, and that their room is used, over histories of
+//! fleets.
+
+mod support;
+
+use support::turning_fleet::{TurnFleet, TurnPlan};
+use yare::parameterized;
+
+/// The operator's rule: at most so many falls, and a tenth of the targets' number, in one time in which they are brittle.
+const MAX_FALLS: usize = 2;
+
+/// The part of the room that must be used while callers wait.
+const MIN_USE: f64 = 0.7;
+
+const BRITTLE: TurnPlan = TurnPlan {
+    routers: 4,
+    brittle: Some(5),
+    room: 4,
+    later_room: 2,
+    answer_ms: 80,
+    demand: 360.0,
+    ..TurnPlan::CALM
+};
+
+fn play(name: &str, seed: u64, plan: TurnPlan) -> TurnFleet {
+    let mut fleet = TurnFleet::new(seed, plan);
+    fleet.run();
+    println!(
+        "{name} seed={seed} falls={} most_rejections={} used={:.3} fallen={:?}",
+        fleet.falls.len(),
+        fleet.most_rejections(),
+        fleet.used_share(),
+        fleet.falls,
+    );
+    fleet
+}
+
+#[parameterized(
+    one_router = { TurnPlan { routers: 1, demand: 300.0, ..BRITTLE } },
+    four_routers = { BRITTLE },
+    nine_routers = { TurnPlan { routers: 9, ..BRITTLE } },
+)]
+fn brittle_targets_seldom_fall_and_are_used(plan: TurnPlan) {
+    for seed in 0..support::histories() {
+        let fleet = play("shrinks", seed, plan);
+        assert!(fleet.falls.len() <= MAX_FALLS + plan.targets / 10, "seed {seed}");
+        assert!(fleet.used_share() >= MIN_USE, "seed {seed}: {} used", fleet.used_share());
+    }
+}
--- a/crates/forward/tests/deferral.rs
+++ b/crates/forward/tests/deferral.rs
@@ -72,18 +72,13 @@
 }
 
 const FAULTS: TurnPlan = TurnPlan {
-    routers: 9,
-    targets: 3,
-    rejecting: 0,
     deferring: 1,
-    deferral_ms: 2_000,
     flaps: true,
-    demand: 170.0,
-    counted_from_ms: 0,
     kills: true,
     suspends: true,
     cuts: true,
     loses_gossip: true,
+    ..TurnPlan::CALM
 };
 
 #[parameterized(
--- a/crates/forward/tests/support/turning_fleet.rs
+++ b/crates/forward/tests/support/turning_fleet.rs
@@ -2,8 +2,8 @@
 
 use godwitroad_base::{ClockSpan, SeededRandom};
 use godwitroad_forward::{
-    AttemptOutcome, DeferralNotice, ForwardEvent, ForwardRequest, GossipMessage, NextStep,
-    RetryBounds, SendPlan,
+    AnswerPhase, AttemptOutcome, BrittleNotice, DeferralNotice, ForwardEvent, ForwardRequest,
+    GossipMessage, NextStep, RejectionBound, RetryBounds, SendPlan, TargetRecord,
 };
 
 use super::{TestRouter, arrival, at, fleet_router, settings, target};
@@ -12,7 +12,6 @@
 pub(crate) const LENGTH_MS: u64 = 20_000;
 const GOSSIP_MS: u64 = 200;
 const REJECT_MS: u64 = 10;
-const ANSWER_MS: u64 = 30;
 const SLOTS: usize = 6;
 
 /// How long a restarted router gets no requests. The load balancer asks for readiness once a second.
@@ -25,6 +24,15 @@
 const TOLD_MS: u64 = 500;
 pub(crate) const MAX_IN_DEFERRAL: usize = 2;
 
+/// When targets say that they are brittle, how much later they can fall over, and how much later than the sign their room
+/// shrinks.
+pub(crate) const BRITTLE_MS: std::ops::Range<u64> = 1_000..17_000;
+pub(crate) const CONTACT_MS: u64 = 3_000;
+const SHRINK_MS: u64 = 4_000;
+
+/// How long a target that fell over is gone.
+const DOWN_MS: u64 = 2_000;
+
 /// What a simulation plays.
 #[derive(Clone, Copy)]
 pub(crate) struct TurnPlan {
@@ -37,6 +45,13 @@
     pub(crate) deferral_ms: u64,
     /// Whether they change between this and taking requests.
     pub(crate) flaps: bool,
+    /// How many rejections a second the targets bear while they say so.
+    pub(crate) brittle: Option<u32>,
+    /// How many requests a target takes at a time, and when its room has changed.
+    pub(crate) room: usize,
+    pub(crate) later_room: usize,
+    /// How long a target runs a request.
+    pub(crate) answer_ms: u64,
     /// Requests of all callers per second.
     pub(crate) demand: f64,
     /// When requests begin to count for the served share. Each rejecting target has to reject a request of some router
@@ -49,22 +64,31 @@
     pub(crate) loses_gossip: bool,
 }
 
+impl TurnPlan {
+    /// A plan in which neither targets nor routers fail.
+    pub(crate) const CALM: TurnPlan = TurnPlan {
+        routers: 9,
+        targets: 3,
+        rejecting: 0,
+        deferring: 0,
+        deferral_ms: 2_000,
+        flaps: false,
+        brittle: None,
+        room: 2 * SLOTS,
+        later_room: 2 * SLOTS,
+        answer_ms: 30,
+        demand: 170.0,
+        counted_from_ms: 0,
+        kills: false,
+        suspends: false,
+        cuts: false,
+        loses_gossip: false,
+    };
+}
+
 impl Default for TurnPlan {
     fn default() -> TurnPlan {
-        TurnPlan {
-            routers: 9,
-            targets: 3,
-            rejecting: 0,
-            deferring: 0,
-            deferral_ms: 2_000,
-            flaps: false,
-            demand: 170.0,
-            counted_from_ms: 0,
-            kills: false,
-            suspends: false,
-            cuts: false,
-            loses_gossip: false,
-        }
+        TurnPlan::CALM
     }
 }
 
@@ -73,6 +97,10 @@
     Accepted,
     Rejected,
     Deferred,
+    /// The target is gone.
+    Gone,
+    /// The target fell over before it answered.
+    Lost,
 }
 
 struct SentAttempt {
@@ -80,6 +108,7 @@
     request: ForwardRequest,
     plan: SendPlan,
     verdict: Verdict,
+    sent: u64,
     due: u64,
 }
 
@@ -97,6 +126,14 @@
     // When each router was restarted, which excuses it from the rule.
     restarts: Vec<Vec<u64>>,
     is_turning: Vec<bool>,
+    // By target: when it rejected requests, when it fell over, until when it is gone, and the time of its last start.
+    turned_away: Vec<Vec<u64>>,
+    pub(crate) falls: Vec<(u64, usize)>,
+    down_until: Vec<u64>,
+    started_ms: Vec<u64>,
+    // The sum of the requests that ran, and of the room, in the steps in which brittle targets may fall.
+    used: usize,
+    usable: usize,
     attempts: Vec<SentAttempt>,
     messages: Vec<(u64, usize, GossipMessage)>,
     // The ends of the requests that each target would run for a chooser that knows all of them.
@@ -125,6 +162,12 @@
             drained_at: vec![0; plan.routers],
             restarts: vec![Vec::new(); plan.routers],
             is_turning: vec![false; plan.targets],
+            turned_away: vec![Vec::new(); plan.targets],
+            falls: Vec::new(),
+            down_until: vec![0; plan.targets],
+            started_ms: vec![1; plan.targets],
+            used: 0,
+            usable: 0,
             attempts: Vec::new(),
             messages: Vec::new(),
             ideal: vec![Vec::new(); plan.targets],
@@ -147,14 +190,21 @@
         settings.incarnation = self.starts;
         settings.seed = self.starts + self.random.below(1 << 40);
         settings.retries = RetryBounds { share: 0.2, reserve: 56.0 };
-        let record = |number| target(&format!("plain-{number}"), "plain", "a", 10 + number as u8);
-        fleet_router(now, settings, self.plan.routers, (0..self.plan.targets).map(record))
+        let records = (0..self.plan.targets).map(|number| self.record(number));
+        fleet_router(now, settings, self.plan.routers, records)
+    }
+
+    fn record(&self, number: usize) -> TargetRecord {
+        let started_ms = self.started_ms[number];
+        let record = target(&format!("plain-{number}"), "plain", "a", 10 + number as u8);
+        TargetRecord { started_ms, ..record }
     }
 
     pub(crate) fn run(&mut self) {
         for now in (STEP_MS..LENGTH_MS).step_by(STEP_MS as usize) {
             self.inject_faults(now);
             self.turn_targets(now);
+            self.run_brittle_targets(now);
             self.end_attempts(now);
             self.send_requests(now);
             self.gossip(now);
@@ -198,14 +248,87 @@
         }
     }
 
-    fn verdict(&self, target: usize) -> Verdict {
+    fn is_brittle(&self, now: u64) -> bool {
+        self.plan.brittle.is_some() && BRITTLE_MS.contains(&now)
+    }
+
+    fn room(&self, now: u64) -> usize {
+        let has_changed = self.is_brittle(now) && now >= BRITTLE_MS.start + SHRINK_MS;
+        if has_changed { self.plan.later_room } else { self.plan.room }
+    }
+
+    fn running(&self, target: usize) -> usize {
         let runs = |attempt: &&SentAttempt| {
             attempt.verdict == Verdict::Accepted && number_of(&attempt.plan) == target
         };
+        self.attempts.iter().filter(runs).count()
+    }
+
+    // Lets targets that fell over start again, and counts the use of the others.
+    fn run_brittle_targets(&mut self, now: u64) {
+        for target in 0..self.plan.targets {
+            if self.down_until[target] == now {
+                self.started_ms[target] = now;
+                let record = self.record(target);
+                for router in &mut self.routers {
+                    router.handle(now, ForwardEvent::Target(record.clone()));
+                }
+            }
+            if self.is_brittle(now) && now >= BRITTLE_MS.start + CONTACT_MS {
+                let room = self.room(now);
+                self.used += self.running(target).min(room);
+                self.usable += room;
+            }
+        }
+    }
+
+    // Makes a brittle target fall over if it has rejected too many requests in a second.
+    fn count_rejection(&mut self, now: u64, target: usize) {
+        self.turned_away[target].push(now);
+        let since_start =
+            self.turned_away[target].iter().filter(|at| **at >= self.started_ms[target]);
+        let recent = since_start.filter(|at| **at + 1_000 > now).count();
+        let is_fragile = self.is_brittle(now) && now >= BRITTLE_MS.start + CONTACT_MS;
+        let falls = self.plan.brittle.is_some_and(|bound| recent > bound as usize);
+        if !is_fragile || !falls {
+            return;
+        }
+        self.falls.push((now, target));
+        self.down_until[target] = now + DOWN_MS;
+        for attempt in &mut self.attempts {
+            if number_of(&attempt.plan) == target {
+                attempt.verdict = Verdict::Lost;
+                attempt.due = now + STEP_MS;
+            }
+        }
+    }
+
+    /// Returns the part of the brittle targets' room that was used while they could fall.
+    pub(crate) fn used_share(&self) -> f64 {
+        self.used as f64 / self.usable as f64
+    }
+
+    /// Returns the most rejections of a target in a second while it could fall.
+    pub(crate) fn most_rejections(&self) -> usize {
+        let in_second = |times: &Vec<u64>, end: u64| {
+            times.iter().filter(|at| **at <= end && **at + 1_000 > end).count()
+        };
+        let fragile = BRITTLE_MS.start + CONTACT_MS..BRITTLE_MS.end;
+        let most = |times: &Vec<u64>| {
+            let ends = times.iter().filter(|at| fragile.contains(at));
+            ends.map(|end| in_second(times, *end)).max().unwrap_or(0)
+        };
+        self.turned_away.iter().map(most).max().unwrap_or(0)
+    }
+
+    fn verdict(&self, now: u64, target: usize) -> Verdict {
+        if now < self.down_until[target] {
+            return Verdict::Gone;
+        }
         match self.is_turning[target] {
             true if target < self.plan.rejecting => Verdict::Rejected,
             true => Verdict::Deferred,
-            false if self.attempts.iter().filter(runs).count() >= 2 * SLOTS => Verdict::Rejected,
+            false if self.running(target) >= self.room(now) => Verdict::Rejected,
             false => Verdict::Accepted,
         }
     }
@@ -242,7 +365,7 @@
             !self.is_turning[*target] && now >= self.deferring_until[*target][router]
         });
         if let Some(target) = open.find(|target| self.ideal[*target].len() < SLOTS) {
-            self.ideal[target].push(now + ANSWER_MS);
+            self.ideal[target].push(now + self.plan.answer_ms);
             self.servable += usize::from(now >= self.plan.counted_from_ms);
         }
     }
@@ -254,21 +377,36 @@
                 let target = number_of(&plan);
                 self.repeated += usize::from(is_repeated);
                 self.arrivals[target][router].push(now);
-                let verdict = self.verdict(target);
-                let due = now + if verdict == Verdict::Accepted { ANSWER_MS } else { REJECT_MS };
-                self.attempts.push(SentAttempt { router, request, plan, verdict, due });
+                let verdict = self.verdict(now, target);
+                let is_accepted = verdict == Verdict::Accepted;
+                let due = now + if is_accepted { self.plan.answer_ms } else { REJECT_MS };
+                self.attempts.push(SentAttempt { router, request, plan, verdict, sent: now, due });
+                if verdict == Verdict::Rejected {
+                    self.count_rejection(now, target);
+                }
             }
             Err(refusal) => self.refusals.push((now, refusal)),
         }
     }
 
+    fn brittle_notice(&self, now: u64) -> BrittleNotice {
+        let bound = self.plan.brittle.filter(|_| self.is_brittle(now)).map(f64::from);
+        let bound = bound.and_then(RejectionBound::from_per_second);
+        bound.map_or(BrittleNotice::Absent, BrittleNotice::Named)
+    }
+
     fn end_attempts(&mut self, now: u64) {
         let (done, running): (Vec<_>, Vec<_>) = std::mem::take(&mut self.attempts)
             .into_iter()
             .partition(|attempt| now >= attempt.due && now >= self.suspended_until[attempt.router]);
         self.attempts = running;
-        for SentAttempt { router, mut request, mut plan, verdict, .. } in done {
+        for SentAttempt { router, mut request, mut plan, verdict, sent, .. } in done {
+            let brittle = self.brittle_notice(now);
             let state = &mut self.routers[router].state;
+            if !matches!(verdict, Verdict::Gone | Verdict::Lost) {
+                let is_rejection = verdict != Verdict::Accepted;
+                state.record_brittle(at(now), &plan, at(sent), brittle, is_rejection);
+            }
             let outcome = match verdict {
                 Verdict::Accepted => {
                     state.record_answer_start(at(now), &mut plan, None);
@@ -277,6 +415,8 @@
                 Verdict::Rejected | Verdict::Deferred => {
                     AttemptOutcome::Rejected { mismatch: false }
                 }
+                Verdict::Gone => AttemptOutcome::NotSent,
+                Verdict::Lost => AttemptOutcome::Lost { phase: AnswerPhase::Waiting },
             };
             if verdict == Verdict::Deferred {
                 let span = ClockSpan::from_ms(self.plan.deferral_ms);
