Routers together keep brittle targets' requests below a room that they learn from rejections

Cause: a target that falls over when it rejects many requests got its usual share, and all that it rejected was offered again. Each router that has requests for such a target now gets a part of the room that all of them learn: a rejection lowers it at once (to the last proved size, or by half), one router raises it while requests are refused. Beyond that a request is refused at once: 503 targets_brittle, with Retry-After. It works because the parts add up to the room without asking, so that rejections come only from a change of the room or from one probe.

--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -69,6 +69,8 @@
     TargetsRefused,
     /// All usable targets have got as many requests as they take.
     TargetsLimited,
+    /// All usable targets are brittle and have no room, or have got as many requests as they take.
+    TargetsBrittle,
     /// All usable targets want no requests for a time.
     TargetsDeferring,
     /// The prompt has a part that crashes targets.
@@ -110,6 +112,7 @@
             | RefusalReason::OriginUnknown
             | RefusalReason::TargetsRefused
             | RefusalReason::TargetsLimited
+            | RefusalReason::TargetsBrittle
             | RefusalReason::TargetsDeferring
             | RefusalReason::PromptWithheld
             | RefusalReason::RequestWithheld
@@ -132,6 +135,7 @@
             RefusalReason::OriginUnknown => "origin_unknown",
             RefusalReason::TargetsRefused => "targets_refused",
             RefusalReason::TargetsLimited => "targets_limited",
+            RefusalReason::TargetsBrittle => "targets_brittle",
             RefusalReason::TargetsDeferring => "targets_deferring",
             RefusalReason::PromptWithheld => "prompt_withheld",
             RefusalReason::RequestWithheld => "request_withheld",
--- a/crates/forward/src/state/brittle.rs
+++ b/crates/forward/src/state/brittle.rs
@@ -1,15 +1,15 @@
 //! Keeps requests from targets that fall over if they have to reject many; see [`BrittleTable`].
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::BTreeMap, sync::Arc};
 
 use godwitroad_base::{ClockSpan, ClockTime, ServiceName, TargetName, rendezvous};
 use godwitroad_throttle::{
-    BrittleChange, BrittleNotice, BrittleReport, BrittleTable, RejectionBound,
+    BrittleChange, BrittleNotice, BrittleReport, BrittleTable, RejectionBound, RoomPosition,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{ForwardAction, ForwardState};
-use crate::{GossipMessage, PeerPlace, SendPlan, TargetRecord, tag_of};
+use crate::{ForwardRequest, GossipMessage, PeerPlace, SendPlan, TargetRecord, tag_of};
 
 /// What is known of brittle targets.
 #[derive(Debug, Default)]
@@ -25,6 +25,12 @@
 /// How long targets of a service that start are taken for brittle after another one said that it is.
 const SERVICE_SPAN: ClockSpan = ClockSpan::from_secs(10);
 
+/// Requests per second that return for each request that the targets take at a time.
+const RETURNS_PER_PLACE: f64 = 4.0;
+
+/// The shortest time after which a caller returns.
+pub(super) const BRITTLE_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(100);
+
 fn count(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
@@ -163,4 +169,56 @@
         let mut peers = self.peers.iter().filter(|peer| peer.is_reachable(now));
         peers.all(|peer| self.room_order(&peer.place, record) > own)
     }
+
+    fn room_position(&self, now: ClockTime, record: &TargetRecord) -> RoomPosition {
+        let tag = tag_of(record.name.as_str());
+        let own = self.room_order(&self.settings.place, record);
+        let known = self.member_count();
+        let mut position = RoomPosition { index: 0, claiming: 1, reachable: 1, known };
+        for peer in self.peers.iter().filter(|peer| peer.is_reachable(now)) {
+            position.reachable += 1;
+            if self.brittle.table.is_claimed_by(now, tag, &peer.place.vm) {
+                position.claiming += 1;
+                position.index += usize::from(self.room_order(&peer.place, record) < own);
+            }
+        }
+        position
+    }
+
+    /// Returns the targets that aren't brittle, or have room for a request of this router.
+    pub(super) fn targets_with_room(
+        &mut self,
+        now: ClockTime,
+        request: &ForwardRequest,
+        records: &[Arc<TargetRecord>],
+    ) -> Vec<Arc<TargetRecord>> {
+        let has_room = |record: &&Arc<TargetRecord>| self.has_room(now, request, record);
+        records.iter().filter(has_room).cloned().collect()
+    }
+
+    fn has_room(
+        &mut self,
+        now: ClockTime,
+        request: &ForwardRequest,
+        record: &TargetRecord,
+    ) -> bool {
+        let tag = tag_of(record.name.as_str());
+        if self.brittle.table.bound(tag).is_none() {
+            return true;
+        }
+        // A stream that has begun would break.
+        let is_urgent = request.begun_version.is_some() || request.begun_build.is_some();
+        let position = self.room_position(now, record);
+        let own = count(self.loads.own_requests(&record.name));
+        self.brittle.table.admits(now, tag, position, own, is_urgent)
+    }
+
+    /// Records that this router refuses a request for lack of room at a target, and returns how many refused callers per
+    /// second may return because of this target.
+    pub(super) fn record_no_room(&mut self, now: ClockTime, record: &TargetRecord) -> f64 {
+        self.brittle.table.record_refusal(now, tag_of(record.name.as_str()));
+        let room = self.brittle_room(&record.name).unwrap_or(0);
+        let reachable = 1 + self.peers.iter().filter(|peer| peer.is_reachable(now)).count();
+        f64::from(room) * RETURNS_PER_PLACE / reachable as f64
+    }
 }
--- a/crates/forward/src/state/throttle.rs
+++ b/crates/forward/src/state/throttle.rs
@@ -6,7 +6,7 @@
 use godwitroad_throttle::{FleetPosition, LimitChange, LimitNotice, RequestRate};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{ForwardAction, ForwardState};
+use super::{ForwardAction, ForwardState, brittle::BRITTLE_RETRY_AFTER};
 use crate::{
     ForwardRefusal, ForwardRequest, GossipMessage, PeerPlace, RefusalReason, SendPlan,
     TargetRecord, tag_of,
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Returns the targets that aren't deferring and whose limits allow this router to send the request now.
+    /// Returns the targets that aren't deferring and whose limits and room allow this router to send the request now.
     ///
     /// # Errors
     ///
@@ -106,10 +106,22 @@
                 }
             }
         }
-        let Some(first) = first.filter(|_| allowed.is_empty()) else { return Ok(allowed) };
+        let limited = records.len() - allowed.len();
+        let with_room = self.targets_with_room(now, request, &allowed);
+        if !with_room.is_empty() || records.is_empty() {
+            return Ok(with_room);
+        }
+        let mut reason = RefusalReason::TargetsLimited;
+        if limited < records.len() {
+            reason = RefusalReason::TargetsBrittle;
+            first = Some(first.map_or(BRITTLE_RETRY_AFTER, |first| first.min(BRITTLE_RETRY_AFTER)));
+            per_second +=
+                allowed.iter().map(|record| self.record_no_room(now, record)).sum::<f64>();
+        }
+        let first = first.unwrap_or_default();
         let queue = self.return_queues.entry(request.service.clone()).or_default();
         let wait = queue.next_wait(now, first, per_second, &mut self.random);
-        Err(ForwardRefusal::after(RefusalReason::TargetsLimited, wait))
+        Err(ForwardRefusal::after(reason, wait))
     }
 
     // Returns this router's position for a target: the reachable routers in order of their distance to the target, so that
--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -39,6 +39,10 @@
     one_router = { TurnPlan { routers: 1, demand: 300.0, ..BRITTLE } },
     four_routers = { BRITTLE },
     nine_routers = { TurnPlan { routers: 9, ..BRITTLE } },
+    more_callers = { TurnPlan { demand: 1_000.0, ..BRITTLE } },
+    short_answers = { TurnPlan { answer_ms: 30, demand: 600.0, ..BRITTLE } },
+    many_targets = { TurnPlan { routers: 9, targets: 20, demand: 2_000.0, ..BRITTLE } },
+    nothing_shrinks = { TurnPlan { later_room: 4, demand: 600.0, ..BRITTLE } },
 )]
 fn brittle_targets_seldom_fall_and_are_used(plan: TurnPlan) {
     for seed in 0..support::histories() {
@@ -47,3 +51,16 @@
         assert!(fleet.used_share() >= MIN_USE, "seed {seed}: {} used", fleet.used_share());
     }
 }
+
+#[parameterized(
+    kills = { TurnPlan { kills: true, ..BRITTLE } },
+    suspends = { TurnPlan { suspends: true, ..BRITTLE } },
+    lost_gossip = { TurnPlan { loses_gossip: true, ..BRITTLE } },
+    all = { TurnPlan { kills: true, suspends: true, cuts: true, loses_gossip: true, ..BRITTLE } },
+)]
+fn brittle_targets_seldom_fall_while_routers_fail(plan: TurnPlan) {
+    for seed in 0..support::histories() {
+        let fleet = play("faults", seed, plan);
+        assert!(fleet.falls.len() <= MAX_FALLS + plan.targets / 10, "seed {seed}");
+    }
+}
