A brittle target is used by half near its number of rejections, and cut-off routers share its last place

Now half of the room is used until the last rejection but one is older than a second, and parts are rounded down, except that the routers that are most keep the last place.

--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -42,6 +42,9 @@
     more_callers = { TurnPlan { demand: 1_000.0, ..BRITTLE } },
     short_answers = { TurnPlan { answer_ms: 30, demand: 600.0, ..BRITTLE } },
     many_targets = { TurnPlan { routers: 9, targets: 20, demand: 2_000.0, ..BRITTLE } },
+    few_rejections = { TurnPlan { brittle: Some(2), ..BRITTLE } },
+    one_rejection = { TurnPlan { brittle: Some(1), ..BRITTLE } },
+    larger_room = { TurnPlan { room: 12, later_room: 6, demand: 700.0, ..BRITTLE } },
     nothing_shrinks = { TurnPlan { later_room: 4, demand: 600.0, ..BRITTLE } },
 )]
 fn brittle_targets_seldom_fall_and_are_used(plan: TurnPlan) {
@@ -56,7 +59,9 @@
     kills = { TurnPlan { kills: true, ..BRITTLE } },
     suspends = { TurnPlan { suspends: true, ..BRITTLE } },
     lost_gossip = { TurnPlan { loses_gossip: true, ..BRITTLE } },
+    cuts = { TurnPlan { cuts: true, ..BRITTLE } },
     all = { TurnPlan { kills: true, suspends: true, cuts: true, loses_gossip: true, ..BRITTLE } },
+    nine_routers = { TurnPlan { routers: 9, kills: true, suspends: true, cuts: true, loses_gossip: true, ..BRITTLE } },
 )]
 fn brittle_targets_seldom_fall_while_routers_fail(plan: TurnPlan) {
     for seed in 0..support::histories() {
--- a/crates/throttle/src/brittle.rs
+++ b/crates/throttle/src/brittle.rs
@@ -10,7 +10,8 @@
 //! - A rejection lowers the room at once: to the last size that was proved, or to half of that if the target rejects
 //!   requests within it. The newest statement of any router counts everywhere.
 //! - One router raises it while requests have to be refused, and waits longer after each raise that brings a rejection.
-//! - If the rejections of the last second come near the number that the target bears, nothing is sent.
+//! - If the rejections of the last second come near the number that the target bears, only half of the room is used; once they
+//!   reach it, nothing is sent.
 //!
 //! A router has no part of the room before its peers have heard that it has requests.
 
@@ -241,12 +242,15 @@
             self.has_news = true;
         }
         self.claimed_at = Some(now);
-        // One rejection is left for requests on the way.
-        let affordable = bound.per_second().saturating_sub(1).max(1);
-        if self.recent_rejections(now) >= affordable || now < self.held_until {
+        let recent = self.recent_rejections(now);
+        if recent >= bound.per_second().max(1) || now < self.held_until {
             return false;
         }
-        let room = position.usable(self.room.room);
+        let mut room = position.usable(self.room.room);
+        if recent + 1 >= bound.per_second() {
+            // The last rejection is left for requests on the way.
+            room = room.div_ceil(2);
+        }
         let total = self.total(now, own);
         let claiming = u32::try_from(position.claiming).unwrap_or(u32::MAX);
         if total.saturating_add(claiming) <= room {
@@ -295,10 +299,11 @@
 }
 
 impl RoomPosition {
-    // Returns the part of a room that the reachable routers may use.
+    // Returns the part of a room that the reachable routers may use. The last place belongs to those that are the most.
     fn usable(self, room: u32) -> u32 {
         let part = self.reachable as f64 / self.known.max(1) as f64;
-        (f64::from(room) * part.min(1.0)).round() as u32
+        let usable = (f64::from(room) * part.min(1.0)) as u32;
+        usable.max(u32::from(part > 0.5))
     }
 
     // Returns this router's part of the usable room.
