--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, ReachNotes, allowance::UsageEntry,
-    load::LoadEntry, segments::SentPromptEntry,
+    BrittleReport, LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, ReachNotes,
+    allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
 };
 
 /// The name and location of a router, from its entry in the store or from its gossip messages.
@@ -91,6 +91,9 @@
     /// Targets that the sender doesn't reach directly, encoded after those that reject requests.
     #[serde(skip)]
     pub reach: ReachNotes,
+    /// What the sender knows of brittle targets, encoded after those out of reach.
+    #[serde(skip)]
+    pub brittle: Vec<BrittleReport>,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
@@ -145,6 +148,7 @@
                 || self.repeats.drop_least_important()
                 || self.deferrals.pop().is_some()
                 || self.limits.pop().is_some()
+                || self.brittle.pop().is_some()
                 || self.leaving.pop().is_some();
         }
         true
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! [`ForwardState::choose_target`] before each attempt, and [`ForwardState::finish_attempt`] with its outcome.
 
 mod admission;
+mod brittle;
 mod deferral;
 mod era;
 mod gossip;
@@ -48,6 +49,7 @@
     SentPromptEntry, TargetRecord, TargetRoster, reach::ReachTable, recent::RecentEntries,
 };
 
+use brittle::BrittleState;
 use deferral::DeferralQueues;
 use era::EraProgress;
 use health::HealthTable;
@@ -235,6 +237,7 @@
     repeats: SharedQuarantine,
     throttle: ThrottleTable,
     origins: OriginTable,
+    brittle: BrittleState,
     deferrals: DeferralTable,
     // When callers of each service and account were told to return because its targets are deferring.
     deferral_queues: DeferralQueues,
@@ -333,6 +336,7 @@
             repeats: SharedQuarantine::new("request", settings.repeats),
             throttle: ThrottleTable::default(),
             origins: OriginTable::new(settings.origins),
+            brittle: BrittleState::default(),
             deferrals: DeferralTable::default(),
             deferral_queues: DeferralQueues::new(),
             acceptance: AcceptanceTable::new(settings.acceptance),
