A target to which no router can connect fails at once, and is probed in the background

While all VMs were cut from the targets by links that hang, callers got their refusal after 1.1 s to 1.4 s: each request tried four targets, and each attempt lasted for the connect limit of 350 ms, although earlier requests had just shown that neither this router nor its peers connect.

A target counts as down once this router and its peers (eight, or all if there are fewer) have failed to connect to it. Attempts then end at once as not sent, and a connection that no request waits for is tried once a second, directly and through peers. The next success, or a new run of the target, ends this.

--- a/crates/forward/src/reach.rs
+++ b/crates/forward/src/reach.rs
@@ -5,7 +5,7 @@
 //! router's own attempt hung or failed. Connections to it are then opened through peers, and a direct one is tried from time
 //! to time until it succeeds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName};
 use serde::{Deserialize, Serialize};
@@ -23,9 +23,10 @@
     pub cut_evidence: usize,
     /// The maximum number of peers that are asked for one connection.
     pub max_peers: usize,
-    /// The time for which a peer that failed where another one succeeded is asked last, and for which no peer is asked for a
-    /// target that none could connect to.
+    /// The time for which a peer that failed to connect to a target is asked last.
     pub failure_memory: ClockSpan,
+    /// The number of peers, all if there are fewer, that must have failed beside this router for a target to count as down.
+    pub down_evidence: usize,
     /// The number of successive direct connections that end before their first answer, from which on peers are asked as well.
     pub closed_evidence: u32,
 }
@@ -38,6 +39,7 @@
             cut_evidence: 2,
             max_peers: 4,
             failure_memory: ClockSpan::from_ms(2_000),
+            down_evidence: 8,
             closed_evidence: 2,
         }
     }
@@ -76,8 +78,15 @@
     // The successive direct connections to each target that ended before their first answer.
     closed: BTreeMap<TargetName, u32>,
     failed_peers: BTreeMap<VmName, ClockTime>,
-    // When no peer could connect to a target.
-    unreachable: BTreeMap<TargetName, ClockTime>,
+    // Which peers lately failed to connect to a target that this router can't connect to either.
+    failures: BTreeMap<TargetName, PathFailures>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PathFailures {
+    peers: BTreeSet<VmName>,
+    last: ClockTime,
+    is_down: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -121,7 +130,7 @@
             probes: BTreeMap::new(),
             closed: BTreeMap::new(),
             failed_peers: BTreeMap::new(),
-            unreachable: BTreeMap::new(),
+            failures: BTreeMap::new(),
         }
     }
 
@@ -145,41 +154,52 @@
         *self.closed.entry(target.clone()).or_default() += 1;
     }
 
-    /// Records which peers could not connect to a target, and whether another one could.
-    pub(crate) fn record_peers(
-        &mut self,
-        now: ClockTime,
-        target: &TargetName,
-        failed: &[VmName],
-        is_connected: bool,
-    ) {
-        if is_connected {
-            self.failed_peers.extend(failed.iter().map(|peer| (peer.clone(), now)));
-            self.unreachable.remove(target);
-        } else if !failed.is_empty() {
-            self.unreachable.insert(target.clone(), now);
-        }
+    /// Records that a peer could not connect to a target.
+    pub(crate) fn record_failed_peer(&mut self, now: ClockTime, peer: &VmName) {
+        self.failed_peers.insert(peer.clone(), now);
     }
 
-    /// Returns whether a peer lately failed where another one succeeded.
+    /// Returns whether a peer lately failed to connect to a target.
     pub(crate) fn has_failed(&self, now: ClockTime, peer: &VmName) -> bool {
-        self.is_remembered(now, self.failed_peers.get(peer))
+        let failed_at = self.failed_peers.get(peer);
+        failed_at.is_some_and(|at| now.since(*at) < self.settings.failure_memory)
     }
 
-    /// Returns whether no peer could lately connect to a target.
-    pub(crate) fn is_unreachable(&self, now: ClockTime, target: &TargetName) -> bool {
-        self.is_remembered(now, self.unreachable.get(target))
+    /// Records that neither this router nor these peers could connect to a target; `peer_count` peers could be asked. Returns
+    /// whether the target has just begun to count as down.
+    pub(crate) fn record_unreachable(
+        &mut self,
+        now: ClockTime,
+        target: &TargetName,
+        failed: Vec<VmName>,
+        peer_count: usize,
+    ) -> bool {
+        let needed = self.settings.down_evidence.min(peer_count).max(1);
+        let failures = self.failures.entry(target.clone()).or_default();
+        failures.peers.extend(failed);
+        failures.last = now;
+        let is_down = failures.peers.len() >= needed;
+        is_down && !std::mem::replace(&mut failures.is_down, is_down)
     }
 
-    fn is_remembered(&self, now: ClockTime, failed_at: Option<&ClockTime>) -> bool {
-        failed_at.is_some_and(|at| now.since(*at) < self.settings.failure_memory)
+    /// Returns whether neither this router nor any peer could lately connect to a target.
+    pub(crate) fn is_down(&self, now: ClockTime, target: &TargetName) -> bool {
+        let failures = self.failures.get(target);
+        failures.is_some_and(|failures| {
+            failures.is_down && now.since(failures.last) < self.settings.failure_memory
+        })
+    }
+
+    /// Records that a target to which no router could connect has been connected to.
+    pub(crate) fn record_up(&mut self, target: &TargetName) {
+        self.failures.remove(target);
     }
 
     /// Drops what is no longer remembered.
     pub(crate) fn expire(&mut self, now: ClockTime) {
         let memory = self.settings.failure_memory;
         self.failed_peers.retain(|_, at| now.since(*at) < memory);
-        self.unreachable.retain(|_, at| now.since(*at) < memory);
+        self.failures.retain(|_, failures| now.since(failures.last) < memory);
     }
 
     /// Returns whether all targets seem to be out of reach.
@@ -219,6 +239,7 @@
         started_ms: u64,
     ) -> ReachChange {
         let known = self.lost.get(target).is_some_and(|path| path.started_ms == started_ms);
+        self.failures.remove(target);
         if !known {
             self.lost.insert(target.clone(), LostPath { started_ms, since: now });
             self.probes.insert(target.clone(), now);
@@ -233,6 +254,7 @@
     pub(crate) fn forget(&mut self, target: &TargetName) -> bool {
         self.probes.remove(target);
         self.closed.remove(target);
+        self.failures.remove(target);
         let was_lost = self.lost.remove(target).is_some();
         if self.lost.is_empty() {
             self.is_cut = false;
--- a/crates/forward/src/state/reach.rs
+++ b/crates/forward/src/state/reach.rs
@@ -5,7 +5,7 @@
 use godwitroad_base::{ClockSpan, ClockTime, TargetName, VmName, ZoneName, rendezvous};
 
 use super::{ForwardAction, ForwardState};
-use crate::{DirectOutcome, PeerPlace, ReachChange, TargetRecord, tag_of};
+use crate::{DirectOutcome, GossipMessage, PeerPlace, ReachChange, TargetRecord, tag_of};
 
 /// A peer through which a target can be connected to.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,10 +19,11 @@
 /// How to open a connection to a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ConnectPlan {
-    /// Whether to try a direct connection beside the peers.
+    /// Whether to try a direct connection beside the peers, or a connection that no request waits for if the target is down.
     pub tries_direct: bool,
-    /// The time to wait for the direct connection before a peer is asked; zero if the target is out of reach.
-    pub peer_delay: ClockSpan,
+    /// The time to wait for the direct connection before a peer is asked: zero if the target is out of reach, `None` if
+    /// neither this router nor its peers can connect to it now.
+    pub peer_delay: Option<ClockSpan>,
 }
 
 impl ForwardState {
@@ -33,12 +34,18 @@
         target: &TargetName,
         started_ms: u64,
     ) -> ConnectPlan {
+        if self.reach.is_down(now, target) {
+            return ConnectPlan {
+                tries_direct: self.reach.take_probe(now, target),
+                peer_delay: None,
+            };
+        }
         if self.reach.is_direct(target, started_ms) && !self.reach.is_doubtful(target) {
             let peer_delay = self.reach.settings().hedge_delay;
-            return ConnectPlan { tries_direct: true, peer_delay };
+            return ConnectPlan { tries_direct: true, peer_delay: Some(peer_delay) };
         }
         let tries_direct = self.reach.take_probe(now, target);
-        ConnectPlan { tries_direct, peer_delay: ClockSpan::ZERO }
+        ConnectPlan { tries_direct, peer_delay: Some(ClockSpan::ZERO) }
     }
 
     /// Returns whether a run of a target is reached directly, as far as is known.
@@ -115,14 +122,11 @@
     /// Returns the peers to ask for a connection to a target, one after the other: those that reach it as far as they know,
     /// the nearest first. Each is followed by one of another availability zone, as the VMs of a zone may be cut together.
     pub fn relay_peers(&mut self, now: ClockTime, target: &TargetName) -> Vec<RelayPeer> {
-        if self.reach.is_unreachable(now, target) {
-            return Vec::new();
-        }
         let key = self.random.next_u64();
         let (own, tag) = (&self.settings.place, tag_of(target.as_str()));
         let mut zones: BTreeMap<&ZoneName, Vec<(bool, u64, &PeerPlace)>> = BTreeMap::new();
         for (message, _) in self.peers.reachable(now) {
-            if !message.stopping && message.reach.reaches(tag) {
+            if is_relay(message, tag) {
                 let place = &message.place;
                 let score = rendezvous::score(key, place.vm.as_str());
                 let has_failed = self.reach.has_failed(now, &place.vm);
@@ -143,15 +147,26 @@
             .collect()
     }
 
-    /// Records which peers could not connect to a target, and whether another one could.
-    pub fn record_relay(
-        &mut self,
-        now: ClockTime,
-        target: &TargetName,
-        failed: &[VmName],
-        is_connected: bool,
-    ) {
-        self.reach.record_peers(now, target, failed, is_connected);
+    /// Records that a peer could not connect to a target.
+    pub fn record_failed_peer(&mut self, now: ClockTime, peer: &VmName) {
+        self.reach.record_failed_peer(now, peer);
+    }
+
+    /// Records that neither this router nor these peers could connect to a target.
+    pub fn record_unreachable(&mut self, now: ClockTime, target: &TargetName, failed: Vec<VmName>) {
+        let tag = tag_of(target.as_str());
+        let peers = self.peers.reachable(now);
+        let count = peers.filter(|(message, _)| is_relay(message, tag)).count();
+        let detail = format!("target={target} failed_peers={failed:?} peers={count}");
+        if !failed.is_empty() && self.reach.record_unreachable(now, target, failed, count) {
+            self.notice("target_down", detail);
+        }
+    }
+
+    /// Records that a target to which no router could connect has been connected to.
+    pub fn record_target_up(&mut self, target: &TargetName) {
+        self.reach.record_up(target);
+        self.notice("target_up", format!("target={target}"));
     }
 
     /// Records that a direct connection to a target ended before its first answer.
@@ -163,3 +178,8 @@
         self.notices.push(ForwardAction::Notice(event, detail));
     }
 }
+
+// Returns whether the sender of a message may be asked to connect to a target.
+fn is_relay(message: &GossipMessage, target: u32) -> bool {
+    !message.stopping && message.reach.reaches(target)
+}
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -6,8 +6,8 @@
 };
 
 use actix_rt::spawn;
-use godwitroad_base::{ClockSpan, TargetName};
-use godwitroad_forward::{ConnectPlan, DirectOutcome, ReachChange, RelayPeer};
+use godwitroad_base::{ClockSpan, TargetName, VmName};
+use godwitroad_forward::{DirectOutcome, ReachChange, RelayPeer};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -72,15 +72,30 @@
     // A peer is asked at once if the target is known to be out of reach, and otherwise if the direct attempt fails or hangs.
     async fn open(&self, was_closed: bool, deadline: Instant) -> Result<TargetConnection> {
         if was_closed {
-            return open_through_peers(self, DirectOutcome::Failed, deadline).await;
+            let opened = open_through_peers(self, DirectOutcome::Failed, deadline).await;
+            return opened.map_err(|_| SendError::NotSent);
         }
         let (core, now) = (self.core, self.core.now());
         let plan = core.update(|state| state.plan_connect(now, self.name, self.started_ms));
-        if plan.peer_delay == ClockSpan::ZERO {
-            return open_out_of_reach(self, &plan, deadline).await;
+        match plan.peer_delay {
+            None => {
+                if plan.tries_direct {
+                    let (core, name) = (core.clone(), self.name.clone());
+                    spawn(probe_down(core, name, self.started_ms, self.address));
+                }
+                Err(SendError::NotSent)
+            }
+            Some(ClockSpan::ZERO) => {
+                if plan.tries_direct {
+                    spawn(probe_direct(core.clone(), self.name.clone(), self.address));
+                }
+                open_out_of_reach(self, deadline).await
+            }
+            Some(delay) => {
+                let hedge_at = deadline.min(core.deadline(delay));
+                open_hedged(self, hedge_at, deadline).await
+            }
         }
-        let hedge_at = deadline.min(core.deadline(plan.peer_delay));
-        open_hedged(self, hedge_at, deadline).await
     }
 
     fn record_closed(&self) {
@@ -102,38 +117,46 @@
     };
     let relayed = open_through_peers(target, outcome, deadline);
     if outcome == DirectOutcome::Failed {
-        return relayed.await;
+        return relayed.await.map_err(|failed| record_unreachable(target, failed));
     }
     let mut relayed = Box::pin(relayed);
     tokio::select! {
         biased;
         connected = &mut direct => match connected {
             Ok(connection) => Ok(connection),
-            Err(_) => relayed.await,
+            Err(_) => relayed.await.map_err(|failed| record_unreachable(target, failed)),
         },
         connected = &mut relayed => match connected {
             Ok(connection) => Ok(connection),
-            Err(_) => direct.await,
+            Err(failed) => direct.await.map_err(|_| record_unreachable(target, failed)),
         },
     }
 }
 
-// Opens a connection to a target out of reach. A direct attempt that is due runs beside the peers.
+fn record_unreachable<P: PlatformAdapter>(
+    target: &TargetDialer<'_, P>,
+    failed: Vec<VmName>,
+) -> SendError {
+    let now = target.core.now();
+    target.core.update(|state| state.record_unreachable(now, target.name, failed));
+    SendError::NotSent
+}
+
+// Opens a connection to a target out of reach.
 async fn open_out_of_reach<P: PlatformAdapter>(
     target: &TargetDialer<'_, P>,
-    plan: &ConnectPlan,
     deadline: Instant,
 ) -> Result<TargetConnection> {
     let core = target.core;
-    if plan.tries_direct {
-        spawn(probe_direct(core.clone(), target.name.clone(), target.address));
-    }
     let is_lost = core.read(|state| !state.is_direct(target.name, target.started_ms));
     let direct = if is_lost { DirectOutcome::Skipped } else { DirectOutcome::Failed };
     match open_through_peers(target, direct, deadline).await {
         Ok(connection) => Ok(connection),
         // Without a peer, the direct path is all there is.
-        Err(_) => TargetConnection::open(target.address, deadline).await,
+        Err(failed) => {
+            let direct = TargetConnection::open(target.address, deadline).await;
+            direct.map_err(|_| record_unreachable(target, failed))
+        }
     }
 }
 
@@ -152,11 +175,27 @@
     }
 }
 
+// Tries to connect to a target to which no router could connect, without a request that waits for it.
+async fn probe_down<P: PlatformAdapter>(
+    core: SharedCore<P>,
+    name: TargetName,
+    started_ms: u64,
+    address: SocketAddr,
+) {
+    let target = TargetDialer { core: &core, name: &name, started_ms, address, request: "probe" };
+    let now = Instant::now();
+    if let Ok(connection) = open_hedged(&target, now, now + PROBE_TIMEOUT).await {
+        core.update(|state| state.record_target_up(&name));
+        core.client.add_unused(address, connection);
+    }
+}
+
+// Opens a connection through the first peer that can connect to the target, or returns those that could not.
 async fn open_through_peers<P: PlatformAdapter>(
     target: &TargetDialer<'_, P>,
     direct: DirectOutcome,
     deadline: Instant,
-) -> Result<TargetConnection> {
+) -> std::result::Result<TargetConnection, Vec<VmName>> {
     let core = target.core;
     let started = core.now();
     let peers = core.update(|state| state.relay_peers(started, target.name));
@@ -175,19 +214,18 @@
         core.log.request("relay_opened", target.request, &detail);
         if let Ok(connection) = result {
             core.metrics.count("relays.opened", 1);
-            let now = core.now();
-            core.update(|state| state.record_relay(now, target.name, &failed, true));
             record_lost(target, direct, &peer);
             return Ok(connection);
         }
         core.metrics.count("relays.failed", 1);
-        failed.push(peer.vm);
+        // A peer that wasn't given its full time has shown nothing.
         if Instant::now() >= deadline {
             break;
         }
+        core.update(|state| state.record_failed_peer(core.now(), &peer.vm));
+        failed.push(peer.vm);
     }
-    core.update(|state| state.record_relay(core.now(), target.name, &failed, false));
-    Err(SendError::NotSent)
+    Err(failed)
 }
 
 async fn open_through<P: PlatformAdapter>(
