--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -17,6 +17,7 @@
     ) {
         if self.proves_freshness(now, read_from, actions) {
             self.freshness.record_proof(read_from);
+            self.store_progress.record_view(read_from);
         }
         self.era.end_listing();
         self.store_progress.record_answer(now);
@@ -80,6 +81,7 @@
                 self.health.restart(now, &name);
                 self.reach.forget(&name);
                 self.throttle.remove(tag_of(name.as_str()));
+                self.restart_brittle(now, &name);
                 self.forget_rejections(now, &name);
                 self.store_progress.record_urgent();
                 actions.push(ForwardAction::Notice("target_started", detail));
@@ -182,6 +184,7 @@
         self.health.remove(name);
         self.reach.forget(name);
         self.throttle.remove(tag_of(name.as_str()));
+        self.forget_brittle(name);
         self.forget_rejections(now, name);
     }
 
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -59,12 +59,14 @@
         payload: Rc<CallerPayload>,
     ) -> CallerStream<P> {
         let head = AnswerHead::for_stream(&exchange, &payload);
+        let mut splitter = EventSplitter::default();
+        splitter.begin(attempt.required_resume(attempt.request().arrival.last_event));
         CallerStream {
             last_event_at: attempt.core().now(),
             core: attempt.core().clone(),
             payload,
             attempt: Some((attempt, exchange)),
-            splitter: EventSplitter::default(),
+            splitter,
             partial_event: None,
             head,
             has_begun: false,
@@ -109,7 +111,11 @@
             silent_since: self.last_event_at,
         };
         let end = {
-            let first = pin!(read_events(attempt, exchange, &mut self.splitter));
+            let is_resumable = self.splitter.is_resumable();
+            let mut first = pin!(read_events(attempt, exchange, &mut self.splitter));
+            if !is_resumable {
+                return Some(first.as_mut().await);
+            }
             wait_or_hand_over(attempt, &self.payload, progress, first).await
         };
         match end {
@@ -128,7 +134,9 @@
     async fn relocate(&mut self) {
         let resume = self.resume();
         let Some((attempt, _)) = &mut self.attempt else { return };
-        if !self.has_begun || self.is_relocation_declined || !attempt.relocate() {
+        let may_move =
+            self.has_begun && self.splitter.is_resumable() && !self.is_relocation_declined;
+        if !may_move || !attempt.relocate() {
             return;
         }
         match offer_relocation(attempt, &self.payload, resume).await {
@@ -156,6 +164,8 @@
         if self.splitter.last_id().is_none() {
             self.head = AnswerHead::for_stream(&exchange, &self.payload);
         }
+        let resume = self.splitter.last_id().or(attempt.request().arrival.last_event);
+        self.splitter.begin(attempt.required_resume(resume));
         self.attempt = Some((attempt, exchange));
         self.partial_event = None;
         self.is_relocation_declined = false;
@@ -219,7 +229,7 @@
         drop(exchange);
         self.partial_event = self.splitter.take_partial();
         let (mut request, mut step) = attempt.finish(outcome);
-        while step == NextStep::Again {
+        while step == NextStep::Again && self.splitter.is_resumable() {
             let plan = match self.core.choose_target(&mut request) {
                 Ok(plan) => plan,
                 Err(refusal) => {
@@ -299,6 +309,8 @@
             Ok(None) if is_cut(splitter, exchange.framing) => {
                 return Err(AttemptOutcome::Lost { phase: splitter.phase() });
             }
+            // The target before was cut off, so that the end of its part proves nothing, and neither does this one.
+            Ok(None) if splitter.awaits_continuation() => return Err(AttemptOutcome::Failed),
             Ok(None) => return Ok(StreamRead::End),
             Err(error) => return Err(attempt.outcome(error, splitter.phase())),
         }
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -144,6 +144,7 @@
         (message.leaving.is_empty(), encode_section(&message.leaving)?),
         (message.deferrals.is_empty(), encode_section(&message.deferrals)?),
         (message.reach.is_empty(), encode_section(&message.reach)?),
+        (message.brittle.is_empty(), encode_section(&message.brittle)?),
     ];
     let last = sections.iter().rposition(|(is_empty, _)| !is_empty);
     let used = last.map_or(&[][..], |last| &sections[..=last]);
@@ -168,6 +169,7 @@
     message.leaving = decode_section(&mut rest)?;
     message.deferrals = decode_section(&mut rest)?;
     message.reach = decode_section(&mut rest)?;
+    message.brittle = decode_section(&mut rest)?;
     Some(message)
 }
 
