--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -148,7 +148,7 @@
         request: &mut ForwardRequest,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let now = self.now();
-        let (plan, version, proof, has_urgent_gossip, limit) = self.update(|state| {
+        let (plan, version, proof, has_urgent_gossip, limit, room) = self.update(|state| {
             let version = state.config_version();
             let proof = state.proof_age(now).map(ClockSpan::as_ms);
             let plan = state.choose_target(now, request);
@@ -158,7 +158,8 @@
                     state.limit_level(&plan.target)?,
                 ))
             });
-            (plan, version, proof, state.has_urgent_gossip(), limit)
+            let room = plan.as_ref().ok().and_then(|plan| state.brittle_room(&plan.target));
+            (plan, version, proof, state.has_urgent_gossip(), limit, room)
         });
         if has_urgent_gossip {
             self.send_gossip.notify_one();
@@ -168,7 +169,7 @@
         let detail = format!(
             "route={} account={} repeat_key={} config_version={version} proof_age_ms={proof:?} resumes={} target={} build={} address={} offer={} \
              wait_estimate_ms={} prompt={:?} shared={} shared_tokens={} salt={} held={} held_anywhere={} read={} fetch={:?} keep={:?} weights={:?} \
-             limit={:?} trial={} time_left_ms={}",
+             limit={:?} room={room:?} trial={} time_left_ms={}",
             request.route.name,
             plan.account.as_ref().map_or("-", |account| account.as_str()),
             request.repeat_key(),
