A brittle target keeps its slots' room at first, and a lost answer doesn't count as a fall

Cause: the first sign found in a quiet moment set the room to what was in progress, often one, although targets take less only three seconds later; and any answer that was lost, as on a kept connection that was closed, reset the room to one. The room now begins with the target's slots at least, and only a connection that can't be opened resets it. A peer's count of rejections that began anew is no longer ignored.

--- a/crates/forward/src/state/brittle.rs
+++ b/crates/forward/src/state/brittle.rs
@@ -53,18 +53,17 @@
     ) {
         let target = &plan.target;
         let (tag, run) = (tag_of(target.as_str()), run_of(plan.started_ms));
-        let is_current =
-            self.roster.get(target).is_some_and(|record| record.started_ms == plan.started_ms);
-        if !is_current {
-            return;
-        }
+        let current = self.roster.get(target).filter(|record| record.started_ms == plan.started_ms);
+        let Some(slots) = current.map(|record| record.slots) else { return };
         if notice == BrittleNotice::Unreadable {
             let detail = format!("target={target}");
             self.notices.push(ForwardAction::Notice("target_brittle_unreadable", detail));
         }
         let accepted =
             count(self.loads.work(now, target).requests).saturating_sub(is_rejection.into());
-        let change = self.brittle.table.observe(now, tag, run, sent_at, notice, accepted);
+        // At first a target still takes as many as before.
+        let room = accepted.max(slots);
+        let change = self.brittle.table.observe(now, tag, run, sent_at, notice, room);
         if let BrittleNotice::Named(bound) = notice {
             self.record_brittle_service(now, target, bound);
         }
@@ -127,7 +126,7 @@
         self.brittle.table.record_acceptance(tag_of(target.as_str()));
     }
 
-    /// Records that a connection to a target was lost or refused.
+    /// Records that no connection to a target could be opened.
     pub(super) fn record_brittle_loss(&mut self, now: ClockTime, target: &TargetName) {
         self.brittle.table.record_loss(now, tag_of(target.as_str()));
     }
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -132,7 +132,7 @@
     }
 
     fn record_target_failure(&mut self, now: ClockTime, plan: &SendPlan, outcome: AttemptOutcome) {
-        if matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Lost { .. }) {
+        if outcome == AttemptOutcome::NotSent {
             self.record_brittle_loss(now, &plan.target);
         }
         if self.health.record_failure(now, &plan.target) {
--- a/crates/throttle/src/brittle.rs
+++ b/crates/throttle/src/brittle.rs
@@ -315,8 +315,8 @@
 }
 
 impl BrittleTable {
-    /// Applies what the answer of a target's `run` to a request that was sent at `sent_at` says, while all routers together
-    /// had `in_progress` requests there that weren't rejected.
+    /// Applies what the answer of a target's `run` to a request that was sent at `sent_at` says. `room` is how many requests the
+    /// target is taken to have room for when it is new.
     ///
     /// As with limits, an answer without the sign ends it only if its request was sent after the sign was last given.
     pub fn observe(
@@ -326,11 +326,11 @@
         run: u32,
         sent_at: ClockTime,
         notice: BrittleNotice,
-        in_progress: u32,
+        room: u32,
     ) -> BrittleChange {
         match (notice, self.targets.get_mut(&target)) {
             (BrittleNotice::Named(bound), None) => {
-                let mut state = BrittleTarget::new(now, run, Some(bound), now, in_progress);
+                let mut state = BrittleTarget::new(now, run, Some(bound), now, room);
                 state.own = Some((Some(bound), now));
                 self.targets.insert(target, state);
                 BrittleChange::Began(bound)
@@ -392,8 +392,10 @@
             };
             let rejected = match state.peers.insert(peer.clone(), work) {
                 None => 0,
-                Some(known) if known.incarnation == incarnation => {
-                    report.rejected.saturating_sub(known.rejected)
+                Some(known)
+                    if known.incarnation == incarnation && known.rejected <= report.rejected =>
+                {
+                    report.rejected - known.rejected
                 }
                 Some(_) => report.rejected,
             };
@@ -448,7 +450,7 @@
         }
     }
 
-    /// Records that a connection to a target was lost or refused, after which nothing is known of its room.
+    /// Records that no connection to a target could be opened, after which nothing is known of its room.
     pub fn record_loss(&mut self, now: ClockTime, target: u32) {
         if let Some(state) = self.targets.get_mut(&target) {
             if state.room.room > 1 {
