A stop doesn't drop a request that was read behind an open one

Callers that had sent a second request behind a stream got neither an answer nor a refusal if the stream's head was sent before SIGTERM, without `Connection: close`, and the stream lasted longer than 2.5 s of the stop.

The signal to close a connection didn't wait while a request was open. After it, the HTTP service drops all requests that it has read behind the open one.

The signal of a stop now waits for open requests too.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -183,8 +183,8 @@
     }
 }
 
-/// Completes when `end` has completed and the HTTP service has read what was received on the connection of the current
-/// task. Bytes that follow an open request don't count.
+/// Completes when `end` has completed and the HTTP service has answered what was received on the connection of the current
+/// task. The service would also drop a request that it has read behind an open one.
 ///
 /// # Panics
 ///
@@ -193,8 +193,14 @@
     let activity = CURRENT_ACTIVITY.with(Rc::clone);
     async move {
         end.await;
-        while activity.open_requests.get() == 0 && activity.has_unread_bytes() {
-            sleep(UNREAD_CHECK_INTERVAL).await;
+        loop {
+            if activity.open_requests.get() > 0 {
+                sleep(OPEN_CHECK_INTERVAL).await;
+            } else if activity.has_unread_bytes() {
+                sleep(UNREAD_CHECK_INTERVAL).await;
+            } else {
+                return;
+            }
         }
     }
 }
