A target that reads late isn't taken for one whose machine is lost

Callers got a 502 if their target read nothing of a long body for more than 3.5 s, although the target's machine acknowledged each probe of the full window. Streams through a peer had the same limit of 5 s towards the router (not shown by a test of processes).

Linux applies TCP_USER_TIMEOUT to probes of a full window too, and counts from the first probe, whether or not they are answered.

Each connection now has a watch that reads TCP_INFO every half second (every 100 ms once its window was full) and moves the user timeout to 3.5 s after the last acknowledgment, as a pure function decides (client/queue_watch.rs). The timeout isn't lifted: Linux sends the next probe at the timeout at the latest, so a lost machine is noticed as soon as before. Where the window was full before, the kernel may count from an older probe; the timeout is then later, and the watch gives the connection up itself 3.5 s after the last acknowledgment. A window that stays full for 10 minutes is given up. Where the system doesn't report TCP_INFO, the timeout stays at 3.5 s.

TCP_INFO is read by a socket option declared with nix's macro, as the workspace forbids unsafe code and neither socket2 nor rustix has the option. The macro expands to nix's own unsafe call, which the lint passes over because the macro is another crate's.

Without the watch, platform/tests/full_windows.rs ::long fails (502) and of the ten new cases of tests/unit/watched_stream.rs, `late` and `in_spurts` fail; with it all pass. With it pass unreachable_targets (8), silent_targets (11) and cut_from_targets (36), each run once on a busy machine (load about 35).

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,6 +1,6 @@
 //! A single HTTP/1.1 connection to a target or to the store.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -11,7 +11,6 @@
     client::conn::{TrySendError, http1},
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -19,20 +18,10 @@
     time::{Instant, timeout_at},
 };
 
-use super::{Result, SendError};
-
-/// The time for which written bytes may stay unacknowledged before the connection counts as dead.
-///
-/// Linux also applies it to keepalive probes, in place of their count: each time a probe is due, a connection with an
-/// unanswered one is dead if nothing has arrived for this long. It is therefore longer than the time until the last probe
-/// of [`KEEPALIVE_RETRIES`], and a sound target's machine may be unreachable for more than a second.
-pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_500);
-
-/// The idle time before the first keepalive probe, and the time between two probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The number of unanswered keepalive probes after which the connection counts as dead.
-const KEEPALIVE_RETRIES: u32 = 3;
+use super::{
+    Result, SendError,
+    watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
+};
 
 /// The limit of bytes that a connection buffers, and thereby of an answer's head. A head without end fails the call.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -46,20 +35,6 @@
     is_relayed: bool,
 }
 
-/// Sets the options by which a connection to a process that can no longer be reached ends: for how long written bytes may
-/// stay unacknowledged, and how an idle connection is probed.
-pub(crate) fn set_liveness(stream: &TcpStream, unacknowledged_timeout: Duration) {
-    // If the system rejects an option, a dead connection is only detected later.
-    let _ = stream.set_nodelay(true);
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(unacknowledged_timeout));
-}
-
 impl TargetConnection {
     /// Opens a connection, with the deadline applying to the TCP connect.
     ///
@@ -69,8 +44,7 @@
     pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetConnection> {
         let connect = timeout_at(deadline, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connect else { return Err(SendError::NotSent) };
-        set_liveness(&stream, UNACKNOWLEDGED_TIMEOUT);
-        TargetConnection::over(stream, false).await
+        TargetConnection::over(WatchedStream::new(stream, UNACKNOWLEDGED_TIMEOUT), false).await
     }
 
     /// Starts HTTP on a stream that is connected to the target; `is_relayed` says that this is through a peer.
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,9 +9,11 @@
 //! only if it can't be an earlier one: by the id in it, if no request with that id was sent to the address before, or
 //! because its request is the first on its connection. Bytes that arrive on an idle connection close it.
 
-pub(crate) mod connection;
+mod connection;
 mod pool;
+mod queue_watch;
 mod sent;
+pub(crate) mod watched_stream;
 
 use std::{
     cell::{Cell, RefCell},
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -18,7 +18,7 @@
 use crate::{
     client::{
         ConnectionDialer, Result, SendError, TargetConnection,
-        connection::{UNACKNOWLEDGED_TIMEOUT, set_liveness},
+        watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
     },
     core::SharedCore,
     platform::PlatformAdapter,
@@ -242,8 +242,8 @@
         request: target.request.chars().take(MAX_LOGGED_ID).collect(),
     };
     let opening = opening.encode().ok_or(RelayFailure::TooLarge)?;
-    let mut stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
-    set_liveness(&stream, UNACKNOWLEDGED_TIMEOUT);
+    let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
+    let mut stream = WatchedStream::new(stream, UNACKNOWLEDGED_TIMEOUT);
     stream.write_all(&opening).await?;
     let code = stream.read_u8().await?;
     match OpeningAnswer::from_code(code) {
--- a/crates/proxy/src/relay/serve.rs
+++ b/crates/proxy/src/relay/serve.rs
@@ -6,10 +6,7 @@
 use godwitroad_base::VmName;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpListener, TcpStream},
     time::timeout,
 };
 
@@ -18,7 +15,7 @@
     stream::{LENGTH_BYTES, MAX_CHUNK_BYTES, write_chunk},
 };
 use crate::{
-    client::connection::{UNACKNOWLEDGED_TIMEOUT, set_liveness},
+    client::watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
     core::SharedCore,
     platform::PlatformAdapter,
     serve::accept,
@@ -33,8 +30,7 @@
 /// The time limit for connecting to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The time for which the target's bytes may stay unacknowledged by the router. A router whose caller reads slowly accepts
-/// none for a while.
+/// The time for which the target's bytes may stay unacknowledged by the router's machine.
 const ROUTER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The buffer for the bytes of requests.
@@ -70,11 +66,11 @@
 
 async fn serve_peer<P: PlatformAdapter>(
     core: &SharedCore<P>,
-    mut stream: TcpStream,
+    stream: TcpStream,
     address: SocketAddr,
     is_busy: bool,
 ) {
-    set_liveness(&stream, ROUTER_TIMEOUT);
+    let mut stream = WatchedStream::new(stream, ROUTER_TIMEOUT);
     let Some(peer) = core.read(|state| state.peer_at(address.ip()).cloned()) else {
         return refuse(core, stream, OpeningAnswer::Stranger).await;
     };
@@ -99,7 +95,7 @@
     let Ok(Ok(target)) = connected else {
         return refuse(core, stream, OpeningAnswer::Unreachable).await;
     };
-    set_liveness(&target, UNACKNOWLEDGED_TIMEOUT);
+    let target = WatchedStream::new(target, UNACKNOWLEDGED_TIMEOUT);
     if stream.write_u8(OpeningAnswer::Connected.code()).await.is_err() {
         return;
     }
@@ -130,7 +126,7 @@
 
 async fn refuse<P: PlatformAdapter>(
     core: &SharedCore<P>,
-    mut stream: TcpStream,
+    mut stream: WatchedStream,
     answer: OpeningAnswer,
 ) {
     core.metrics.count(answer.counter(), 1);
@@ -140,18 +136,16 @@
 
 // Copies bytes until one side ends. A router never closes only its sending side, so its end means that it has given up.
 // Returns the bytes sent to the target and received from it, and which side ended.
-async fn relay(router: TcpStream, target: TcpStream) -> (u64, u64, &'static str) {
-    let (router_reader, mut router_writer) = router.into_split();
-    let (target_reader, target_writer) = target.into_split();
+async fn relay(router: WatchedStream, target: WatchedStream) -> (u64, u64, &'static str) {
     let (mut sent, mut received) = (0, 0);
     let end = tokio::select! {
-        () = send_requests(router_reader, target_writer, &mut sent) => "router",
-        () = return_answers(target_reader, &mut router_writer, &mut received) => "target",
+        () = send_requests(router.clone(), target.clone(), &mut sent) => "router",
+        () = return_answers(target.clone(), router.clone(), &mut received) => "target",
     };
     (sent, received, end)
 }
 
-async fn send_requests(mut router: OwnedReadHalf, mut target: OwnedWriteHalf, sent: &mut u64) {
+async fn send_requests(mut router: WatchedStream, mut target: WatchedStream, sent: &mut u64) {
     let mut buffer = vec![0; REQUEST_BUFFER_BYTES];
     while let Ok(length @ 1..) = router.read(&mut buffer).await {
         if target.write_all(&buffer[..length]).await.is_err() {
@@ -162,15 +156,11 @@
     }
 }
 
-async fn return_answers(
-    mut target: OwnedReadHalf,
-    router: &mut OwnedWriteHalf,
-    received: &mut u64,
-) {
+async fn return_answers(mut target: WatchedStream, mut router: WatchedStream, received: &mut u64) {
     let mut buffer = vec![0; LENGTH_BYTES + MAX_CHUNK_BYTES];
     // Without the empty chunk at the end, the router sees that the connection broke.
     while let Ok(length) = target.read(&mut buffer[LENGTH_BYTES..]).await {
-        let written = write_chunk(router, &mut buffer[..LENGTH_BYTES + length]).await;
+        let written = write_chunk(&mut router, &mut buffer[..LENGTH_BYTES + length]).await;
         if written.is_err() || length == 0 {
             return;
         }
