The first request of a connection isn't timed out while it waits to be read

The HTTP service polls its head timer before it reads. The caller's stream applies the limit now: the timer counts only if a read finds nothing, if no bytes were read since the last such read (the service parses them only after it), and if the system holds no unread bytes, as a process that continues after a stop handles timers before it hears of readable sockets. The limit counts from the accepted connection and not from the service's clock, so that it no longer ends up to half a second late, and a changed limit needs no new service.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -1,7 +1,9 @@
 //! The connections of callers, which are closed when they have been idle for the time limit in force.
 //!
 //! The HTTP service drops what it reads after the signal to close a connection, so the signal waits while received bytes
-//! are unread. A busy process may find a request and the reason to close its connection at the same time.
+//! are unread. A busy process may find a request and the reason to close its connection at the same time. For the same
+//! reason the time limit for the head of the first request is applied here, where nothing else can be read: the service
+//! would look at its timer before it reads.
 
 use std::{
     cell::{Cell, RefCell},
@@ -11,10 +13,13 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
-use actix_web::body::{BodySize, MessageBody};
+use actix_web::{
+    body::{BodySize, MessageBody},
+    http::header::HttpDate,
+};
 use bytes::Bytes;
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::CallerLimits;
@@ -23,7 +28,7 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     task_local,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, Sleep, sleep, sleep_until},
 };
 
 /// The longest time until a lowered time limit applies to a connection that is already idle.
@@ -44,6 +49,8 @@
 #[derive(Debug)]
 struct ConnectionActivity {
     stream: Rc<RefCell<TcpStream>>,
+    // Whether the head of a request was read.
+    has_request: Cell<bool>,
     // The requests whose answers aren't complete.
     open_requests: Cell<usize>,
     // Whether bytes were received since the last answer, or there was none yet.
@@ -94,6 +101,7 @@
     /// Panics if the current task doesn't serve a [`CallerStream`].
     pub(crate) fn open() -> ConnectionRequest {
         let activity = CURRENT_ACTIVITY.with(Rc::clone);
+        activity.has_request.set(true);
         activity.open_requests.set(activity.open_requests.get() + 1);
         ConnectionRequest { activity }
     }
@@ -133,24 +141,29 @@
     }
 }
 
-/// A caller's connection that records what it last did.
+/// A caller's connection that records what it last did, and ends if the head of its first request is late.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: Rc<RefCell<TcpStream>>,
     activity: Rc<ConnectionActivity>,
+    head_end: Pin<Box<Sleep>>,
+    // Whether bytes were read since nothing more could be read; the HTTP service may not have parsed them.
+    has_new_bytes: bool,
 }
 
 impl CallerStream {
-    /// Wraps a connection that was just accepted.
-    pub(crate) fn new(stream: TcpStream) -> CallerStream {
+    /// Wraps a connection that was just accepted, with the time limit for the head of its first request.
+    pub(crate) fn new(stream: TcpStream, head_timeout: ClockSpan) -> CallerStream {
         let stream = Rc::new(RefCell::new(stream));
         let activity = Rc::new(ConnectionActivity {
             stream: stream.clone(),
+            has_request: Cell::new(false),
             open_requests: Cell::new(0),
             is_receiving: Cell::new(true),
             last: Cell::new(Instant::now()),
         });
-        CallerStream { stream, activity }
+        let head_end = Box::pin(sleep(Duration::from_millis(head_timeout.as_ms())));
+        CallerStream { stream, activity, head_end, has_new_bytes: false }
     }
 
     /// Serves the connection with the future that `serve` returns. In that call, [`idle_end`] and [`read_end`] refer to
@@ -159,6 +172,27 @@
         let activity = self.activity.clone();
         CURRENT_ACTIVITY.scope(activity, async move { serve(self).await }).await
     }
+
+    // Completes with an answer and the end of the stream when the head of the first request is late. Nothing can be read at
+    // the time of the call.
+    fn poll_head_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let has_new_bytes = std::mem::take(&mut self.has_new_bytes);
+        if self.activity.has_request.get() {
+            return Poll::Pending;
+        }
+        ready!(self.head_end.as_mut().poll(context));
+        if has_new_bytes || self.activity.has_unread_bytes() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let answer = format!(
+            "HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\ndate: {}\r\n\r\n",
+            HttpDate::from(SystemTime::now())
+        );
+        // Nothing was sent on the connection before, so that the answer fits into the send queue.
+        let _ = SockRef::from(&*self.stream.borrow()).send(answer.as_bytes());
+        Poll::Ready(Ok(()))
+    }
 }
 
 /// Completes when the connection of the current task has been idle for the time limit in force. `limits` returns the limits
@@ -207,13 +241,17 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let result = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer));
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
+        if result.is_pending() {
+            return self.poll_head_end(context);
+        }
+        self.has_new_bytes = true;
         self.activity.record(true);
-        Poll::Ready(result)
+        result
     }
 }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -10,7 +10,6 @@
 use actix_service::{Service, ServiceFactory, map_config};
 use actix_web::{App, HttpRequest, HttpResponse, dev::AppConfig, web};
 use anyhow::{Context as _, Result};
-use godwitroad_base::ClockSpan;
 use godwitroad_forward::CallerLimits;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -30,7 +29,7 @@
 /// The delay after a failed accept, for example while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The time by which the clock of the HTTP service may be behind. It counts its time limits from that clock, so each would
+/// The time by which the clock of the HTTP service may be behind. It counts its time limit from that clock, so it would
 /// end too early by as much.
 const SERVICE_CLOCK_LAG: Duration = Duration::from_millis(500);
 
@@ -47,34 +46,18 @@
 
 /// Serves callers for as long as the process runs.
 pub(crate) async fn serve_callers<P: PlatformAdapter>(core: SharedCore<P>, listener: TcpListener) {
-    let mut head_timeout = limits_in_force(&core).head_timeout;
-    let mut service = caller_service(&core, head_timeout).await;
-    loop {
-        let Some((stream, peer)) = accept(&core, &listener).await else { continue };
-        let current = limits_in_force(&core).head_timeout;
-        if current != head_timeout {
-            head_timeout = current;
-            service = caller_service(&core, head_timeout).await;
-        }
-        service(stream, peer);
-    }
-}
-
-fn limits_in_force<P: PlatformAdapter>(core: &SharedCore<P>) -> CallerLimits {
-    core.read(|state| state.rules().map(|rules| rules.limits)).unwrap_or_default()
-}
-
-async fn caller_service<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    head_timeout: ClockSpan,
-) -> ConnectionService {
     let (handler_core, limits_core) = (core.clone(), core.clone());
     let app =
         App::new().default_service(web::to(move |request: HttpRequest, body: web::Payload| {
             answer::answer(handler_core.clone(), request, body)
         }));
     let limits = move || limits_in_force(&limits_core);
-    connection_service(core, app, head_timeout, limits).await
+    let service = connection_service(&core, app, limits).await;
+    accept_all(core, listener, service).await;
+}
+
+fn limits_in_force<P: PlatformAdapter>(core: &SharedCore<P>) -> CallerLimits {
+    core.read(|state| state.rules().map(|rules| rules.limits)).unwrap_or_default()
 }
 
 /// Answers the balancer's readiness checks for as long as the process runs.
@@ -92,8 +75,7 @@
             }
         }),
     );
-    let head_timeout = CallerLimits::default().head_timeout;
-    let service = connection_service(&core, app, head_timeout, CallerLimits::default).await;
+    let service = connection_service(&core, app, CallerLimits::default).await;
     accept_all(core, listener, service).await;
 }
 
@@ -107,8 +89,7 @@
             async move { HttpResponse::Ok().content_type("text/plain; charset=utf-8").body(text) }
         }),
     );
-    let head_timeout = CallerLimits::default().head_timeout;
-    let service = connection_service(&core, app, head_timeout, CallerLimits::default).await;
+    let service = connection_service(&core, app, CallerLimits::default).await;
     accept_all(core, listener, service).await;
 }
 
@@ -146,7 +127,6 @@
 async fn connection_service<P, T, B>(
     core: &SharedCore<P>,
     app: App<T>,
-    head_timeout: ClockSpan,
     limits: impl Fn() -> CallerLimits + Clone + 'static,
 ) -> ConnectionService
 where
@@ -161,6 +141,7 @@
     B: actix_web::body::MessageBody + 'static,
 {
     let closing = core.closing.subscribe();
+    let stream_limits = limits.clone();
     let app = app.wrap_fn(|request, service| {
         let (open, answer) = (ConnectionRequest::open(), service.call(request));
         async move { answer.await.map(|answer| answer.map_body(|_, body| open.hold(body))) }
@@ -168,7 +149,8 @@
     let factory = HttpService::build()
         // Idle connections are closed by the signal below, as a time limit here wouldn't change while a connection lasts.
         .keep_alive(KeepAlive::Os)
-        .client_request_timeout(Duration::from_millis(head_timeout.as_ms()) + SERVICE_CLOCK_LAG)
+        // The caller's stream applies the time limit for heads.
+        .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT + SERVICE_CLOCK_LAG)
         // A caller that closes its side has disconnected; its request must be cancelled.
         .h1_allow_half_closed(false)
@@ -187,10 +169,10 @@
     let service = factory.new_service(()).await;
     let service = Rc::new(service.expect("the application has no state that could fail to start"));
     Rc::new(move |stream, peer| {
-        let service = service.clone();
+        let (service, head_timeout) = (service.clone(), stream_limits().head_timeout);
         spawn(async move {
             // A broken connection affects only its own caller.
-            let stream = CallerStream::new(stream);
+            let stream = CallerStream::new(stream, head_timeout);
             let _ = stream.serve(|stream| service.call((stream, Some(peer)))).await;
         });
     })
