--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -2,8 +2,19 @@
 //!
 //! An account has one token bucket for the whole fleet: it fills at the account's rate up to its burst, and every
 //! admitted request takes its units out. Each router keeps its own estimate of the bucket. It subtracts its own
-//! requests at once and those of its peers when gossip reports them; what peers may have admitted since their last
-//! messages is reserved.
+//! requests at once and those of its peers when gossip reports them.
+//!
+//! Until all peers have heard of them, the requests that a router admits must fit its share of a pool: the level, the
+//! inflow of the last window that didn't fit the full bucket, and the tolerated excess that the bucket leaves out. The
+//! shares add up to one, so that all routers together keep to the pool however late they hear of each other:
+//!
+//! - If the pool holds what callers ask for until reports arrive, each router has what its own callers ask for and a
+//!   share of the remainder.
+//! - Otherwise the pool is divided. A quarter of it is divided evenly and the remainder by what callers ask for at each
+//!   router. What a router admits is also paid back at its share of the rate, as a request may be larger than the share.
+//!
+//! Callers that ask for far more than the limit at all routers at once therefore get the limit, in even parts. A router
+//! to which most callers turn gets most of the limit once its peers have heard of its callers.
 //!
 //! An unreachable router may be on the other side of a network partition and still admit requests. Once its messages
 //! are overdue, its share of the level and of the inflow since then is reserved; once it counts as unreachable, the
@@ -26,6 +37,7 @@
     peers::{GossipMessage, PeerTable},
     rules::AccountRule,
     tag_of,
+    usage::{LocalUsage, SpareInflow, seconds},
 };
 
 /// The settings of the buckets.
@@ -49,15 +61,19 @@
 }
 
 /// An account's use at one router, as carried in gossip messages: the account's tag, the units admitted since the
-/// router's start, and the recent admissions in units per second.
+/// router's start, and the units per second that callers ask for, admitted or not.
 pub type UsageEntry = (u32, u64, u32);
 
-/// The interval over which the recent rate of admissions is measured.
-const RATE_INTERVAL: ClockSpan = ClockSpan::from_ms(500);
-
 /// The usual time between a router's last message and the end of its process.
 const UNREPORTED_SPAN: ClockSpan = ClockSpan::from_ms(200);
 
+/// The usual time of a report on its way.
+const REPORT_TRANSIT: ClockSpan = ClockSpan::from_ms(100);
+
+/// The fraction of an account's units that is divided evenly among routers; the remainder is divided by demand. A router
+/// that callers turn to has its even part until its peers hear of it.
+const EVEN_FRACTION: f64 = 0.25;
+
 /// The fraction of a peer's timeout without a message from which a partition is suspected: one message and its delay.
 const PARTITION_SUSPICION_START: f64 = 0.3;
 
@@ -77,26 +93,14 @@
 /// Limit of the retry-after time in a refusal.
 const MAX_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(2_000);
 
-/// This router's own admissions for one account.
-#[derive(Clone, Copy, Debug, Default)]
-struct LocalUsage {
-    total: u64,
-    // The total in the last gossip message.
-    reported: u64,
-    last_admitted: ClockTime,
-    // Units per second in the previous interval.
-    rate: u64,
-    interval_start: ClockTime,
-    // Units admitted in the current interval.
-    in_interval: u64,
-}
-
 #[derive(Clone, Debug)]
 struct AccountBucket {
     size: BucketSize,
     // Negative after a request that was larger than the remaining level.
     level: f64,
     last_filled: ClockTime,
+    // A sum over a window keeps to the limit even if this inflow is used in addition to the level.
+    spare: SpareInflow,
     local: LocalUsage,
     // What the peers last reported.
     peers: BTreeMap<VmName, PeerUsage>,
@@ -107,13 +111,16 @@
 struct BucketSize {
     rate: f64,
     burst: f64,
+    // The tolerated excess that isn't part of the burst and the rate.
+    margin: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct PeerUsage {
     incarnation: u64,
     total: u64,
-    rate: u32,
+    // The units per second that its callers ask for.
+    asked_rate: u32,
     last_received: ClockTime,
     // The time without a message after which the peer counts as unreachable.
     timeout: ClockSpan,
@@ -121,6 +128,17 @@
     remaining: f64,
 }
 
+/// What a router knows of the fleet, this router included.
+#[derive(Clone, Copy, Debug)]
+struct FleetView {
+    members: usize,
+    reachable: usize,
+    // The reachable fraction.
+    fraction: f64,
+    delay: ClockSpan,
+    window: ClockSpan,
+}
+
 /// This router's estimate of all buckets.
 #[derive(Clone, Debug)]
 pub struct AllowanceTable {
@@ -128,67 +146,79 @@
     buckets: BTreeMap<AccountName, AccountBucket>,
     // The reachable peers when the levels were last adjusted.
     reachable: BTreeSet<VmName>,
+    // The time after which all reachable peers have a report.
+    report_delay: ClockSpan,
     needs_immediate_report: bool,
 }
 
-impl LocalUsage {
-    fn add(&mut self, now: ClockTime, units: u64) {
-        self.roll_interval(now);
-        self.last_admitted = now;
-        self.total += units;
-        self.in_interval += units;
-    }
-
-    fn roll_interval(&mut self, now: ClockTime) {
-        let passed = now.since(self.interval_start);
-        if passed >= RATE_INTERVAL {
-            self.rate = self.in_interval * 1_000 / passed.as_ms();
-            self.in_interval = 0;
-            self.interval_start = now;
-        }
-    }
-
-    fn rate(&self) -> u64 {
-        self.rate.max(self.in_interval * 1_000 / RATE_INTERVAL.as_ms())
-    }
-}
-
 impl PeerUsage {
-    // Returns what the peer may have admitted since its last message: as much as its recent rate gives, or its share of
-    // the bucket if it is cut off. The share counts gradually, the longer messages are overdue.
+    // Returns what the peer may have admitted against its share of the bucket if it is cut off. The share counts
+    // gradually, the longer messages are overdue.
     fn reserved(&self, now: ClockTime, size: BucketSize, members: usize) -> f64 {
-        let seconds = now.since(self.last_received).as_ms() as f64 / 1_000.0;
-        let recent_use = f64::from(self.rate) * seconds;
-        let partition_share = (self.remaining + size.rate * seconds) / members as f64;
-        let overdue = seconds * 1_000.0 / self.timeout.as_ms().max(1) as f64;
+        let passed = now.since(self.last_received);
+        let share = (self.remaining + size.rate * seconds(passed)) / members as f64;
+        let overdue = passed.as_ms() as f64 / self.timeout.as_ms().max(1) as f64;
         let suspicion = (overdue - PARTITION_SUSPICION_START)
             / (PARTITION_SUSPICION_END - PARTITION_SUSPICION_START);
-        recent_use.max(partition_share * suspicion.clamp(0.0, 1.0))
+        share * suspicion.clamp(0.0, 1.0)
+    }
+
+    fn is_reachable(&self, now: ClockTime) -> bool {
+        now.since(self.last_received) < self.timeout
     }
 }
 
 impl AccountBucket {
     // Adds the inflow up to `now` for a fraction of the fleet.
     fn fill(&mut self, now: ClockTime, fleet_fraction: f64) {
-        let passed = now.since(self.last_filled).as_ms() as f64 / 1_000.0;
+        let inflow = self.size.rate * fleet_fraction * seconds(now.since(self.last_filled));
         self.last_filled = now;
-        self.level = (self.level + self.size.rate * fleet_fraction * passed)
-            .min(self.size.burst * fleet_fraction);
+        let filled = self.level + inflow;
+        self.level = filled.min(self.size.burst * fleet_fraction);
+        self.spare.add(now, (filled - self.level).min(inflow));
     }
 
-    // Returns what the reachable peers may have admitted since their last messages.
+    // Returns what the reachable peers may have admitted if they are cut off.
     fn reserved(&self, now: ClockTime, members: usize) -> f64 {
-        let recent =
-            self.peers.values().filter(|peer| now.since(peer.last_received) < peer.timeout);
+        let recent = self.peers.values().filter(|peer| peer.is_reachable(now));
         recent.map(|peer| peer.reserved(now, self.size, members)).sum()
     }
 
+    // Returns what this router may admit now, and the rate at which that grows.
+    fn free(&mut self, now: ClockTime, view: FleetView) -> (f64, f64) {
+        let asked = self.local.reported_rate();
+        let recent = self.peers.values().filter(|peer| peer.is_reachable(now));
+        let asked_in_all = asked + recent.map(|peer| f64::from(peer.asked_rate)).sum::<f64>();
+        let even = 1.0 / view.reachable as f64;
+        let weight = EVEN_FRACTION * even
+            + (1.0 - EVEN_FRACTION) * if asked_in_all > 0.0 { asked / asked_in_all } else { even };
+        let rate = self.size.rate * view.fraction * weight;
+        let debt = self.local.pay_back(now, rate);
+        let level = self.level - self.reserved(now, view.members);
+        if level <= 0.0 {
+            return (level, self.size.rate * view.fraction);
+        }
+        let unreported = self.local.unreported(now, view.delay);
+        let pool = level
+            + unreported
+            + self.spare.sum(now, view.window)
+            + self.size.margin * view.fraction;
+        let expected = asked_in_all * seconds(view.delay);
+        let free = if expected < pool {
+            asked * seconds(view.delay) + (pool - expected) * (weight + even) / 2.0 - unreported
+        } else {
+            pool * weight - unreported.max(debt)
+        };
+        (free.min(level), rate)
+    }
+
     // Subtracts the share of a peer that has become unreachable, as the peer may go on admitting requests against it.
     fn deduct_lost_peer(&mut self, now: ClockTime, members: usize, peer: &VmName) {
         self.level -= match self.peers.remove(peer) {
             Some(peer) => peer.reserved(now, self.size, members),
             None => self.level.max(0.0) / members as f64,
         };
+        self.spare.scale(1.0 - 1.0 / members as f64);
     }
 
     fn receive(
@@ -201,12 +231,12 @@
         // A message has room for only some accounts; the others stay as last reported.
         let previous = self.peers.get(&message.place.vm);
         let known = previous.filter(|previous| previous.incarnation == message.incarnation);
-        let known = known.map_or((0, 0), |previous| (previous.total, previous.rate));
-        let (total, rate) = entry.map_or(known, |(_, total, rate)| (*total, *rate));
+        let known = known.map_or((0, 0), |previous| (previous.total, previous.asked_rate));
+        let (total, asked_rate) = entry.map_or(known, |(_, total, rate)| (*total, *rate));
         let remaining = self.level.max(0.0);
         let incarnation = message.incarnation;
         let current =
-            PeerUsage { incarnation, total, rate, last_received: now, timeout, remaining };
+            PeerUsage { incarnation, total, asked_rate, last_received: now, timeout, remaining };
         let Some(previous) = self.peers.insert(message.place.vm.clone(), current) else { return };
         if now.since(previous.last_received) >= previous.timeout {
             // What it admitted while unreachable counted against its share, which is already subtracted.
@@ -216,7 +246,8 @@
             total.saturating_sub(previous.total)
         } else {
             // The previous run's admissions between its last message and its end are estimated, as nobody reports them.
-            total + u64::from(previous.rate) * UNREPORTED_SPAN.as_ms() / 1_000
+            let rate = f64::from(previous.asked_rate).min(self.size.rate);
+            total + (rate * seconds(UNREPORTED_SPAN)) as u64
         };
         self.level -= used as f64;
     }
@@ -229,6 +260,7 @@
             settings,
             buckets: BTreeMap::new(),
             reachable: BTreeSet::new(),
+            report_delay: ClockSpan::default(),
             needs_immediate_report: false,
         }
     }
@@ -240,13 +272,15 @@
     /// the sum over a window is the same, but an account that always exceeds its limit, and one whose bucket starts
     /// empty, get more.
     fn bucket_size(&self, rule: &AccountRule) -> BucketSize {
-        let window = self.settings.window.as_ms() as f64 / 1_000.0;
+        let window = seconds(self.settings.window);
         let exact = rule.rate as f64 * window + rule.burst as f64;
         let slack = if rule.by_tokens { self.settings.slack as f64 } else { 0.0 };
-        let used = (exact * self.settings.overage + slack) * TOLERANCE_FRACTION;
+        let tolerated = exact * self.settings.overage + slack;
+        let used = tolerated * TOLERANCE_FRACTION;
         BucketSize {
             rate: rule.rate as f64 + used * TOLERANCE_RATE_FRACTION / window,
             burst: rule.burst as f64 + used * (1.0 - TOLERANCE_RATE_FRACTION),
+            margin: tolerated - used,
         }
     }
 
@@ -277,6 +311,16 @@
         (self.reachable.len() + 1) as f64 / (peers.len() + 1) as f64
     }
 
+    fn fleet_view(&self, peers: &PeerTable) -> FleetView {
+        FleetView {
+            members: peers.len() + 1,
+            reachable: self.reachable.len() + 1,
+            fraction: self.fleet_fraction(peers),
+            delay: self.report_delay,
+            window: self.settings.window,
+        }
+    }
+
     fn bucket(
         &mut self,
         now: ClockTime,
@@ -291,6 +335,7 @@
             size,
             level: initial_level,
             last_filled: now,
+            spare: SpareInflow::default(),
             local: LocalUsage::default(),
             peers: BTreeMap::new(),
         });
@@ -314,19 +359,19 @@
         if rule.rate == 0 && rule.burst == 0 {
             return Ok(());
         }
-        let members = peers.len() + 1;
+        self.update_reachable(now, peers);
+        let view = self.fleet_view(peers);
         let bucket = self.bucket(now, rule, peers);
-        let size = bucket.size;
-        let free = bucket.level - bucket.reserved(now, members);
+        bucket.local.ask(now, units);
+        let (free, rate) = bucket.free(now, view);
         if free <= 0.0 {
-            let fleet_fraction = self.fleet_fraction(peers);
-            let rate = (size.rate * fleet_fraction).max(1.0);
-            let wait = ClockSpan::from_ms(((units as f64 - free) * 1_000.0 / rate) as u64);
-            return Err(wait.min(MAX_RETRY_AFTER));
+            let wait = (units as f64 - free) * 1_000.0 / rate.max(1.0);
+            return Err(ClockSpan::from_ms(wait as u64).min(MAX_RETRY_AFTER));
         }
         bucket.level -= units as f64;
-        bucket.local.add(now, units);
-        let unreported = (bucket.local.total - bucket.local.reported) as f64;
+        bucket.local.admit(units);
+        let size = bucket.size;
+        let unreported = bucket.local.since_report() as f64;
         // While the bucket is more than half full, the next regular message is soon enough.
         let is_scarce = bucket.level < size.burst / 2.0;
         self.needs_immediate_report |= is_scarce && unreported >= size.burst / REPORT_BURST_DIVISOR;
@@ -336,8 +381,8 @@
     /// Refunds the units of a request that didn't run.
     pub fn refund(&mut self, account: &AccountName, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            // The reported total never decreases: a peer would read a lower one as new units.
             bucket.level += units as f64;
+            bucket.local.refund(units);
         }
     }
 
@@ -362,18 +407,24 @@
         }
     }
 
-    /// Returns the usage entries for a gossip message: those of the `max_entries` accounts with the latest admissions.
-    pub fn report(&mut self, now: ClockTime, max_entries: usize) -> Vec<UsageEntry> {
+    /// Returns the usage entries for a gossip message: those of the `max_entries` accounts that callers asked for last. All
+    /// reachable peers get them or later ones within `period`.
+    pub fn report(
+        &mut self,
+        now: ClockTime,
+        max_entries: usize,
+        period: ClockSpan,
+    ) -> Vec<UsageEntry> {
         self.needs_immediate_report = false;
-        let mut used: Vec<_> =
-            self.buckets.iter_mut().filter(|(_, bucket)| bucket.local.total > 0).collect();
-        used.sort_by_key(|(_, bucket)| Reverse(bucket.local.last_admitted));
+        self.report_delay = period + REPORT_TRANSIT;
+        let delay = self.report_delay;
+        let used = self.buckets.iter_mut().filter(|(_, bucket)| bucket.local.is_used());
+        let mut used: Vec<_> = used.collect();
+        used.sort_by_key(|(_, bucket)| Reverse(bucket.local.last_asked()));
         used.truncate(max_entries);
         let entry = |(name, bucket): (&AccountName, &mut AccountBucket)| {
-            bucket.local.roll_interval(now);
-            bucket.local.reported = bucket.local.total;
-            let rate = u32::try_from(bucket.local.rate()).unwrap_or(u32::MAX);
-            (tag_of(name.as_str()), bucket.local.total, rate)
+            let (total, asked_rate) = bucket.local.report(now, delay);
+            (tag_of(name.as_str()), total, asked_rate)
         };
         used.into_iter().map(entry).collect()
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 mod rules;
 mod segments;
 mod state;
+mod usage;
 
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -36,7 +36,7 @@
     /// Returns this router's next gossip message; `include_known_peers` adds some of the routers that it knows.
     pub fn gossip_message(&mut self, now: ClockTime, include_known_peers: bool) -> GossipMessage {
         self.sequence += 1;
-        let usage = self.allowance.report(now, MAX_ENTRIES);
+        let usage = self.allowance.report(now, MAX_ENTRIES, self.gossip_period());
         let origins = self.origin_notes(now);
         let brittle = self.brittle_reports(now);
         let loads = self.loads.own_work().map(|(target, work)| {
