Throttle: a rejected raise leaves the proved room of a target that bears few

Cause: with N = 1 each rejection "comes near N", so that half of the room stayed free for a second after every raise that was too much; at a room of two raises are tried every 1 to 4 s. Such a rejection tells only of the size beyond the one that was proved. The proved room is therefore used on; if the rejection came within it, the room has shrunk and one request at a time is sent for the second. Which one it was is known by what was in progress when the request was sent.

--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -44,6 +44,8 @@
     announced_at: Option<ClockTime>,
     peers: BTreeMap<VmName, PeerWork>,
     lowered_at: ClockTime,
+    // Whether the room was last lowered because a raise brought a rejection.
+    was_raised: bool,
     // The most requests of all routers in progress since the room has changed.
     peak: u32,
     // When this router last sent a request, and what all routers had in progress with it.
@@ -106,6 +108,7 @@
             announced_at: None,
             peers: BTreeMap::new(),
             lowered_at: ClockTime::ZERO,
+            was_raised: false,
             peak: 0,
             sent_at: None,
             sent_total: 0,
@@ -164,8 +167,8 @@
         let RoomStatement { room, proved, .. } = self.room;
         self.delay_raise(now);
         let is_strict = self.bound.is_some_and(RejectionBound::is_strict);
-        let was_raised = room > proved && (!is_strict || self.sent_total > proved);
-        if was_raised {
+        self.was_raised = room > proved && (!is_strict || self.sent_total > proved);
+        if self.was_raised {
             self.set_room(proved, proved);
         } else {
             let room = (room / 2).min(outstanding.saturating_sub(1));
@@ -248,10 +251,13 @@
     // Returns the room that may be used after the rejections of the last second.
     fn trusted_room(&mut self, now: ClockTime, bound: RejectionBound) -> u32 {
         let recent = self.recent_rejections(now);
-        let room = self.room.room;
+        let RoomStatement { room, proved, .. } = self.room;
         match recent {
             0 => room,
             _ if recent + 1 < bound.per_second() => room,
+            _ if bound.is_strict() && self.was_raised => room.min(proved),
+            // Another rejection would be one too many, but an empty target takes a request.
+            _ if bound.is_strict() => 1,
             // The last rejection is left for requests on the way.
             _ if recent < bound.per_second() => room.div_ceil(2),
             _ => 0,
@@ -274,6 +280,7 @@
         if other.room < own.room {
             self.delay_raise(now);
             self.lowered_at = now;
+            self.was_raised = own.room > own.proved && other.room >= own.proved;
         }
         self.peak = 0;
         self.room = other;
