Store calls go through a peer while the store rejects this router

Callers of a router that the store alone rejects were served by an old configuration for as long as that lasted: a route that had been removed was still served (200 in place of 404) more than 4 s after the confirmation, and requests with valid keys were refused as contact_lost.

The router had one path to the store, its own. Gossip told it a newer version and made it read the store, which failed each time.

Now a router whose last direct call was not answered, or was answered 429 or 503, makes its calls over a connection through a peer that says in its gossip that the store answers it: the relay that already leads to targets takes a second kind of opening. All calls and answers stay those of the store, so that its answers are freshness proofs dated to the start of the read as before, an invented or damaged document of a peer never comes in question, and the entries of targets, the own entry and the order lease are kept up too. The choice is in forward::state::store_path. If no peer reaches the store, as when it is down, calls stay direct.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -58,7 +58,7 @@
 };
 pub use state::{
     ConnectPlan, FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RelayPeer,
-    RetryBounds, StoreStep,
+    RetryBounds, StoreRoute, StoreStep,
 };
 
 /// Returns the 32-bit tag that stands for a name in gossip messages: the upper half of the name's 64-bit hash.
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -94,6 +94,10 @@
     /// What the sender knows of brittle targets, encoded after those out of reach.
     #[serde(skip)]
     pub brittle: Vec<BrittleReport>,
+    /// Whether the store answers the sender directly, so that peers may call it through the sender; encoded after the
+    /// brittle targets.
+    #[serde(skip)]
+    pub reaches_store: bool,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -81,6 +81,7 @@
             deferrals: self.rejection_entries(now),
             reach: self.reach.notes(),
             brittle,
+            reaches_store: self.store_path.is_direct(),
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod quarantine;
 mod reach;
+mod store_path;
 mod store_watch;
 mod targets;
 mod throttle;
@@ -56,6 +57,8 @@
 use orders::WeightAnnouncement;
 use quarantine::SharedQuarantine;
 pub use reach::{ConnectPlan, RelayPeer};
+use store_path::StorePath;
+pub use store_path::StoreRoute;
 use store_watch::StoreProgress;
 pub use store_watch::StoreStep;
 
@@ -222,6 +225,7 @@
     freshness: ConfigFreshness,
     store_failing_since: Option<ClockTime>,
     store_recovered_at: Option<ClockTime>,
+    store_path: StorePath,
     store_progress: StoreProgress,
     era: EraProgress,
     roster: TargetRoster,
@@ -322,6 +326,7 @@
             freshness: ConfigFreshness::default(),
             store_failing_since: None,
             store_recovered_at: None,
+            store_path: StorePath::default(),
             store_progress: StoreProgress::default(),
             era: EraProgress::default(),
             roster: TargetRoster::default(),
--- a/crates/forward/src/state/reach.rs
+++ b/crates/forward/src/state/reach.rs
@@ -122,14 +122,31 @@
     /// Returns the peers to ask for a connection to a target, one after the other: those that reach it as far as they know,
     /// the nearest first. Each is followed by one of another availability zone, as the VMs of a zone may be cut together.
     pub fn relay_peers(&mut self, now: ClockTime, target: &TargetName) -> Vec<RelayPeer> {
-        let key = self.random.next_u64();
-        let (own, tag) = (&self.settings.place, tag_of(target.as_str()));
+        let (key, tag) = (self.random.next_u64(), tag_of(target.as_str()));
+        self.nearest_peers(
+            now,
+            key,
+            |message| is_relay(message, tag),
+            |message| self.reach.has_failed(now, &message.place.vm),
+        )
+    }
+
+    /// Returns the first of the usable peers: the nearest ones, each followed by one of another availability zone, in an order
+    /// that depends on `key`. Those that are deferred come last.
+    pub(super) fn nearest_peers(
+        &self,
+        now: ClockTime,
+        key: u64,
+        is_usable: impl Fn(&GossipMessage) -> bool,
+        is_deferred: impl Fn(&GossipMessage) -> bool,
+    ) -> Vec<RelayPeer> {
+        let own = &self.settings.place;
         let mut zones: BTreeMap<&ZoneName, Vec<(bool, u64, &PeerPlace)>> = BTreeMap::new();
         for (message, _) in self.peers.reachable(now) {
-            if is_relay(message, tag) {
+            if is_usable(message) {
                 let place = &message.place;
                 let score = rendezvous::score(key, place.vm.as_str());
-                let has_failed = self.reach.has_failed(now, &place.vm);
+                let has_failed = is_deferred(message);
                 zones.entry(&place.zone).or_default().push((has_failed, score, place));
             }
         }
@@ -174,7 +191,7 @@
         self.reach.record_closed(target);
     }
 
-    fn notice(&mut self, event: &'static str, detail: String) {
+    pub(super) fn notice(&mut self, event: &'static str, detail: String) {
         self.notices.push(ForwardAction::Notice(event, detail));
     }
 }
--- a/crates/forward/tests/store_watch.rs
+++ b/crates/forward/tests/store_watch.rs
@@ -1,4 +1,5 @@
-//! Simulates a store that only some routers watch for the others: routers lose the store, each other, or both, are
+//! Simulates a store that only some routers watch for the others: routers lose the store, each other, or both, or are
+//! rejected by the store, are
 //! suspended, killed alone or together, and the store itself becomes unavailable. A router that can reach the store
 //! must learn every change within the operator's bound, whatever happens to the watchers on which it relies.
 
@@ -6,13 +7,17 @@
 
 use std::sync::Arc;
 
-use godwitroad_base::{SeededRandom, StoreEra, StoreRevision};
-use godwitroad_forward::{ForwardEvent, GossipMessage, StoreStep, TargetRecord};
+use godwitroad_base::{SeededRandom, StoreEra, StoreRevision, VmName};
+use godwitroad_forward::{
+    ForwardEvent, GossipMessage, RelayPeer, StoreRoute, StoreStep, TargetRecord,
+};
 use support::{TestRouter, at, place, rules, settings, target};
 use yare::parameterized;
 
 /// The operator's bound for learning of a change.
 const APPLY_BOUND_MS: u64 = 2_500;
+/// The same bound where the store rejects routers silently: they notice it only when calls time out.
+const REJECTED_APPLY_BOUND_MS: u64 = 4_000;
 /// How long a router must have been without faults before a change for that bound to apply to it.
 const CONNECTED_MS: u64 = 3_000;
 /// The operator's limit for the average rate of store calls of one router.
@@ -37,18 +42,21 @@
     kills: bool,
     /// The store is unavailable.
     outages: bool,
+    /// The store rejects some routers, which counts as no fault: they must learn every change through the others.
+    rejections: bool,
 }
 
 struct Node {
     router: TestRouter,
     // The revision up to which it has read; `None` before its first listing.
     after: Option<u64>,
-    // The start and the wait of the call in progress.
-    call: Option<(u64, u64)>,
+    // The start and the wait of the call in progress, and the peers through one of which it is made.
+    call: Option<(u64, u64, Vec<RelayPeer>)>,
     // When the router acts next.
     next: u64,
     calls: u64,
     store_cut_until: u64,
+    rejected_until: u64,
     peer_cut_until: u64,
     suspended_until: u64,
     dead_until: u64,
@@ -109,6 +117,7 @@
             next: 0,
             calls: 0,
             store_cut_until: 0,
+            rejected_until: 0,
             peer_cut_until: 0,
             suspended_until: 0,
             dead_until: 0,
@@ -133,6 +142,13 @@
         if plan.outages && self.random.chance(0.0008) {
             self.store_down_until = now + length;
         }
+        if plan.rejections && self.random.chance(0.003) {
+            // The last router is never rejected, so that the others can learn of changes.
+            let rejected = (0..ROUTERS - 1).filter(|_| self.random.chance(0.4));
+            for index in rejected.collect::<Vec<_>>() {
+                self.nodes[index].rejected_until = now + length;
+            }
+        }
         let is_mass_kill = plan.kills && self.random.chance(0.0004);
         for index in 0..ROUTERS {
             let length = 500 + self.random.below(6_000);
@@ -168,14 +184,40 @@
         now >= node.suspended_until && now >= node.dead_until
     }
 
+    // Returns whether the store answers calls of a router at its own address.
+    fn is_answered(&self, now: u64, index: usize) -> bool {
+        let node = &self.nodes[index];
+        now >= self.store_down_until.max(node.store_cut_until).max(node.rejected_until)
+    }
+
+    // Returns the first of these peers that gives a connection to the store.
+    fn relay(&self, now: u64, index: usize, peers: &[RelayPeer]) -> Option<(usize, VmName)> {
+        let is_open = |peer: usize| {
+            let cut_until = [index, peer].map(|router| self.nodes[router].peer_cut_until);
+            self.is_running(now, peer)
+                && now >= cut_until[0].max(cut_until[1])
+                && self.nodes[peer].router.state.relays_store()
+        };
+        let index_of = |vm: &VmName| (0..ROUTERS).find(|peer| place_of(*peer).vm == *vm);
+        let open = peers.iter().filter_map(|peer| Some((index_of(&peer.vm)?, peer.vm.clone())));
+        open.into_iter().find(|(peer, _)| is_open(*peer))
+    }
+
     fn call_store(&mut self, now: u64, index: usize) {
         let newest = self.changes.len() as u64;
-        let is_down = now < self.store_down_until || now < self.nodes[index].store_cut_until;
+        let is_direct = self.is_answered(now, index);
+        let peers = self.nodes[index].call.clone().map_or(Vec::new(), |(_, _, peers)| peers);
+        let relay = self.relay(now, index, &peers);
+        let is_down = match &relay {
+            Some((peer, _)) => !self.is_answered(now, *peer),
+            None => !peers.is_empty() || !is_direct,
+        };
+        let peer = relay.map(|(_, vm)| vm);
         let node = &mut self.nodes[index];
         if now < node.next {
             return;
         }
-        let Some((from, wait)) = node.call else {
+        let Some((from, wait, _)) = node.call else {
             let step =
                 node.after.map(|after| node.router.state.next_store_step(at(now), revision(after)));
             let wait = match step {
@@ -183,13 +225,25 @@
                 Some(StoreStep::Watch(wait)) => wait.as_ms(),
                 Some(StoreStep::Idle) => return,
             };
-            node.call = Some((now, wait));
+            let peers = match node.router.state.plan_store_call(at(now)) {
+                StoreRoute::Direct => Vec::new(),
+                StoreRoute::Peers { peers, tries_direct } => {
+                    if tries_direct {
+                        node.router.state.record_store_call(at(now), None, is_direct);
+                    }
+                    peers
+                }
+            };
+            node.call = Some((now, wait, peers));
             node.calls += 1;
             node.next = now + LATENCY_MS;
             return;
         };
         if is_down {
             if now >= from + wait + CALL_TIMEOUT_MS {
+                if peers.is_empty() || peer.is_some() {
+                    node.router.state.record_store_call(at(now), peer.as_ref(), false);
+                }
                 node.router.handle(now, ForwardEvent::StoreFailed);
                 node.call = None;
                 node.next = now + 300;
@@ -201,6 +255,7 @@
             return;
         }
         node.call = None;
+        node.router.state.record_store_call(at(now), peer.as_ref(), true);
         if has_changes {
             for event in state_at(newest) {
                 node.router.handle(now, event);
@@ -246,7 +301,8 @@
 
     fn step(&mut self, now: u64, plan: FaultPlan) {
         self.inject_faults(now, plan);
-        if self.random.chance(0.004) && now >= self.store_down_until {
+        let chance = if plan.rejections { 0.01 } else { 0.004 };
+        if self.random.chance(chance) && now >= self.store_down_until {
             self.changes.push(now);
         }
         self.deliver_gossip(now);
@@ -259,8 +315,8 @@
     }
 
     // Returns the changes that a connected router has not learned in time.
-    fn missed_changes(&self, now: u64) -> Vec<String> {
-        let due = self.changes.iter().rposition(|written| written + APPLY_BOUND_MS <= now);
+    fn missed_changes(&self, now: u64, bound: u64) -> Vec<String> {
+        let due = self.changes.iter().rposition(|written| written + bound <= now);
         let Some(due) = due else { return Vec::new() };
         let since = self.changes[due].saturating_sub(CONNECTED_MS);
         if self.last_store_fault > since {
@@ -282,14 +338,18 @@
     suspensions = { FaultPlan { suspensions: true, ..FaultPlan::default() } },
     kills = { FaultPlan { kills: true, ..FaultPlan::default() } },
     outages = { FaultPlan { outages: true, ..FaultPlan::default() } },
-    all = { FaultPlan { store_cuts: true, peer_cuts: true, suspensions: true, kills: true, outages: true } },
+    rejections = { FaultPlan { rejections: true, ..FaultPlan::default() } },
+    all = { FaultPlan {
+        store_cuts: true, peer_cuts: true, suspensions: true, kills: true, outages: true, rejections: false
+    } },
 )]
 fn a_connected_router_learns_every_change_in_time(plan: FaultPlan) {
+    let bound = if plan.rejections { REJECTED_APPLY_BOUND_MS } else { APPLY_BOUND_MS };
     for seed in 0..40 {
         let mut fleet = Fleet::new(seed);
         for now in (STEP_MS..LENGTH_MS).step_by(STEP_MS as usize) {
             fleet.step(now, plan);
-            let missed_changes = fleet.missed_changes(now);
+            let missed_changes = fleet.missed_changes(now, bound);
             assert!(missed_changes.is_empty(), "seed {seed}: {missed_changes:?}");
         }
         assert!(fleet.changes.len() > 2, "seed {seed}: nothing changed");
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -299,6 +299,22 @@
         self.exchange(address, request, false, deadline).await
     }
 
+    /// Sends a request over a new connection of `dialer` and reads the complete answer with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that states whether the request may have been sent.
+    pub(crate) async fn call_over(
+        &self,
+        dialer: &impl ConnectionDialer,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>> {
+        let mut exchange = self.send_over(dialer, address, request, None, true, deadline).await?;
+        exchange.read_answer(deadline).await
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
@@ -307,9 +323,7 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>> {
         let mut exchange = self.send(address, request, None, fresh_connection, deadline).await?;
-        let mut answer = Response::new(exchange.read_to_end(deadline).await?);
-        *answer.status_mut() = exchange.status;
-        *answer.headers_mut() = exchange.headers.clone();
+        let answer = exchange.read_answer(deadline).await?;
         self.release(exchange);
         Ok(answer)
     }
@@ -470,6 +484,14 @@
         }
     }
 
+    // Returns the answer with its remaining body.
+    async fn read_answer(&mut self, deadline: Instant) -> Result<Response<Bytes>> {
+        let mut answer = Response::new(self.read_to_end(deadline).await?);
+        *answer.status_mut() = self.status;
+        *answer.headers_mut() = self.headers.clone();
+        Ok(answer)
+    }
+
     /// Reads the remaining body.
     ///
     /// # Errors
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -145,6 +145,7 @@
         (message.deferrals.is_empty(), encode_section(&message.deferrals)?),
         (message.reach.is_empty(), encode_section(&message.reach)?),
         (message.brittle.is_empty(), encode_section(&message.brittle)?),
+        (!message.reaches_store, encode_section(&message.reaches_store)?),
     ];
     let last = sections.iter().rposition(|(is_empty, _)| !is_empty);
     let used = last.map_or(&[][..], |last| &sections[..=last]);
@@ -170,6 +171,7 @@
     message.deferrals = decode_section(&mut rest)?;
     message.reach = decode_section(&mut rest)?;
     message.brittle = decode_section(&mut rest)?;
+    message.reaches_store = decode_section(&mut rest)?;
     Some(message)
 }
 
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -64,6 +64,8 @@
 /// A call to the platform's store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreCall {
+    /// Find out whether the store answers. The answer has no content.
+    Probe,
     /// Read one page of all entries.
     List {
         /// The last key of the previous page; `None` for the first page.
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -14,7 +14,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{OpeningAnswer, RelayOpening, stream::RelayStream};
+use super::{OpeningAnswer, RelayOpening, TargetOpening, stream::RelayStream};
 use crate::{
     client::{
         ConnectionDialer, Result, SendError, TargetConnection,
@@ -25,7 +25,7 @@
 };
 
 /// The time limit for one peer, which covers its own connection to the target.
-const PEER_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The time limit for a direct attempt beside the peers.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
@@ -47,9 +47,9 @@
 /// The limit of characters of a request's id that peers are told for their logs.
 const MAX_LOGGED_ID: usize = 64;
 
-/// Why a peer gave no connection to a target.
+/// Why a peer gave no connection.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
-enum RelayFailure {
+pub(super) enum RelayFailure {
     #[error("the opening is too large")]
     TooLarge,
     #[error("the connection to the peer failed")]
@@ -232,14 +232,27 @@
     target: &TargetDialer<'_, P>,
     peer: &RelayPeer,
 ) -> std::result::Result<TargetConnection, RelayFailure> {
-    let (own_address, port) = {
-        let settings = target.core.settings.borrow();
-        (settings.forward.place.address, settings.peers.port())
-    };
-    let opening = RelayOpening {
+    let opening = RelayOpening::Target(TargetOpening {
         target: target.name.clone(),
         started_ms: target.started_ms,
         request: target.request.chars().take(MAX_LOGGED_ID).collect(),
+    });
+    connect_through(target.core, peer, &opening).await
+}
+
+/// Opens a connection through a peer. It has no time limit.
+///
+/// # Errors
+///
+/// Returns the reason if the peer can't be reached or gives no connection.
+pub(super) async fn connect_through<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    peer: &RelayPeer,
+    opening: &RelayOpening,
+) -> std::result::Result<TargetConnection, RelayFailure> {
+    let (own_address, port) = {
+        let settings = core.settings.borrow();
+        (settings.forward.place.address, settings.peers.port())
     };
     let opening = opening.encode().ok_or(RelayFailure::TooLarge)?;
     let mut stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -1,4 +1,4 @@
-//! Connections to targets through a peer, for a router that has lost its own links to them.
+//! Connections to targets and to the store through a peer, for a router that has lost its own links to them.
 //!
 //! The router opens a TCP connection to the peer, names the target, and then uses the connection as if it led to the target.
 //! All decisions on the request stay with the router: the peer only copies bytes, and it connects to the target directly or
@@ -6,10 +6,11 @@
 //! to the target.
 //!
 //! The target is named by its name and the start of its run rather than by an address, so that a peer connects only to targets
-//! that it lists.
+//! that it lists. For the store, each router has the address in its own settings.
 
 mod dial;
 mod serve;
+mod store;
 mod stream;
 
 use godwitroad_base::TargetName;
@@ -18,19 +19,32 @@
 
 pub(crate) use dial::{TargetDialer, record_direct};
 pub(crate) use serve::serve_peers;
+pub(crate) use store::call_store;
 
 /// A `Result` with an [`OpeningError`].
 type Result<T> = std::result::Result<T, OpeningError>;
 
-/// The version of the protocol. An opening of another version is refused.
-const PROTOCOL_VERSION: u8 = 1;
+/// The first byte of an opening to a target. An opening that begins with an unknown byte is refused.
+const TARGET_OPENING: u8 = 1;
 
-/// The size limit of an encoded [`RelayOpening`].
+/// The first byte of an opening to the store.
+const STORE_OPENING: u8 = 2;
+
+/// The size limit of an encoded [`TargetOpening`].
 const MAX_OPENING_BYTES: usize = 512;
 
-/// The first message on a connection to a peer: the target to connect to.
+/// The first message on a connection to a peer: what to connect to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum RelayOpening {
+    /// A target.
+    Target(TargetOpening),
+    /// The store.
+    Store,
+}
+
+/// The run of a target to connect to.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct RelayOpening {
+struct TargetOpening {
     target: TargetName,
     /// The start of the target's run, in Unix milliseconds.
     started_ms: u64,
@@ -41,15 +55,15 @@
 /// The peer's one-byte answer to an opening.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum OpeningAnswer {
-    /// The target is connected; its bytes follow.
+    /// The target or the store is connected; its bytes follow.
     Connected,
-    /// The peer can't connect to the target.
+    /// The peer can't connect to it.
     Unreachable,
-    /// The peer doesn't list this run of the target, or has lost its own path to it.
+    /// The peer doesn't list this run of the target, or has lost its own path to the target or the store.
     Unknown,
     /// The peer relays as many connections as it can.
     Busy,
-    /// The opening can't be read or has another version.
+    /// The opening can't be read or is of an unknown kind.
     Malformed,
     /// The sender isn't known as a router.
     Stranger,
@@ -60,8 +74,8 @@
 enum OpeningError {
     #[error("the connection failed: {0}")]
     Connection(#[from] std::io::Error),
-    #[error("version {0} is not supported")]
-    Version(u8),
+    #[error("the kind {0} is unknown")]
+    Kind(u8),
     #[error("an opening of {0} bytes is too large")]
     TooLarge(usize),
     #[error("the opening can't be decoded: {0}")]
@@ -71,35 +85,45 @@
 impl RelayOpening {
     /// Returns the encoded opening, or `None` if it is too large.
     fn encode(&self) -> Option<Vec<u8>> {
-        let payload = postcard::to_extend(self, Vec::new()).ok()?;
+        let (kind, payload) = match self {
+            RelayOpening::Target(opening) => {
+                (TARGET_OPENING, postcard::to_extend(opening, Vec::new()).ok()?)
+            }
+            RelayOpening::Store => (STORE_OPENING, Vec::new()),
+        };
         if payload.len() > MAX_OPENING_BYTES {
             return None;
         }
         let length = u16::try_from(payload.len()).ok()?.to_be_bytes();
-        Some([&[PROTOCOL_VERSION][..], &length, &payload].concat())
+        Some([&[kind][..], &length, &payload].concat())
     }
 
     /// Reads an opening.
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection ends early or the opening is of another version, too large or unreadable.
+    /// Returns an error if the connection ends early or the opening is of an unknown kind, too large or unreadable.
     async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Result<RelayOpening> {
-        let version = stream.read_u8().await?;
-        if version != PROTOCOL_VERSION {
-            return Err(OpeningError::Version(version));
-        }
+        let kind = stream.read_u8().await?;
+        let max_length = match kind {
+            TARGET_OPENING => MAX_OPENING_BYTES,
+            STORE_OPENING => 0,
+            other => return Err(OpeningError::Kind(other)),
+        };
         let length = usize::from(stream.read_u16().await?);
-        if length > MAX_OPENING_BYTES {
+        if length > max_length {
             return Err(OpeningError::TooLarge(length));
         }
+        if kind == STORE_OPENING {
+            return Ok(RelayOpening::Store);
+        }
         let mut payload = vec![0; length];
         stream.read_exact(&mut payload).await?;
         let (opening, rest) = postcard::take_from_bytes(&payload)?;
         if !rest.is_empty() {
             return Err(OpeningError::Encoding(postcard::Error::DeserializeBadEncoding));
         }
-        Ok(opening)
+        Ok(RelayOpening::Target(opening))
     }
 }
 
--- a/crates/proxy/src/relay/serve.rs
+++ b/crates/proxy/src/relay/serve.rs
@@ -1,4 +1,4 @@
-//! The peer's end: connects a router to a target that it can't reach itself, and copies bytes between them.
+//! The peer's end: connects a router to a target or a store that it can't reach itself, and copies bytes between them.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -30,7 +30,7 @@
 /// The time limit for reading an opening.
 const OPENING_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The time limit for connecting to a target.
+/// The time limit for connecting to a target or to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The time for which the target's bytes may stay unacknowledged by the router. A router whose caller reads slowly accepts
@@ -58,7 +58,7 @@
     }
 }
 
-/// Serves routers that ask to be connected to targets, for as long as the process runs.
+/// Serves routers that ask to be connected to targets or to the store, for as long as the process runs.
 pub(crate) async fn serve_peers<P: PlatformAdapter>(core: SharedCore<P>, listener: TcpListener) {
     loop {
         let Some((stream, address)) = accept(&core, &listener).await else { continue };
@@ -89,10 +89,7 @@
             return refuse(core, stream, OpeningAnswer::Malformed).await;
         }
     };
-    let listed = core.read(|state| {
-        state.relay_target(&opening.target, opening.started_ms).map(|record| record.address)
-    });
-    let Some(target_address) = listed else {
+    let Some(target_address) = destination(core, &opening) else {
         return refuse(core, stream, OpeningAnswer::Unknown).await;
     };
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(target_address)).await;
@@ -118,14 +115,34 @@
     );
 }
 
+// Returns the address to connect to, or `None` if it is unknown or this router doesn't reach it itself.
+fn destination<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    opening: &RelayOpening,
+) -> Option<SocketAddr> {
+    core.read(|state| match opening {
+        RelayOpening::Target(opening) => {
+            state.relay_target(&opening.target, opening.started_ms).map(|record| record.address)
+        }
+        RelayOpening::Store => state.relays_store().then(|| core.platform.store_address()),
+    })
+}
+
 fn log_end<P: PlatformAdapter>(
     core: &SharedCore<P>,
     opening: &RelayOpening,
     peer: &VmName,
     detail: &str,
 ) {
-    let detail = format!("target={} peer={peer} {detail}", opening.target);
-    core.log.request("relay_served", &opening.request, &detail);
+    match opening {
+        RelayOpening::Target(opening) => {
+            let detail = format!("target={} peer={peer} {detail}", opening.target);
+            core.log.request("relay_served", &opening.request, &detail);
+        }
+        RelayOpening::Store => {
+            core.log.event("store_relay_served", &format!("peer={peer} {detail}"));
+        }
+    }
 }
 
 async fn refuse<P: PlatformAdapter>(
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -6,14 +6,18 @@
 
 use std::collections::BTreeSet;
 
+use actix_rt::spawn;
+use bytes::Bytes;
 use godwitroad_base::{ClockSpan, ClockTime, StoreEra, StoreRevision, TargetName, VmName};
-use godwitroad_forward::{ForwardEvent, StoreStep};
+use godwitroad_forward::{ForwardEvent, StoreRoute, StoreStep};
+use http::{Request, Response, StatusCode};
 use tokio::time::timeout_at;
 
 use crate::{
     client::SendError,
     core::SharedCore,
     platform::{PlatformAdapter, StoreAnswer, StoreCall, StoreItem, WireError},
+    relay,
 };
 
 /// The time limit of a call that doesn't wait for changes. The store answers within a few milliseconds, and within a
@@ -89,14 +93,62 @@
     core.metrics.count("store.calls", 1);
     let sent_at = core.now();
     let sent_in = core.read(|state| state.store_era());
-    let address = core.platform.store_address();
-    let sent = core.client.call_with_headers(address, request, core.deadline(timeout)).await;
+    let sent = send(core, request, timeout).await;
     core.metrics.record("store.call_ms", core.now().since(sent_at).as_ms());
     let answer = sent?;
     check_era(core, sent_in, core.platform.read_store_era(answer.headers())?)?;
     Ok(core.platform.read_store(call, answer.status(), answer.body())?)
 }
 
+// Sends a request to the store, directly or through a peer, and records which path brought an answer.
+async fn send<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    request: Request<Bytes>,
+    timeout: ClockSpan,
+) -> std::result::Result<Response<Bytes>, SendError> {
+    match core.update(|state| state.plan_store_call(core.now())) {
+        StoreRoute::Direct => send_direct(core, request, timeout).await,
+        StoreRoute::Peers { peers, tries_direct } => {
+            if tries_direct {
+                spawn(probe_direct(core.clone()));
+            }
+            let (sent, peer) = relay::call_store(core, &peers, request, timeout).await;
+            if let Some(peer) = &peer {
+                let is_answered = is_answer(&sent);
+                core.update(|state| state.record_store_call(core.now(), Some(peer), is_answered));
+            }
+            sent
+        }
+    }
+}
+
+async fn send_direct<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    request: Request<Bytes>,
+    timeout: ClockSpan,
+) -> std::result::Result<Response<Bytes>, SendError> {
+    let address = core.platform.store_address();
+    let sent = core.client.call_with_headers(address, request, core.deadline(timeout)).await;
+    let is_answered = is_answer(&sent);
+    core.update(|state| state.record_store_call(core.now(), None, is_answered));
+    sent
+}
+
+// Finds out whether the store answers direct calls again.
+async fn probe_direct<P: PlatformAdapter>(core: SharedCore<P>) {
+    core.metrics.count("store.calls", 1);
+    let request = core.platform.store_request(&StoreCall::Probe);
+    // The outcome is recorded, and nothing depends on the answer.
+    let _ = send_direct(&core, request, CALL_TIMEOUT).await;
+}
+
+// A store that rejects calls may answer those of other routers.
+fn is_answer(sent: &std::result::Result<Response<Bytes>, SendError>) -> bool {
+    let is_rejection =
+        |status| matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE);
+    sent.as_ref().is_ok_and(|answer| !is_rejection(answer.status()))
+}
+
 // Passes a new era to the decision state. Only an answer of the era in which the call was made counts: one of an earlier
 // era is outdated, and one of a later era may refer to revisions and leases that mean something else by now.
 fn check_era<P: PlatformAdapter>(
--- a/crates/proxy/tests/unit/relay.rs
+++ b/crates/proxy/tests/unit/relay.rs
@@ -8,12 +8,16 @@
 use yare::parameterized;
 
 use super::{
-    OpeningAnswer, OpeningError, RelayOpening,
+    OpeningAnswer, OpeningError, RelayOpening, TargetOpening,
     stream::{LENGTH_BYTES, MAX_CHUNK_BYTES, RelayStream, write_chunk},
 };
 
-fn opening() -> RelayOpening {
-    RelayOpening { target: "i-7f3a".into(), started_ms: 1_782_000_000_000, request: "9c41".into() }
+fn opening(request: &str) -> RelayOpening {
+    RelayOpening::Target(TargetOpening {
+        target: "i-7f3a".into(),
+        started_ms: 1_782_000_000_000,
+        request: request.into(),
+    })
 }
 
 fn read_opening(mut bytes: &[u8]) -> Result<RelayOpening, OpeningError> {
@@ -38,17 +42,19 @@
 
 #[test]
 fn an_opening_is_read_as_it_was_written() {
-    let bytes = opening().encode().expect("a short opening");
-    assert_eq!(read_opening(&bytes).expect("a readable opening"), opening());
-    for length in 0..bytes.len() {
-        assert!(read_opening(&bytes[..length]).is_err(), "{length} of {} bytes", bytes.len());
+    for opening in [opening("9c41"), RelayOpening::Store] {
+        let bytes = opening.encode().expect("a short opening");
+        assert_eq!(read_opening(&bytes).expect("a readable opening"), opening);
+        for length in 0..bytes.len() {
+            assert!(read_opening(&bytes[..length]).is_err(), "{length} of {} bytes", bytes.len());
+        }
     }
-    let long = RelayOpening { request: "x".repeat(1_000), ..opening() };
-    assert_eq!(long.encode(), None);
+    assert_eq!(opening(&"x".repeat(1_000)).encode(), None);
 }
 
 #[parameterized(
-    another_version = { &[2, 0, 1, 0] },
+    another_kind = { &[3, 0, 1, 0] },
+    store_with_content = { &[2, 0, 1, 0] },
     too_large = { &[1, 255, 255, 0] },
     more_than_an_opening = { &[1, 0, 6, 1, 97, 5, 1, 98, 7] },
     no_text = { &[1, 0, 5, 1, 255, 5, 1, 98] },
@@ -84,7 +90,7 @@
 proptest! {
     #[test]
     fn any_bytes_are_an_opening_or_an_error(
-        version in prop_oneof![Just(1), any::<u8>()],
+        version in prop_oneof![Just(1), Just(2), any::<u8>()],
         rest in prop::collection::vec(any::<u8>(), 0..80),
     ) {
         let bytes = [&[version][..], &rest].concat();
