Quarantine: a crash that a withheld part explains counts against no other

Cause, from the trace of its decisions: the three crashes that counted against it (13.99, 14.96, 15.00 s) were of targets on which one of the two withheld requests ran, one of them the trial at 14.93 s. The sound request waited there too. A crash counted the same against both, although one of them had been found before, and the probe that could tell them apart needs a router that has the evidence, the highest score and a majority; routers had been killed and cut off.

Now a crash counts nothing against a part if another one that was in a request at the target had been withheld for more than a moment (25 ms, the delay of reports) before. A withheld part is only in requests in progress or in its few tests, so a second deadly part loses little evidence; if the withheld part is cleared, the crash counts again. The weighing moves to evidence.rs, as it needs the other suspects.

Test, failed before: a_crash_that_a_withheld_request_explains_counts_against_no_other.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod completion;
 mod digest;
+mod evidence;
 mod notes;
 mod outage;
 mod part;
--- a/crates/quarantine/src/outage.rs
+++ b/crates/quarantine/src/outage.rs
@@ -14,7 +14,7 @@
 const OUTAGE_TARGETS: usize = 3;
 
 /// The time within which crashes are at one moment. It covers the delay of reports between regions.
-const MOMENT: ClockSpan = ClockSpan::from_ms(25);
+pub(crate) const MOMENT: ClockSpan = ClockSpan::from_ms(25);
 
 /// Limit of crashes that are kept.
 const MAX_CRASHES: usize = 128;
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -2,10 +2,7 @@
 
 use godwitroad_base::{ClockSpan, ClockTime};
 
-use crate::{
-    QuarantineSettings,
-    outage::{OutageLog, distance},
-};
+use crate::outage::{MOMENT, distance};
 
 /// How far the answer to a request had come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -43,6 +40,8 @@
 /// Until when a part is withheld.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct WithheldSpan {
+    /// When this router began to withhold the part.
+    pub(crate) since: ClockTime,
     pub(crate) until: ClockTime,
     pub(crate) trials: u32,
     /// The number of requests that were sent because another part may be the cause.
@@ -53,60 +52,26 @@
     pub(crate) adopted: bool,
 }
 
-/// How much the crashes weigh that count against a part.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct EvidenceWeight {
-    points: u32,
-    /// The crashes at the beginning of an answer.
-    beginnings: u32,
-}
-
 /// Limit of crashes that count for one part.
 const MAX_CRASHES: usize = 16;
 
-/// The time within which the crashes of an outage count once.
-const OUTAGE_SPAN: ClockSpan = ClockSpan::from_ms(50);
-
 /// The time within which reports on one target are about the same crash.
 const SAME_CRASH_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
 
 impl WithheldSpan {
-    pub(crate) fn new(until: ClockTime) -> WithheldSpan {
+    pub(crate) fn new(since: ClockTime, until: ClockTime) -> WithheldSpan {
         let probed_until = ClockTime::ZERO;
-        WithheldSpan { until, trials: 0, probes: 0, probed_until, adopted: false }
+        WithheldSpan { since, until, trials: 0, probes: 0, probed_until, adopted: false }
     }
 }
 
 impl PartCrash {
-    // Returns whether both are about the same crash of a target.
-    fn is_same(&self, other: &PartCrash) -> bool {
+    /// Returns whether both are about the same crash of a target.
+    pub(crate) fn is_same(&self, other: &PartCrash) -> bool {
         self.target == other.target && distance(self.at, other.at) < SAME_CRASH_SPAN
     }
 }
 
-impl EvidenceWeight {
-    fn add(&mut self, crash: Option<PartCrash>, settings: &QuarantineSettings) {
-        let Some(crash) = crash else { return };
-        self.beginnings += u32::from(crash.beginning);
-        self.points += if crash.beginning { settings.beginning_points } else { 1 };
-    }
-
-    /// Returns the sum over all crashes.
-    pub(crate) fn points(self) -> u32 {
-        self.points
-    }
-
-    /// Returns whether the evidence is enough to withhold the part.
-    pub(crate) fn is_enough(self, settings: &QuarantineSettings) -> bool {
-        self.points >= settings.threshold && self.beginnings >= settings.min_beginnings
-    }
-
-    /// Returns whether the evidence is enough to withhold a retry.
-    pub(crate) fn is_near(self, settings: &QuarantineSettings) -> bool {
-        self.points >= settings.retry_threshold
-    }
-}
-
 impl SuspectPart {
     /// Adds a crash, or completes a report on a crash that is known.
     pub(crate) fn add(&mut self, crash: PartCrash) {
@@ -128,96 +93,27 @@
         !self.crashes.is_empty()
     }
 
-    /// Returns the weight of all crashes. Those within `burst_span` of each other count once, unless the same request was
-    /// sent from one target to the next, and those in an outage of other causes don't count.
-    pub(crate) fn weight(
-        &self,
-        settings: &QuarantineSettings,
-        outages: &OutageLog,
-    ) -> EvidenceWeight {
-        self.weight_of(self.crashes.iter(), settings, outages)
-    }
-
     /// Returns the crashes, oldest first.
     pub(crate) fn crashes(&self) -> &[PartCrash] {
         &self.crashes
     }
 
-    /// Returns whether the other part may be the cause of so many of these crashes that the remaining ones aren't enough to
-    /// withhold this part. A part for whose crashes this one is the better explanation excuses nothing, and neither does any
-    /// part if another router has the evidence.
-    pub(crate) fn is_excused_by(
-        &self,
-        other: &SuspectPart,
-        settings: &QuarantineSettings,
-        outages: &OutageLog,
-    ) -> bool {
-        let own_weight = self.weight(settings, outages);
-        if self.withheld.is_some() && !own_weight.is_enough(settings) {
-            return false;
-        }
-        let is_covered = self.crashes_without(other).next().is_none();
-        let covers_other = other.crashes_without(self).next().is_none();
-        (is_covered || !covers_other)
-            && !self.weight_of(self.crashes_without(other), settings, outages).is_enough(settings)
+    /// Returns the crashes that the other part can't have caused.
+    pub(crate) fn crashes_without(&self, other: &SuspectPart) -> impl Iterator<Item = &PartCrash> {
+        self.crashes.iter().filter(|crash| !other.may_cause(crash))
     }
 
-    // Returns the crashes that the other part can't have caused: it was in no request at that target, or none whose answer
-    // was beginning while one with this part was.
-    fn crashes_without(&self, other: &SuspectPart) -> impl Iterator<Item = &PartCrash> {
-        self.crashes.iter().filter(|crash| {
-            let known = other.crashes.iter().find(|known| known.is_same(crash));
-            known.is_none_or(|known| crash.beginning && !known.beginning)
-        })
+    /// Returns whether the part may have caused a crash that another part is suspected of: it was in a request at that target,
+    /// and in one whose answer was beginning if one with the other part was.
+    pub(crate) fn may_cause(&self, crash: &PartCrash) -> bool {
+        let known = self.crashes.iter().find(|known| known.is_same(crash));
+        known.is_some_and(|known| known.beginning || !crash.beginning)
     }
 
-    // Returns the weight of some of the crashes, oldest first.
-    fn weight_of<'a>(
-        &self,
-        crashes: impl Iterator<Item = &'a PartCrash>,
-        settings: &QuarantineSettings,
-        outages: &OutageLog,
-    ) -> EvidenceWeight {
-        let mut weight = EvidenceWeight::default();
-        let mut burst: Option<PartCrash> = None;
-        for crash in crashes {
-            let Some(burst_span) = self.burst_span_of(crash, settings, outages) else { continue };
-            match &mut burst {
-                Some(first) if !crash.retry && crash.at.since(first.at) < burst_span => {
-                    first.beginning |= crash.beginning;
-                }
-                _ => {
-                    weight.add(burst, settings);
-                    burst = Some(*crash);
-                }
-            }
-        }
-        weight.add(burst, settings);
-        weight
-    }
-
-    // Returns the time within which earlier crashes count together with this one; `None` if it doesn't count, as it was part
-    // of an outage that also took targets which had no such request, or none whose answer was beginning. An outage of only
-    // such targets is what many requests with a deadly part cause at once.
-    fn burst_span_of(
-        &self,
-        crash: &PartCrash,
-        settings: &QuarantineSettings,
-        outages: &OutageLog,
-    ) -> Option<ClockSpan> {
-        let counts_waiting = settings.min_beginnings == 0;
-        let is_own = |target: u32| {
-            let own = PartCrash { target, ..*crash };
-            let counts = |known: &PartCrash| known.beginning || counts_waiting;
-            self.crashes.iter().any(|known| counts(known) && known.is_same(&own))
-        };
-        let Some(mut targets) = outages.outage_at(crash.at) else {
-            return Some(settings.burst_span);
-        };
-        if !targets.all(is_own) {
-            return None;
-        }
-        // Waiting requests may be on all targets, whatever the cause of the outage.
-        Some(if counts_waiting { OUTAGE_SPAN } else { settings.burst_span })
+    /// Returns whether the part was withheld before a crash that it may have caused. It is the explanation of the crash then,
+    /// as only a few requests with it were still in progress or on trial.
+    pub(crate) fn explains(&self, crash: &PartCrash) -> bool {
+        let is_later = |withheld: WithheldSpan| crash.at.since(withheld.since) > MOMENT;
+        self.withheld.is_some_and(is_later) && self.may_cause(crash)
     }
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -8,6 +8,7 @@
 use crate::{
     PartCrash, PartKey, QuarantineSettings,
     completion::CompletionLog,
+    evidence::EvidenceContext,
     outage::OutageLog,
     suspect::{SuspectPart, WithheldSpan},
 };
@@ -85,10 +86,8 @@
         keys: &[PartKey],
     ) -> Vec<PartKey> {
         let span = self.settings.protection_span;
-        if self.outages.record(crash.target, crash.at) {
-            self.release();
-        }
-        let mut protected = Vec::new();
+        let mut is_explained = self.outages.record(crash.target, crash.at);
+        let (mut protected, mut suspected) = (Vec::new(), Vec::new());
         for key in keys {
             if self.completions.contains(now, span, *key) {
                 protected.push(*key);
@@ -97,29 +96,56 @@
             let suspect = self.suspects.entry(*key).or_default();
             suspect.last_request = suspect.last_request.max(crash.at);
             suspect.add(crash);
-            if suspect.withheld.is_none()
-                && suspect.weight(&self.settings, &self.outages).is_enough(&self.settings)
-            {
-                let until = now + self.settings.withheld_span(0);
-                suspect.withheld = Some(WithheldSpan::new(until));
-            }
+            is_explained |= suspect.explains(&crash);
+            suspected.push(*key);
         }
+        if is_explained {
+            self.release();
+        }
+        self.withhold(now, &suspected);
         self.evict();
         protected
     }
 
-    // Ends the quarantine of parts for which the evidence is no longer enough. The evidence itself stays, as an outage is no
-    // proof that a part is sound.
+    // Withholds those of the parts for which the evidence is enough.
+    fn withhold(&mut self, now: ClockTime, keys: &[PartKey]) {
+        let context = self.context();
+        let is_due = |key: &&PartKey| {
+            let suspect = context.suspects.get(*key);
+            let suspect = suspect.filter(|suspect| suspect.withheld.is_none());
+            suspect.is_some_and(|suspect| context.weight(suspect).is_enough(context.settings))
+        };
+        let due: Vec<PartKey> = keys.iter().filter(is_due).copied().collect();
+        let until = now + self.settings.withheld_span(0);
+        for key in due {
+            if let Some(suspect) = self.suspects.get_mut(&key) {
+                suspect.withheld = Some(WithheldSpan::new(now, until));
+            }
+        }
+    }
+
+    // Ends the quarantine of parts for which the evidence is no longer enough. The evidence itself stays, as an outage, or a
+    // crash that another part explains, is no proof that a part is sound.
     fn release(&mut self) {
-        let (settings, outages) = (self.settings, &self.outages);
-        for suspect in self.suspects.values_mut() {
+        let context = self.context();
+        let is_released = |suspect: &SuspectPart| {
             let is_own = suspect.withheld.is_some_and(|withheld| !withheld.adopted);
-            if is_own && !suspect.weight(&settings, outages).is_enough(&settings) {
+            is_own && !context.weight(suspect).is_enough(context.settings)
+        };
+        let released = context.suspects.iter().filter(|(_, suspect)| is_released(suspect));
+        let released: Vec<PartKey> = released.map(|(key, _)| *key).collect();
+        for key in released {
+            if let Some(suspect) = self.suspects.get_mut(&key) {
                 suspect.withheld = None;
             }
         }
     }
 
+    fn context(&self) -> EvidenceContext<'_> {
+        let QuarantineTable { settings, suspects, outages, .. } = self;
+        EvidenceContext { settings, suspects, outages }
+    }
+
     /// Records that an answer on these parts was complete. Returns the parts that were suspected until now.
     pub fn record_completion(&mut self, now: ClockTime, keys: &[PartKey]) -> Vec<PartKey> {
         self.completions.record(now, self.settings.protection_span, keys);
@@ -176,7 +202,7 @@
         let is_excused = self.is_excused(key, keys);
         let Some(span) = suspect.withheld else {
             // A retry costs a second target within moments, before the first crash is known everywhere.
-            let weight = suspect.weight(&self.settings, &self.outages);
+            let weight = self.context().weight(suspect);
             let is_risky = is_retry && !is_excused && weight.is_near(&self.settings);
             return if is_risky { PartJudgement::Withheld } else { PartJudgement::Sent };
         };
@@ -216,7 +242,7 @@
             .suspects
             .iter()
             .filter(|(other, part)| part.withheld.is_some() && !keys.contains(other));
-        others.any(|(_, other)| suspect.is_excused_by(other, &self.settings, &self.outages))
+        others.any(|(_, other)| self.context().is_excused_by(suspect, other))
     }
 
     /// Adopts a part that another router withholds. Returns false if a recent answer on the part was complete, which
@@ -231,7 +257,8 @@
         suspect.last_request = suspect.last_request.max(last_request);
         // The times of two routers differ by the delay of the report, which must not add up as they report to each other.
         if suspect.withheld.is_none_or(|known| known.trials < part.trials) {
-            let span = WithheldSpan::new(until);
+            let since = suspect.withheld.map_or(now, |known| known.since);
+            let span = WithheldSpan::new(since, until);
             suspect.withheld = Some(WithheldSpan { trials: part.trials, adopted: true, ..span });
         }
         if let Some(known) = suspect.withheld.as_mut().filter(|known| known.probes < part.probes) {
@@ -281,11 +308,11 @@
     }
 
     fn has_better_suspect(&self, suspect: &SuspectPart) -> bool {
-        let (settings, outages) = (&self.settings, &self.outages);
+        let context = self.context();
         let is_better = |other: &SuspectPart| {
             other.withheld.is_some()
-                && suspect.is_excused_by(other, settings, outages)
-                && !other.is_excused_by(suspect, settings, outages)
+                && context.is_excused_by(suspect, other)
+                && !context.is_excused_by(other, suspect)
         };
         self.suspects.values().any(is_better)
     }
@@ -298,7 +325,7 @@
     /// Returns the weight of the crashes against a part, in points.
     pub fn points(&self, key: PartKey) -> u32 {
         let suspect = self.suspects.get(&key);
-        suspect.map_or(0, |suspect| suspect.weight(&self.settings, &self.outages).points())
+        suspect.map_or(0, |suspect| self.context().weight(suspect).points())
     }
 
     /// Returns whether crashes suffice that only ended requests which still waited for their answers.
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -64,6 +64,24 @@
     assert_eq!(screen(&mut table, 3_100, &["dead"]), PartVerdict::Withheld(key("dead")));
 }
 
+/// Guards against a sound request that is withheld because it waited at targets which the tests of a withheld one crashed.
+#[test]
+fn a_crash_that_a_withheld_request_explains_counts_against_no_other() {
+    let mut table = QuarantineTable::new(QuarantineSettings::for_requests());
+    let dead = WithheldPart { key: key("dead"), left_ms: 0, trials: 0, probes: 0, idle_ms: 0 };
+    assert!(table.adopt(at(1_000), &dead));
+    for (now, target) in [(2_000, 1), (12_000, 2), (32_000, 3)] {
+        // The requests of one target are reported one by one, in any order.
+        crash(&mut table, now, target, false, &["sound"]);
+        crash(&mut table, now + 5, target, false, &["dead"]);
+    }
+    assert_eq!(screen(&mut table, 33_000, &["sound"]), PartVerdict::Sound);
+    for (now, target) in [(34_000, 4), (35_000, 5), (36_000, 6)] {
+        crash(&mut table, now, target, false, &["sound"]);
+    }
+    assert_eq!(screen(&mut table, 37_000, &["sound"]), PartVerdict::Withheld(key("sound")));
+}
+
 /// Guards against a part that is withheld because of an outage that took many targets or a router's network.
 #[parameterized(
     one_moment = { &[(1_000, 1, true), (1_010, 2, true), (1_020, 3, true), (1_050, 4, true)] },
