Quarantine: an outage of targets that share one suspected request counts against it

Seen: in history 35 of `frequent` (20 requests a second that crash their targets, 200 histories) four of them reach targets later than 3 s after the third crash, allowed are three: at 5.15, 5.18, 5.19 and, as a trial, at 15.31 s.

Cause: the first three crashes (70, 90 and 110 ms) are within 25 ms of the next and passed for an outage that counts once, though the request was on each of these targets. So the crashes at 5.19 and 5.22 s were needed too, and the trial came on top.

Now each crash of such an outage counts in full, as one part or request explains them all, unless another suspected request waited at all these targets as well: then they can't be told apart, and the outage counts once as before. Reports come one request at a time, so a report on an outage weighs what is withheld again.

Tests: an_outage_of_targets_that_share_one_request_counts_against_it, of which on_all and beside_one_on_some failed before.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -107,9 +107,10 @@
         if !self.was_at_all(suspect, crash, &targets) {
             return None;
         }
-        // Waiting requests may be on all targets, whatever the cause of the outage.
-        let counts_waiting = self.settings.min_beginnings == 0;
-        Some(if counts_waiting { OUTAGE_SPAN } else { self.settings.burst_span })
+        // Several requests that waited at all targets can't be told apart, whatever the cause of the outage.
+        let is_ambiguous = self.settings.min_beginnings == 0
+            && self.others(suspect).any(|other| self.was_at_all(other, crash, &targets));
+        Some(if is_ambiguous { OUTAGE_SPAN } else { self.settings.burst_span })
     }
 
     fn others<'a>(&'a self, suspect: &'a SuspectPart) -> impl Iterator<Item = &'a SuspectPart> {
--- a/crates/quarantine/src/outage.rs
+++ b/crates/quarantine/src/outage.rs
@@ -20,16 +20,15 @@
 const MAX_CRASHES: usize = 128;
 
 impl OutageLog {
-    /// Adds a crash; returns whether it was not known and belongs to an outage.
-    pub(crate) fn record(&mut self, target: u32, at: ClockTime) -> bool {
+    /// Adds a crash that isn't known.
+    pub(crate) fn record(&mut self, target: u32, at: ClockTime) {
         if self.targets_at(at).any(|known| known == target) {
-            return false;
+            return;
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
         self.crashes.push_back((at, target));
-        self.outage_at(at).is_some()
     }
 
     /// Returns the targets of the outage to which a crash at this time belongs; `None` if there was none.
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -86,7 +86,9 @@
         keys: &[PartKey],
     ) -> Vec<PartKey> {
         let span = self.settings.protection_span;
-        let mut is_explained = self.outages.record(crash.target, crash.at);
+        self.outages.record(crash.target, crash.at);
+        // A report on an outage may show that others waited at the same targets.
+        let mut has_other_cause = self.outages.outage_at(crash.at).is_some();
         let (mut protected, mut suspected) = (Vec::new(), Vec::new());
         for key in keys {
             if self.completions.contains(now, span, *key) {
@@ -96,10 +98,10 @@
             let suspect = self.suspects.entry(*key).or_default();
             suspect.last_request = suspect.last_request.max(crash.at);
             suspect.add(crash);
-            is_explained |= suspect.explains(&crash);
+            has_other_cause |= suspect.explains(&crash);
             suspected.push(*key);
         }
-        if is_explained {
+        if has_other_cause {
             self.release();
         }
         self.withhold(now, &suspected);
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -82,6 +82,31 @@
     assert_eq!(screen(&mut table, 37_000, &["sound"]), PartVerdict::Withheld(key("sound")));
 }
 
+/// Guards against a request so frequent that the targets it crashes pass for an outage, and against one that is withheld for an
+/// outage which others waited through at the same targets.
+#[parameterized(
+    on_all = { &["dead"], &[], false, true },
+    beside_one_on_some = { &["dead"], &["other"], false, true },
+    beside_one_on_all = { &["dead", "other"], &[], false, false },
+    not_on_all = { &["dead"], &[], true, false },
+)]
+fn an_outage_of_targets_that_share_one_request_counts_against_it(
+    on_all: &[&str],
+    on_first: &[&str],
+    takes_another: bool,
+    is_withheld: bool,
+) {
+    let mut table = QuarantineTable::new(QuarantineSettings::for_requests());
+    if takes_another {
+        crash(&mut table, 999, 4, false, &[]);
+    }
+    on_first.iter().for_each(|id| crash(&mut table, 1_000, 1, false, &[id]));
+    for (now, target) in [(1_000, 1), (1_010, 2), (1_020, 3)] {
+        on_all.iter().for_each(|id| crash(&mut table, now, target, false, &[id]));
+    }
+    assert_eq!(table.is_withheld(key("dead")), is_withheld);
+}
+
 /// Guards against a part that is withheld because of an outage that took many targets or a router's network.
 #[parameterized(
     one_moment = { &[(1_000, 1, true), (1_010, 2, true), (1_020, 3, true), (1_050, 4, true)] },
