Relay: tests of endless, oversized and altered openings and of any bytes of a peer

The reader takes at most three bytes of an opening that is too large and 515 of any other, an opening with any bit altered is never read as the original, and any bytes of a peer end with the mark of the end or an error and give no more bytes than they have. Not covered yet: a replayed opening between processes (a member knows its peers by address alone).

--- a/crates/proxy/tests/unit/relay.rs
+++ b/crates/proxy/tests/unit/relay.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::System;
 use proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, repeat};
 use yare::parameterized;
 
 use super::{
@@ -59,6 +59,32 @@
     assert!(!matches!(error, OpeningError::Connection(_)), "{error}");
 }
 
+/// Guards against a peer that makes the reader take or reserve more than an opening needs.
+#[parameterized(
+    another_version = { &[2], 1 },
+    largest_length = { &[1, 255, 255], 3 },
+    one_byte_over = { &[1, 2, 1], 3 },
+    longest = { &[1, 2, 0], 515 },
+    endless_name = { &[1, 2, 0, 255, 255, 255, 255, 15], 515 },
+)]
+fn an_endless_opening_is_read_to_its_limit(start: &[u8], expected: u64) {
+    let mut bytes = start.chain(repeat(0xff)).take(1 << 20);
+    let result = System::new().block_on(RelayOpening::read(&mut bytes));
+    let error = result.expect_err("no opening ends");
+    assert!(!matches!(error, OpeningError::Connection(_)), "{error}");
+    assert_eq!((1 << 20) - bytes.limit(), expected);
+}
+
+#[test]
+fn an_altered_opening_is_never_read_as_the_original() {
+    let bytes = opening().encode().expect("a short opening");
+    for (index, bit) in (0..bytes.len()).flat_map(|index| (0..8).map(move |bit| (index, bit))) {
+        let mut altered = bytes.clone();
+        altered[index] ^= 1 << bit;
+        assert_ne!(read_opening(&altered).ok(), Some(opening()), "bit {bit} of byte {index}");
+    }
+}
+
 #[test]
 fn each_answer_to_an_opening_has_a_code_of_its_own() {
     for answer in OpeningAnswer::ALL {
@@ -94,6 +120,29 @@
         }
     }
 
+    #[test]
+    fn any_bytes_of_a_peer_end_with_a_mark_or_an_error(
+        parts in prop::collection::vec(
+            (0..40_u16, prop::collection::vec(any::<u8>(), 0..40)),
+            0..12,
+        ),
+    ) {
+        // Lengths that are often right, so that later ones are read too.
+        let framed = parts.iter().flat_map(|(length, part)| {
+            [&length.to_be_bytes()[..], part].concat()
+        });
+        let bytes: Vec<u8> = framed.collect();
+        let (read, end) = read_stream(&bytes);
+        assert!(read.len() <= bytes.len());
+        match end {
+            Ok(length) => assert!(length + LENGTH_BYTES <= bytes.len(), "no mark of the end"),
+            Err(error) => assert!(
+                matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::InvalidData),
+                "{error}"
+            ),
+        }
+    }
+
     #[test]
     fn chunks_are_read_as_they_were_written(
         parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..300), 0..8)
