Throttle: a target whose rejections are used up gets nothing if one was rejected alone

A rejection with no more than one request known now leaves room for one, and at that size nothing is sent for the second. A claim of a peer that was silent is answered as a new one.

--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -67,6 +67,7 @@
     many_targets = { TurnPlan { routers: 9, targets: 20, demand: 2_000.0, ..FRAGILE } },
     few_callers = { TurnPlan { demand: 30.0, ..FRAGILE } },
     lost_gossip = { TurnPlan { loses_gossip: true, ..FRAGILE } },
+    suspends = { TurnPlan { suspends: true, ..FRAGILE } },
 )]
 fn targets_that_bear_one_rejection_seldom_fall(plan: TurnPlan) {
     for seed in 0..support::histories() {
--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -221,10 +221,11 @@
             self.has_news = true;
         }
         self.claimed_at = Some(now);
-        if now < self.held_until {
+        let trusted = self.trusted_room(now, bound);
+        if now < self.held_until || trusted == 0 {
             return false;
         }
-        let room = position.usable(self.trusted_room(now, bound));
+        let room = position.usable(trusted);
         let total = self.total(now, own);
         self.peak = self.peak.max(total);
         let is_strict = bound.is_strict();
@@ -256,8 +257,8 @@
             0 => room,
             _ if recent + 1 < bound.per_second() => room,
             _ if bound.is_strict() && self.was_raised => room.min(proved),
-            // Another rejection would be one too many, but an empty target takes a request.
-            _ if bound.is_strict() => 1,
+            // Another rejection would be one too many. An empty target takes a request, unless one was rejected alone.
+            _ if bound.is_strict() => u32::from(room > 1),
             // The last rejection is left for requests on the way.
             _ if recent < bound.per_second() => room.div_ceil(2),
             _ => 0,
@@ -330,7 +331,9 @@
             heard_at: now,
         };
         let before = self.peers.get(peer).filter(|work| work.incarnation == incarnation);
-        let is_new = !before.is_some_and(|work| work.is_claiming);
+        let is_known =
+            |work: &PeerWork| work.is_claiming && now.since(work.heard_at) < WORK_LIFETIME;
+        let is_new = !before.is_some_and(is_known);
         let is_using = self.sent_at.is_some_and(|at| now.since(at) < CLAIM_SPAN);
         if report.is_claiming && is_new && is_using {
             // The peer has to know of requests in progress before it uses its part.
