Throttle: a target that bears no rejection gets one request at a time

A target that takes requests at all takes one, so that this is all that can be known of its room before a rejection.

--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -68,8 +68,10 @@
     few_callers = { TurnPlan { demand: 30.0, ..FRAGILE } },
     lost_gossip = { TurnPlan { loses_gossip: true, ..FRAGILE } },
     suspends = { TurnPlan { suspends: true, ..FRAGILE } },
+    none = { TurnPlan { brittle: Some(0), ..FRAGILE } },
+    none_of_nine_routers = { TurnPlan { brittle: Some(0), routers: 9, ..FRAGILE } },
 )]
-fn targets_that_bear_one_rejection_seldom_fall(plan: TurnPlan) {
+fn targets_that_bear_one_rejection_or_none_seldom_fall(plan: TurnPlan) {
     for seed in 0..support::histories() {
         let fleet = play("fragile", seed, plan);
         assert!(fleet.falls.len() <= MAX_FALLS + plan.targets / 10, "seed {seed}");
--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -254,6 +254,8 @@
         let recent = self.recent_rejections(now);
         let RoomStatement { room, proved, .. } = self.room;
         match recent {
+            // No rejection at all is borne.
+            _ if bound.per_second() == 0 => 1,
             0 => room,
             _ if recent + 1 < bound.per_second() => room,
             _ if bound.is_strict() && self.was_raised => room.min(proved),
