Throttle: a router that starts waits for its peers' reports before it takes or raises a room

The first raise now comes after the second for which rejections count, and a claim of the whole room takes effect after 100 ms, a message there and back. The row `kills` failed before.

--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -68,6 +68,7 @@
     few_callers = { TurnPlan { demand: 30.0, ..FRAGILE } },
     lost_gossip = { TurnPlan { loses_gossip: true, ..FRAGILE } },
     suspends = { TurnPlan { suspends: true, ..FRAGILE } },
+    kills = { TurnPlan { kills: true, ..FRAGILE } },
     none = { TurnPlan { brittle: Some(0), ..FRAGILE } },
     none_of_nine_routers = { TurnPlan { brittle: Some(0), routers: 9, ..FRAGILE } },
 )]
--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -63,6 +63,9 @@
 /// The time until the peers have heard of a claim.
 const ANNOUNCE_SPAN: ClockSpan = ClockSpan::from_ms(60);
 
+/// The time until their answers to it have arrived, too.
+const TAKEOVER_SPAN: ClockSpan = ClockSpan::from_ms(100);
+
 /// How long the work that a peer reported counts without another report.
 const WORK_LIFETIME: ClockSpan = ClockSpan::from_ms(1_000);
 
@@ -97,7 +100,8 @@
             stated_at,
             own: None,
             room: RoomStatement { revision: 0, room, proved: room },
-            raise_at: now + FIRST_RAISE_SPAN,
+            // Rejections of the last second may be unknown.
+            raise_at: now + REJECTION_SPAN,
             raise_span: FIRST_RAISE_SPAN,
             rejections: VecDeque::new(),
             own_rejected: 0,
@@ -242,7 +246,8 @@
         }
         let claiming = u32::try_from(position.claiming).unwrap_or(u32::MAX);
         let free = if is_strict { room / 2 } else { room };
-        let is_announced = self.announced_at.is_some_and(|at| now.since(at) >= ANNOUNCE_SPAN);
+        let span = if is_strict { TAKEOVER_SPAN } else { ANNOUNCE_SPAN };
+        let is_announced = self.announced_at.is_some_and(|at| now.since(at) >= span);
         let has_part = position.reachable <= 1 || is_announced;
         total.saturating_add(claiming) <= free
             || is_urgent
