--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -69,6 +69,8 @@
     lost_gossip = { TurnPlan { loses_gossip: true, ..FRAGILE } },
     suspends = { TurnPlan { suspends: true, ..FRAGILE } },
     kills = { TurnPlan { kills: true, ..FRAGILE } },
+    cuts = { TurnPlan { cuts: true, ..FRAGILE } },
+    all = { TurnPlan { kills: true, suspends: true, cuts: true, loses_gossip: true, ..FRAGILE } },
     none = { TurnPlan { brittle: Some(0), ..FRAGILE } },
     none_of_nine_routers = { TurnPlan { brittle: Some(0), routers: 9, ..FRAGILE } },
 )]
