--- a/crates/forward/tests/brittle_targets.rs
+++ b/crates/forward/tests/brittle_targets.rs
@@ -67,8 +67,14 @@
     many_targets = { TurnPlan { routers: 9, targets: 20, demand: 2_000.0, ..FRAGILE } },
     few_callers = { TurnPlan { demand: 30.0, ..FRAGILE } },
     lost_gossip = { TurnPlan { loses_gossip: true, ..FRAGILE } },
+    suspends = { TurnPlan { suspends: true, ..FRAGILE } },
+    kills = { TurnPlan { kills: true, ..FRAGILE } },
+    cuts = { TurnPlan { cuts: true, ..FRAGILE } },
+    all = { TurnPlan { kills: true, suspends: true, cuts: true, loses_gossip: true, ..FRAGILE } },
+    none = { TurnPlan { brittle: Some(0), ..FRAGILE } },
+    none_of_nine_routers = { TurnPlan { brittle: Some(0), routers: 9, ..FRAGILE } },
 )]
-fn targets_that_bear_one_rejection_seldom_fall(plan: TurnPlan) {
+fn targets_that_bear_one_rejection_or_none_seldom_fall(plan: TurnPlan) {
     for seed in 0..support::histories() {
         let fleet = play("fragile", seed, plan);
         assert!(fleet.falls.len() <= MAX_FALLS + plan.targets / 10, "seed {seed}");
--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -63,6 +63,9 @@
 /// The time until the peers have heard of a claim.
 const ANNOUNCE_SPAN: ClockSpan = ClockSpan::from_ms(60);
 
+/// The time until their answers to it have arrived, too.
+const TAKEOVER_SPAN: ClockSpan = ClockSpan::from_ms(100);
+
 /// How long the work that a peer reported counts without another report.
 const WORK_LIFETIME: ClockSpan = ClockSpan::from_ms(1_000);
 
@@ -97,7 +100,8 @@
             stated_at,
             own: None,
             room: RoomStatement { revision: 0, room, proved: room },
-            raise_at: now + FIRST_RAISE_SPAN,
+            // Rejections of the last second may be unknown.
+            raise_at: now + REJECTION_SPAN,
             raise_span: FIRST_RAISE_SPAN,
             rejections: VecDeque::new(),
             own_rejected: 0,
@@ -221,10 +225,11 @@
             self.has_news = true;
         }
         self.claimed_at = Some(now);
-        if now < self.held_until {
+        let trusted = self.trusted_room(now, bound);
+        if now < self.held_until || trusted == 0 {
             return false;
         }
-        let room = position.usable(self.trusted_room(now, bound));
+        let room = position.usable(trusted);
         let total = self.total(now, own);
         self.peak = self.peak.max(total);
         let is_strict = bound.is_strict();
@@ -241,7 +246,8 @@
         }
         let claiming = u32::try_from(position.claiming).unwrap_or(u32::MAX);
         let free = if is_strict { room / 2 } else { room };
-        let is_announced = self.announced_at.is_some_and(|at| now.since(at) >= ANNOUNCE_SPAN);
+        let span = if is_strict { TAKEOVER_SPAN } else { ANNOUNCE_SPAN };
+        let is_announced = self.announced_at.is_some_and(|at| now.since(at) >= span);
         let has_part = position.reachable <= 1 || is_announced;
         total.saturating_add(claiming) <= free
             || is_urgent
@@ -253,11 +259,13 @@
         let recent = self.recent_rejections(now);
         let RoomStatement { room, proved, .. } = self.room;
         match recent {
+            // No rejection at all is borne.
+            _ if bound.per_second() == 0 => 1,
             0 => room,
             _ if recent + 1 < bound.per_second() => room,
             _ if bound.is_strict() && self.was_raised => room.min(proved),
-            // Another rejection would be one too many, but an empty target takes a request.
-            _ if bound.is_strict() => 1,
+            // Another rejection would be one too many. An empty target takes a request, unless one was rejected alone.
+            _ if bound.is_strict() => u32::from(room > 1),
             // The last rejection is left for requests on the way.
             _ if recent < bound.per_second() => room.div_ceil(2),
             _ => 0,
@@ -330,7 +338,9 @@
             heard_at: now,
         };
         let before = self.peers.get(peer).filter(|work| work.incarnation == incarnation);
-        let is_new = !before.is_some_and(|work| work.is_claiming);
+        let is_known =
+            |work: &PeerWork| work.is_claiming && now.since(work.heard_at) < WORK_LIFETIME;
+        let is_new = !before.is_some_and(is_known);
         let is_using = self.sent_at.is_some_and(|at| now.since(at) < CLAIM_SPAN);
         if report.is_claiming && is_new && is_using {
             // The peer has to know of requests in progress before it uses its part.
