Relay tests: openings of the store beside altered and endless ones

The tests of altered and endless openings were written beside the opening of the store, which takes a kind that was unknown to them. An unknown kind is now 3, and the opening of the store with an oversized length has a row of its own.

--- a/crates/proxy/tests/unit/relay.rs
+++ b/crates/proxy/tests/unit/relay.rs
@@ -67,7 +67,8 @@
 
 /// Guards against a peer that makes the reader take or reserve more than an opening needs.
 #[parameterized(
-    another_version = { &[2], 1 },
+    another_version = { &[3], 1 },
+    store = { &[2], 3 },
     largest_length = { &[1, 255, 255], 3 },
     one_byte_over = { &[1, 2, 1], 3 },
     longest = { &[1, 2, 0], 515 },
@@ -83,11 +84,11 @@
 
 #[test]
 fn an_altered_opening_is_never_read_as_the_original() {
-    let bytes = opening().encode().expect("a short opening");
+    let bytes = opening("9c41").encode().expect("a short opening");
     for (index, bit) in (0..bytes.len()).flat_map(|index| (0..8).map(move |bit| (index, bit))) {
         let mut altered = bytes.clone();
         altered[index] ^= 1 << bit;
-        assert_ne!(read_opening(&altered).ok(), Some(opening()), "bit {bit} of byte {index}");
+        assert_ne!(read_opening(&altered).ok(), Some(opening("9c41")), "bit {bit} of byte {index}");
     }
 }
 
