Relay: one loop asks peers for a connection, to a target or to the store

The dialer of the store had a copy of the loop that asks peers one after the other: its time limit, its log, its counters and which failures count. Both use one function now. In relay_opened, target and direct come before the peer; elapsed_ms of store_relay_opened counts from the first peer, as that of relay_opened does. Nothing else changes.

--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -25,7 +25,7 @@
 };
 
 /// The time limit for one peer, which covers its own connection to the target.
-pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(150);
+const PEER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The time limit for a direct attempt beside the peers.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
@@ -49,7 +49,7 @@
 
 /// Why a peer gave no connection.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
-pub(super) enum RelayFailure {
+enum RelayFailure {
     #[error("the opening is too large")]
     TooLarge,
     #[error("the connection to the peer failed")]
@@ -197,55 +197,59 @@
     deadline: Instant,
 ) -> std::result::Result<TargetConnection, Vec<VmName>> {
     let core = target.core;
-    let started = core.now();
-    let peers = core.update(|state| state.relay_peers(started, target.name));
+    let peers = core.update(|state| state.relay_peers(core.now(), target.name));
+    let opening = RelayOpening::Target(TargetOpening {
+        target: target.name.clone(),
+        started_ms: target.started_ms,
+        request: target.request.chars().take(MAX_LOGGED_ID).collect(),
+    });
+    let log = |attempt: &str| {
+        let detail = format!("target={} direct={direct:?} {attempt}", target.name);
+        core.log.request("relay_opened", target.request, &detail);
+    };
     let mut failed = Vec::new();
+    let opened = open_through_first(core, &peers, &opening, deadline, log, |peer| {
+        core.update(|state| state.record_failed_peer(core.now(), &peer.vm));
+        failed.push(peer.vm.clone());
+    });
+    let Some((connection, peer)) = opened.await else { return Err(failed) };
+    record_lost(target, direct, peer);
+    Ok(connection)
+}
+
+/// Opens a connection through the first of `peers` that gives one, and returns it with the peer. `log` is called with a
+/// description of each attempt, and `record_failed` with each peer that gave none in its time.
+pub(super) async fn open_through_first<'a, P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    peers: &'a [RelayPeer],
+    opening: &RelayOpening,
+    deadline: Instant,
+    log: impl Fn(&str),
+    mut record_failed: impl FnMut(&RelayPeer),
+) -> Option<(TargetConnection, &'a RelayPeer)> {
+    let started = core.now();
     for peer in peers {
         let peer_deadline = deadline.min(Instant::now() + PEER_TIMEOUT);
-        let opened = timeout_at(peer_deadline, open_through(target, &peer)).await;
+        let opened = timeout_at(peer_deadline, open_through(core, peer, opening)).await;
         let result = opened.unwrap_or(Err(RelayFailure::TimeOver));
         let error = result.as_ref().err().map(RelayFailure::to_string);
-        let detail = format!(
-            "target={} peer={} direct={direct:?} error={error:?} elapsed_ms={}",
-            target.name,
-            peer.vm,
-            core.now().since(started).as_ms(),
-        );
-        core.log.request("relay_opened", target.request, &detail);
+        let elapsed = core.now().since(started).as_ms();
+        log(&format!("peer={} error={error:?} elapsed_ms={elapsed}", peer.vm));
         if let Ok(connection) = result {
             core.metrics.count("relays.opened", 1);
-            record_lost(target, direct, &peer);
-            return Ok(connection);
+            return Some((connection, peer));
         }
         core.metrics.count("relays.failed", 1);
         // A peer that wasn't given its full time has shown nothing.
         if Instant::now() >= deadline {
             break;
         }
-        core.update(|state| state.record_failed_peer(core.now(), &peer.vm));
-        failed.push(peer.vm);
+        record_failed(peer);
     }
-    Err(failed)
+    None
 }
 
 async fn open_through<P: PlatformAdapter>(
-    target: &TargetDialer<'_, P>,
-    peer: &RelayPeer,
-) -> std::result::Result<TargetConnection, RelayFailure> {
-    let opening = RelayOpening::Target(TargetOpening {
-        target: target.name.clone(),
-        started_ms: target.started_ms,
-        request: target.request.chars().take(MAX_LOGGED_ID).collect(),
-    });
-    connect_through(target.core, peer, &opening).await
-}
-
-/// Opens a connection through a peer. It has no time limit.
-///
-/// # Errors
-///
-/// Returns the reason if the peer can't be reached or gives no connection.
-pub(super) async fn connect_through<P: PlatformAdapter>(
     core: &SharedCore<P>,
     peer: &RelayPeer,
     opening: &RelayOpening,
--- a/crates/proxy/src/relay/store.rs
+++ b/crates/proxy/src/relay/store.rs
@@ -6,12 +6,9 @@
 use godwitroad_base::{ClockSpan, VmName};
 use godwitroad_forward::RelayPeer;
 use http::{Request, Response};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
-use super::{
-    RelayOpening,
-    dial::{PEER_TIMEOUT, RelayFailure, connect_through},
-};
+use super::{RelayOpening, dial::open_through_first};
 use crate::{
     client::{ConnectionDialer, Result, SendError, TargetConnection},
     core::SharedCore,
@@ -32,29 +29,14 @@
 impl<P: PlatformAdapter> ConnectionDialer for StoreDialer<'_, P> {
     async fn open(&self, _was_closed: bool, deadline: Instant) -> Result<TargetConnection> {
         let core = self.core;
-        for peer in self.peers {
-            let started = core.now();
-            let peer_deadline = deadline.min(Instant::now() + PEER_TIMEOUT);
-            let opening = connect_through(core, peer, &RelayOpening::Store);
-            let opened = timeout_at(peer_deadline, opening).await;
-            let result = opened.unwrap_or(Err(RelayFailure::TimeOver));
-            let error = result.as_ref().err().map(RelayFailure::to_string);
-            let elapsed = core.now().since(started).as_ms();
-            let detail = format!("peer={} error={error:?} elapsed_ms={elapsed}", peer.vm);
-            core.log.event("store_relay_opened", &detail);
-            if let Ok(connection) = result {
-                core.metrics.count("relays.opened", 1);
-                *self.opened.borrow_mut() = Some(peer.vm.clone());
-                return Ok(connection);
-            }
-            core.metrics.count("relays.failed", 1);
-            // A peer that wasn't given its full time has shown nothing.
-            if Instant::now() >= deadline {
-                break;
-            }
+        let log = |attempt: &str| core.log.event("store_relay_opened", attempt);
+        let opening = RelayOpening::Store;
+        let opened = open_through_first(core, self.peers, &opening, deadline, log, |peer| {
             core.update(|state| state.record_store_call(core.now(), Some(&peer.vm), false));
-        }
-        Err(SendError::NotSent)
+        });
+        let (connection, peer) = opened.await.ok_or(SendError::NotSent)?;
+        *self.opened.borrow_mut() = Some(peer.vm.clone());
+        Ok(connection)
     }
 }
 
