Watched connections have one time limit

The end of a relay towards the router had a limit of 5 s in place of 3.5 s, because a router whose caller reads slowly accepts no bytes for a while. Since the watch moves the limit while the window is full, that reason is gone, and with it the constant and the parameter. A peer now gives up a router whose machine is lost after 3.5 s, as every other end.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -18,10 +18,7 @@
     time::{Instant, timeout_at},
 };
 
-use super::{
-    Result, SendError,
-    watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
-};
+use super::{Result, SendError, watched_stream::WatchedStream};
 
 /// The limit of bytes that a connection buffers, and thereby of an answer's head. A head without end fails the call.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -44,7 +41,7 @@
     pub(crate) async fn open(address: SocketAddr, deadline: Instant) -> Result<TargetConnection> {
         let connect = timeout_at(deadline, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connect else { return Err(SendError::NotSent) };
-        TargetConnection::over(WatchedStream::new(stream, UNACKNOWLEDGED_TIMEOUT), false).await
+        TargetConnection::over(WatchedStream::new(stream), false).await
     }
 
     /// Starts HTTP on a stream that is connected to the target; `is_relayed` says that this is through a peer.
--- a/crates/proxy/src/client/watched_stream.rs
+++ b/crates/proxy/src/client/watched_stream.rs
@@ -30,7 +30,7 @@
 /// Linux also applies it to keepalive probes, in place of their count: each time a probe is due, a connection with an
 /// unanswered one is dead if nothing has arrived for this long. It is therefore longer than the time until the last probe
 /// of [`KEEPALIVE_RETRIES`], and a sound target's machine may be unreachable for more than a second.
-pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_500);
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// The idle time before the first keepalive probe, and the time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -69,8 +69,9 @@
 }
 
 impl WatchedStream {
-    /// Wraps a connection that ends if its bytes stay unacknowledged for `timeout`, or the probes while it is idle are.
-    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> WatchedStream {
+    /// Wraps a connection, which ends if its bytes, or the probes while it is idle, stay unacknowledged for
+    /// [`UNACKNOWLEDGED_TIMEOUT`].
+    pub(crate) fn new(stream: TcpStream) -> WatchedStream {
         // If the system rejects an option, a dead connection is only detected later.
         let _ = stream.set_nodelay(true);
         let socket = SockRef::from(&stream);
@@ -79,10 +80,10 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_RETRIES);
         let _ = socket.set_tcp_keepalive(&keepalive);
-        let _ = socket.set_tcp_user_timeout(Some(timeout));
+        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let stream = RefCell::new(stream);
         let connection = Rc::new(SharedConnection { stream, is_lost: Cell::new(false) });
-        spawn(watch(Rc::downgrade(&connection), timeout));
+        spawn(watch(Rc::downgrade(&connection)));
         WatchedStream { connection }
     }
 }
@@ -108,11 +109,11 @@
 }
 
 // Keeps the time limit of a connection as the state of its send queue requires, until the connection is closed.
-async fn watch(connection: Weak<SharedConnection>, timeout: Duration) {
+async fn watch(connection: Weak<SharedConnection>) {
     let opened = Instant::now();
     let span = |duration: Duration| ClockSpan::from_ms(duration.as_millis() as u64);
-    let mut watch = QueueWatch::new(span(timeout), ClockTime::ZERO);
-    let mut timeout = span(timeout);
+    let mut timeout = span(UNACKNOWLEDGED_TIMEOUT);
+    let mut watch = QueueWatch::new(timeout, ClockTime::ZERO);
     loop {
         sleep(if watch.was_probing() { PROBED_LOOK_INTERVAL } else { LOOK_INTERVAL }).await;
         let Some(connection) = connection.upgrade() else { return };
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -17,8 +17,7 @@
 use super::{OpeningAnswer, RelayOpening, TargetOpening, stream::RelayStream};
 use crate::{
     client::{
-        ConnectionDialer, Result, SendError, TargetConnection,
-        watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
+        ConnectionDialer, Result, SendError, TargetConnection, watched_stream::WatchedStream,
     },
     core::SharedCore,
     platform::PlatformAdapter,
@@ -260,7 +259,7 @@
     };
     let opening = opening.encode().ok_or(RelayFailure::TooLarge)?;
     let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
-    let mut stream = WatchedStream::new(stream, UNACKNOWLEDGED_TIMEOUT);
+    let mut stream = WatchedStream::new(stream);
     stream.write_all(&opening).await?;
     let code = stream.read_u8().await?;
     match OpeningAnswer::from_code(code) {
--- a/crates/proxy/src/relay/serve.rs
+++ b/crates/proxy/src/relay/serve.rs
@@ -15,9 +15,7 @@
     stream::{LENGTH_BYTES, MAX_CHUNK_BYTES, write_chunk},
 };
 use crate::{
-    client::watched_stream::{UNACKNOWLEDGED_TIMEOUT, WatchedStream},
-    core::SharedCore,
-    platform::PlatformAdapter,
+    client::watched_stream::WatchedStream, core::SharedCore, platform::PlatformAdapter,
     serve::accept,
 };
 
@@ -30,9 +28,6 @@
 /// The time limit for connecting to a target or to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The time for which the target's bytes may stay unacknowledged by the router's machine.
-const ROUTER_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// The buffer for the bytes of requests.
 const REQUEST_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -70,7 +65,7 @@
     address: SocketAddr,
     is_busy: bool,
 ) {
-    let mut stream = WatchedStream::new(stream, ROUTER_TIMEOUT);
+    let mut stream = WatchedStream::new(stream);
     let Some(peer) = core.read(|state| state.peer_at(address.ip()).cloned()) else {
         return refuse(core, stream, OpeningAnswer::Stranger).await;
     };
@@ -92,7 +87,7 @@
     let Ok(Ok(target)) = connected else {
         return refuse(core, stream, OpeningAnswer::Unreachable).await;
     };
-    let target = WatchedStream::new(target, UNACKNOWLEDGED_TIMEOUT);
+    let target = WatchedStream::new(target);
     if stream.write_u8(OpeningAnswer::Connected.code()).await.is_err() {
         return;
     }
--- a/crates/proxy/tests/unit/watched_stream.rs
+++ b/crates/proxy/tests/unit/watched_stream.rs
@@ -46,7 +46,7 @@
     });
     let failed = actix_rt::System::new().block_on(async {
         let stream = TcpStream::connect(address).await.expect("the listener accepts");
-        let mut stream = WatchedStream::new(stream, UNACKNOWLEDGED_TIMEOUT);
+        let mut stream = WatchedStream::new(stream);
         let start = Instant::now();
         let written = stream.write_all(&vec![0; BYTES]).await;
         written.is_err().then(|| start.elapsed())
