--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -4,12 +4,14 @@
 
 mod support;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use godwitroad_base::SeededRandom;
 use godwitroad_config::KeyHash;
-use godwitroad_forward::{ForwardArrival, ForwardEvent, ForwardRules, GossipMessage, PeerPlace};
-use support::{TestRouter, account, arrival, at, place, rules, settings};
+use godwitroad_forward::{ForwardArrival, ForwardEvent, GossipMessage, PeerPlace};
+use support::{
+    TestRouter, account, arrival, at, limited_rules, place, rules, settings, token_request,
+};
 use yare::parameterized;
 
 const ROUTERS: usize = 6;
@@ -49,21 +51,6 @@
     requested: u64,
 }
 
-fn configuration() -> Arc<ForwardRules> {
-    configuration_of(1)
-}
-
-fn configuration_of(version: u64) -> Arc<ForwardRules> {
-    let mut configuration = rules(version);
-    configuration.accounts = vec![Arc::new(account("one", RATE))];
-    configuration.keys = BTreeMap::from([(KeyHash::of("key-one"), 0)]);
-    Arc::new(configuration)
-}
-
-fn request(tokens: u64) -> ForwardArrival {
-    ForwardArrival { tokens: Some((tokens, 0)), ..arrival("/any/x", Some("key-one")) }
-}
-
 impl Fleet {
     fn new(seed: u64) -> Fleet {
         let mut fleet = Fleet {
@@ -93,7 +80,7 @@
         for other in 0..ROUTERS {
             router.handle(now, ForwardEvent::PeerListed(self.place_of(other)));
         }
-        router.handle(now, ForwardEvent::Rules(configuration()));
+        router.handle(now, ForwardEvent::Rules(limited_rules(1, RATE)));
         router
     }
 
@@ -189,7 +176,7 @@
                 (self.random.below(ROUTERS as u64).min(self.random.below(ROUTERS as u64))) as usize;
             let Some(router) = &mut self.routers[index] else { continue };
             self.requested += tokens;
-            if router.state.admit(at(now), request(tokens)).is_ok() {
+            if router.state.admit(at(now), token_request(tokens)).is_ok() {
                 self.admitted.push((now, tokens));
             }
         }
@@ -334,10 +321,10 @@
     for router in [&mut first, &mut second] {
         router.handle(0, ForwardEvent::PeerListed(place("vm-1", "a", 1)));
         router.handle(0, ForwardEvent::PeerListed(place("vm-2", "a", 2)));
-        router.handle(0, ForwardEvent::Rules(configuration_of(2)));
+        router.handle(0, ForwardEvent::Rules(limited_rules(2, RATE)));
     }
     let before = first.gossip_message(5);
-    assert!(first.state.admit(at(10), request(60_000)).is_ok());
+    assert!(first.state.admit(at(10), token_request(60_000)).is_ok());
     let complete = first.gossip_message(20);
     let mut without = first.gossip_message(200);
     without.usage.clear();
@@ -346,23 +333,15 @@
         second.receive(now, message);
     }
     // If the 60,000 units count once, 40,000 remain; if they counted twice, none would.
-    assert!(second.state.admit(at(410), request(1_000)).is_ok());
+    assert!(second.state.admit(at(410), token_request(1_000)).is_ok());
 }
 
 #[test]
 fn a_lower_limit_applies_at_once() {
     let mut router = support::router(0);
-    router.handle(
-        10,
-        ForwardEvent::Rules({
-            let mut lower = ForwardRules::clone(&configuration());
-            lower.version = 2;
-            lower.accounts = vec![Arc::new(account("one", 100))];
-            Arc::new(lower)
-        }),
-    );
-    assert!(router.state.admit(at(20), request(1_000)).is_ok());
-    let refusal = router.state.admit(at(30), request(1_000)).unwrap_err();
+    router.handle(10, ForwardEvent::Rules(limited_rules(2, 100)));
+    assert!(router.state.admit(at(20), token_request(1_000)).is_ok());
+    let refusal = router.state.admit(at(30), token_request(1_000)).unwrap_err();
     assert_eq!(refusal.reason.status(), 429);
     assert!(refusal.retry_after.is_some());
 }
--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -4,12 +4,11 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc};
+use std::{collections::BTreeMap, net::Ipv4Addr};
 
 use godwitroad_base::SeededRandom;
-use godwitroad_config::KeyHash;
-use godwitroad_forward::{ForwardArrival, ForwardEvent, ForwardRules, GossipMessage, PeerPlace};
-use support::{TestRouter, account, arrival, at, rules, settings};
+use godwitroad_forward::{ForwardEvent, GossipMessage, PeerPlace};
+use support::{TestRouter, at, limited_rules, settings, token_request};
 use yare::parameterized;
 
 const ZONES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -67,13 +66,6 @@
     PeerPlace { vm: format!("vm-{index}").into(), zone: ZONES[index % ZONES.len()].into(), address }
 }
 
-fn configuration(version: u64, rate: u64) -> Arc<ForwardRules> {
-    let mut configuration = rules(version);
-    configuration.accounts = vec![Arc::new(account("one", rate))];
-    configuration.keys = BTreeMap::from([(KeyHash::of("key-one"), 0)]);
-    Arc::new(configuration)
-}
-
 fn start(now: u64, index: usize, plan: Plan) -> TestRouter {
     let mut settings = settings("vm", 1);
     settings.place = place_of(index);
@@ -88,7 +80,7 @@
     settings.allowance.slack = SLACK;
     let mut router = TestRouter::new(settings);
     (0..plan.routers).for_each(|n| router.handle(now, ForwardEvent::PeerListed(place_of(n))));
-    router.handle(now, ForwardEvent::Rules(configuration(1, plan.rate)));
+    router.handle(now, ForwardEvent::Rules(limited_rules(1, plan.rate)));
     router
 }
 
@@ -154,9 +146,7 @@
             self.requested += tokens;
         }
         for (index, tokens, may_return) in due {
-            let request =
-                ForwardArrival { tokens: Some((tokens, 0)), ..arrival("/any/x", Some("key-one")) };
-            match self.routers[index].state.admit(at(now), request) {
+            match self.routers[index].state.admit(at(now), token_request(tokens)) {
                 Ok(_) => self.admitted.push((now, tokens)),
                 Err(refusal) if may_return => {
                     let wait = refusal.retry_after.map_or(0, |wait| wait.as_ms());
@@ -175,7 +165,7 @@
                 fleet.routers = (0..plan.routers).map(|index| start(now, index, plan)).collect();
             }
             if plan.lowered && now == LOWERED_MS {
-                let lower = ForwardEvent::Rules(configuration(2, plan.rate / 2));
+                let lower = ForwardEvent::Rules(limited_rules(2, plan.rate / 2));
                 fleet.routers.iter_mut().for_each(|router| router.handle(now, lower.clone()));
             }
             fleet.exchange_gossip(now);
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -98,6 +98,13 @@
     }
 }
 
+/// Returns rules in which the key `key-one` belongs to one account, with a limit of `rate` units per second.
+pub(crate) fn limited_rules(version: u64, rate: u64) -> Arc<ForwardRules> {
+    let accounts = vec![Arc::new(account("one", rate))];
+    let keys = BTreeMap::from([(KeyHash::of("key-one"), 0)]);
+    Arc::new(ForwardRules { accounts, keys, ..rules(version) })
+}
+
 pub(crate) fn place(vm: &str, zone: &str, last: u8) -> PeerPlace {
     PeerPlace { vm: vm.into(), zone: zone.into(), address: Ipv4Addr::new(10, 1, 0, last).into() }
 }
@@ -205,6 +212,11 @@
     }
 }
 
+/// Returns a request of the account of [`limited_rules`].
+pub(crate) fn token_request(tokens: u64) -> ForwardArrival {
+    ForwardArrival { tokens: Some((tokens, 0)), ..arrival("/any/x", Some("key-one")) }
+}
+
 pub(crate) fn prompt(session: &str, own: &str) -> ForwardArrival {
     let part = |id: &str, tokens| PromptPart { id: id.into(), tokens };
     ForwardArrival {
