--- a/crates/forward/src/state/store_path.rs
+++ b/crates/forward/src/state/store_path.rs
@@ -36,7 +36,7 @@
 pub(super) struct StorePath {
     // Whether the last direct call was answered; `None` before the first.
     is_answered: Option<bool>,
-    // When the last direct call ended or was planned.
+    // When the last direct call ended, or a probe was last planned.
     last_direct: ClockTime,
     failed_peers: BTreeMap<VmName, ClockTime>,
 }
--- a/crates/forward/src/usage.rs
+++ b/crates/forward/src/usage.rs
@@ -30,7 +30,7 @@
     last_asked: ClockTime,
     // The average units per second that callers asked for until `last_asked`, admitted or not.
     asked_rate: f64,
-    // The first report is the last one that all reachable peers have.
+    // From the latest report that all reachable peers have to the latest one sent.
     reports: VecDeque<UsageReport>,
     // Admitted units that the router's share of the rate hasn't paid back yet.
     debt: f64,
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -64,7 +64,7 @@
 /// A call to the platform's store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreCall {
-    /// Find out whether the store answers. The answer has no content.
+    /// Find out whether the store answers. What it answers is ignored.
     Probe,
     /// Read one page of all entries.
     List {
--- a/crates/throttle/src/brittle/target.rs
+++ b/crates/throttle/src/brittle/target.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct BrittleTarget {
     pub(super) run: u32,
-    // `None` once the target says no more that it is brittle.
+    // `None` once the target no longer says that it is brittle.
     pub(super) bound: Option<RejectionBound>,
     // When that was said. The newest statement is in force.
     pub(super) stated_at: ClockTime,
@@ -46,7 +46,7 @@
     lowered_at: ClockTime,
     // Whether the room was last lowered because a raise brought a rejection.
     was_raised: bool,
-    // The most requests of all routers in progress since the room has changed.
+    // The most requests that all routers together had in progress since the room last changed.
     peak: u32,
     // When this router last sent a request, and what all routers had in progress with it.
     sent_at: Option<ClockTime>,
@@ -63,7 +63,7 @@
 /// The time until the peers have heard of a claim.
 const ANNOUNCE_SPAN: ClockSpan = ClockSpan::from_ms(60);
 
-/// The time until their answers to it have arrived, too.
+/// The time until the peers have heard of a claim and their reports on their own requests have arrived.
 const TAKEOVER_SPAN: ClockSpan = ClockSpan::from_ms(100);
 
 /// How long the work that a peer reported counts without another report.
@@ -183,9 +183,9 @@
 
     // Puts the next raise off after a rejection; after one that a raise brought, for longer each time.
     fn delay_raise(&mut self, now: ClockTime) {
-        let was_raised = self.room.room > self.room.proved;
+        let is_raised = self.room.room > self.room.proved;
         let doubled = (self.raise_span + self.raise_span).min(MAX_RAISE_SPAN);
-        self.raise_span = if was_raised { doubled.max(RAISE_SPAN) } else { RAISE_SPAN };
+        self.raise_span = if is_raised { doubled.max(RAISE_SPAN) } else { RAISE_SPAN };
         self.raise_at = now + self.raise_span;
     }
 
