Planned stop: only what can be finished is taken on, and what is open is answered

Cause: a stopping router admitted requests for a fixed 2.8 s, whatever their time limit and the grace period were, and at the end of the grace period the process exited with what was open. Requests that may not be repeated were passed on late and cut without an answer.

Change: one schedule for the stop (crates/forward/src/stop.rs), worked out from the grace period of the settings. A request is admitted only if its time limit, the caller's or the route's, ends before the time at which everything has to be answered; anything else is refused at once as not run, with Retry-After. At that time each open attempt ends: a request that may have run gets 504 or 502, one that hasn't 503, and a stream ends as broken. No attempt begins that would be ended while its connection is being opened. Admission ends in the step that decides to exit, so that no request becomes open in between. Requests count as open until their answer's body is written. The entry in the store is removed, and the order lease released, without holding up the steps above. The margins are within the last sixth of the grace period, which targets can count on.

The daemon of our own interface: the router learns of the stop when the wait for the balancer begins (PrepareStop), refuses requests with a later deadline, and ends what is open shortly before the limit, with what is known of it. Before, it took on everything during the wait, and aborted at the limit.

The test of crates/forward that expected admission until a fixed time is replaced by one over four grace periods and the limits of callers and routes.

--- a/crates/daemon/src/app/serve.rs
+++ b/crates/daemon/src/app/serve.rs
@@ -321,6 +321,8 @@
         return;
     }
     event_loop.begin_stop();
+    let limit = settings.balancer_wait + settings.stop_limit;
+    event_loop.send_event(RouterEvent::PrepareStop { limit });
     telemetry.info("stopping: waiting for the load balancer to stop sending requests");
     let balancer_wait = Duration::from_millis(settings.balancer_wait.as_ms());
     if timeout(balancer_wait, phases.wait_for(|phase| *phase == AppPhase::Aborted)).await.is_ok() {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 mod rules;
 mod segments;
 mod state;
+mod stop;
 mod usage;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -61,6 +62,7 @@
     ConnectPlan, FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RelayPeer,
     RetryBounds, StoreRoute, StoreStep,
 };
+pub use stop::{StopPhase, StopSchedule};
 
 /// Returns the 32-bit tag that stands for a name in gossip messages: the upper half of the name's 64-bit hash.
 pub(crate) fn tag_of(name: &str) -> u32 {
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -9,7 +9,7 @@
 use super::ForwardState;
 use crate::{
     AccountRule, ForwardArrival, ForwardRefusal, ForwardRequest, ForwardRules, RefusalReason,
-    RouteRule,
+    RouteRule, StopPhase,
 };
 
 /// The retry-after time if this router has no configuration yet; other routers may have one.
@@ -18,10 +18,6 @@
 /// The retry-after time if this router has lost the store; the caller's next connection may reach another router.
 pub(super) const STALE_CONFIG_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(200);
 
-/// How long a router still admits requests after it began to shut down. The load balancer sends no new connections
-/// after two failed readiness checks; a request admitted later might not end within the grace time.
-const STOPPING_ADMISSION_TIME: ClockSpan = ClockSpan::from_ms(2_800);
-
 /// The retry-after time if this router is shutting down; short, as the caller can retry at another router at once.
 const STOPPING_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(20);
 
@@ -34,15 +30,16 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal for the caller if this router is stopping or lacks a current configuration, if the route or
-    /// the key is unknown, if the route has no service, or if the allowance is used up.
+    /// Returns the refusal for the caller if this router is stopping and can't be sure to finish the request, or lacks a
+    /// current configuration, if the route or the key is unknown, if the route has no service, or if the allowance is
+    /// used up.
     pub fn admit(
         &mut self,
         now: ClockTime,
         arrival: ForwardArrival,
     ) -> std::result::Result<ForwardRequest, ForwardRefusal> {
-        if self.stopping_since.is_some_and(|since| now.since(since) >= STOPPING_ADMISSION_TIME) {
-            return Err(ForwardRefusal::after(RefusalReason::Stopping, STOPPING_RETRY_AFTER));
+        if self.stop == StopPhase::Closed {
+            return Err(stopping_refusal());
         }
         let rules = self.rules.clone();
         let rules = rules.ok_or_else(|| {
@@ -52,7 +49,10 @@
         let draw = xxh3_64(arrival.id.as_bytes());
         let service = route.service_for(draw).cloned();
         let service = service.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
-        let max_wait = arrival.max_wait.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = now + arrival.max_wait.unwrap_or(route.timeout).min(route.timeout);
+        if !self.stop.admits(deadline) {
+            return Err(stopping_refusal());
+        }
         let units = self.charge_allowance(now, account.as_deref(), &arrival)?;
         self.retry_budget(&service).record_request();
         Ok(ForwardRequest {
@@ -61,7 +61,7 @@
             service,
             account,
             arrived: now,
-            deadline: now + max_wait,
+            deadline,
             units,
             tried: Vec::new(),
             attempts: 0,
@@ -145,3 +145,8 @@
         self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(settings))
     }
 }
+
+/// Returns the refusal of a router that is stopping.
+pub(super) fn stopping_refusal() -> ForwardRefusal {
+    ForwardRefusal::after(RefusalReason::Stopping, STOPPING_RETRY_AFTER)
+}
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -63,7 +63,7 @@
             incarnation: self.settings.incarnation,
             version: self.config_version(),
             proof_age_ms: self.freshness.age(now).and_then(|age| u32::try_from(age.as_ms()).ok()),
-            stopping: self.stopping_since.is_some(),
+            stopping: self.stop.is_stopping(),
             watches_store: self.watches_reliably(now),
             revision,
             urgent_revision,
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -47,7 +47,8 @@
     AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChoiceSettings,
     ConfigFreshness, ContactSettings, ForwardRefusal, ForwardRules, GossipMessage, LoadTable,
     OriginNotes, OriginSettings, PeerPlace, PeerTable, ReachSettings, RefusalReason, ReloadEntry,
-    SentPromptEntry, TargetRecord, TargetRoster, reach::ReachTable, recent::RecentEntries,
+    SentPromptEntry, StopPhase, StopSchedule, TargetRecord, TargetRoster, reach::ReachTable,
+    recent::RecentEntries,
 };
 
 use brittle::BrittleState;
@@ -182,8 +183,13 @@
         /// The target's answer, or how the order failed.
         answer: WeightAnswer,
     },
-    /// The router begins to shut down.
-    Stop,
+    /// The router begins to shut down; its process has to end after `grace`.
+    Stop {
+        /// The time until the process must have ended.
+        grace: ClockSpan,
+    },
+    /// The router has finished what was open and is about to exit.
+    Drained,
     /// Periodic event that expires old entries.
     Tick,
 }
@@ -265,7 +271,7 @@
     // Log lines from calls between two events.
     notices: Vec<ForwardAction>,
     sequence: u64,
-    stopping_since: Option<ClockTime>,
+    stop: StopPhase,
     was_ready: bool,
 }
 
@@ -359,7 +365,7 @@
             random: SeededRandom::new(settings.seed),
             notices: Vec::new(),
             sequence: 0,
-            stopping_since: None,
+            stop: StopPhase::Running,
             was_ready: false,
             settings,
         }
@@ -392,6 +398,11 @@
         self.term.lease(now)
     }
 
+    /// Returns how far a planned stop of this router has come.
+    pub fn stop_phase(&self) -> StopPhase {
+        self.stop
+    }
+
     /// Returns the number of registered targets.
     pub fn target_count(&self) -> usize {
         self.roster.len()
@@ -413,7 +424,7 @@
     ///
     /// Returns the reason for which the router is not ready.
     pub fn readiness(&self, now: ClockTime) -> std::result::Result<(), &'static str> {
-        if self.stopping_since.is_some() {
+        if self.stop.is_stopping() {
             Err("the router is stopping")
         } else if self.rules.is_none() {
             Err("no configuration is known")
@@ -482,9 +493,12 @@
                 actions.push(ForwardAction::Notice("order_answered", detail));
                 self.weights.answer(now, &target, answer);
             }
-            ForwardEvent::Stop => {
-                self.stopping_since.get_or_insert(now);
+            ForwardEvent::Stop { grace } => {
+                if !self.stop.is_stopping() {
+                    self.stop = StopPhase::Draining(StopSchedule::new(now, grace));
+                }
             }
+            ForwardEvent::Drained => self.stop = StopPhase::Closed,
             ForwardEvent::Tick => self.tick(now, actions),
         }
         actions.append(&mut self.notices);
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -190,7 +190,7 @@
         // that it already holds needs calls.
         let rules = self.rules.as_ref()?;
         let has_models = rules.services.values().any(|service| service.engine.is_some());
-        if !has_models || self.stopping_since.is_some() && !self.term.is_leader(now) {
+        if !has_models || self.stop.is_stopping() && !self.term.is_leader(now) {
             return None;
         }
         if self.store_failing_since.is_some() && !self.term.is_leader(now) {
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -8,7 +8,7 @@
 use godwitroad_origins::BuildTag;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FeedSource, ForwardState};
+use super::{FeedSource, ForwardState, admission::stopping_refusal};
 use crate::{
     EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, PromptDemand, RefusalReason,
     SegmentKey, SegmentSource, SendPlan, TargetCandidate, TargetRecord, WorkSum, ZoneDistance,
@@ -78,6 +78,9 @@
         if request.time_left(now) < MIN_TIME_LEFT {
             return Err(self.end_without_retry_after(request, RefusalReason::TimeOver));
         }
+        if !self.stop.admits_attempt(now, request.deadline) {
+            return Err(self.settle_refusal(request, stopping_refusal()));
+        }
         let rules = self.rules.clone();
         let rules = rules.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoConfiguration))?;
         // The key may have been withdrawn since the request arrived.
--- a/crates/forward/src/state/store_path.rs
+++ b/crates/forward/src/state/store_path.rs
@@ -120,6 +120,6 @@
 
     /// Returns whether peers may call the store through this router.
     pub fn relays_store(&self) -> bool {
-        self.stopping_since.is_none() && self.store_path.is_direct()
+        !self.stop.is_stopping() && self.store_path.is_direct()
     }
 }
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -135,7 +135,7 @@
 
     /// Returns whether this router should watch the store for the others.
     fn is_watcher(&self, now: ClockTime) -> bool {
-        if self.stopping_since.is_some() {
+        if self.stop.is_stopping() {
             return false;
         }
         if self.term.is_leader(now) {
--- a/crates/forward/tests/admission.rs
+++ b/crates/forward/tests/admission.rs
@@ -4,8 +4,9 @@
 
 use std::sync::Arc;
 
+use godwitroad_base::ClockSpan;
 use godwitroad_config::KeyHash;
-use godwitroad_forward::{ForwardEvent, RefusalReason};
+use godwitroad_forward::{ForwardArrival, ForwardEvent, RefusalReason};
 use support::{arrival, at, router, rules};
 use yare::parameterized;
 
@@ -92,12 +93,59 @@
     assert_eq!((refusal.reason.status(), refusal.retry_after.is_some()), (503, true));
 }
 
-#[test]
-fn a_stopping_router_admits_requests_until_the_balancer_avoids_it() {
+// The time limit of the test's routes is 4 s.
+#[parameterized(
+    grace_2 = { 2_000, 1_675 },
+    grace_4 = { 4_000, 3_350 },
+    grace_8 = { 8_000, 7_300 },
+    grace_30 = { 30_000, 29_300 },
+)]
+fn a_stopping_router_admits_what_ends_within_its_grace_period(grace_ms: u64, answer_by_ms: u64) {
     let mut router = router(0);
-    router.handle(10, ForwardEvent::Stop);
+    router.handle(10, ForwardEvent::Stop { grace: ClockSpan::from_ms(grace_ms) });
     assert!(router.state.readiness(at(10)).is_err());
-    assert!(router.state.admit(at(2_500), arrival("/open/x", None)).is_ok());
-    let refusal = router.state.admit(at(3_000), arrival("/open/x", None)).unwrap_err();
+    let mut admit = |now, max_wait: Option<u64>| {
+        let max_wait = max_wait.map(ClockSpan::from_ms);
+        let arrival = ForwardArrival { max_wait, ..arrival("/open/x", None) };
+        router.state.admit(at(now), arrival).map_err(|refusal| refusal.reason).map(drop)
+    };
+    let last_ms = 10 + answer_by_ms;
+    for limit_ms in [100, 700, 1_200, 4_000] {
+        let admits = limit_ms <= answer_by_ms;
+        let now = if admits { last_ms - limit_ms } else { 10 };
+        assert_eq!(admit(now, Some(limit_ms)).is_ok(), admits, "{limit_ms} ms at {now}");
+        assert_eq!(admit(now + 1, Some(limit_ms)), Err(RefusalReason::Stopping));
+    }
+    // The route's limit applies where the caller's is longer, or where it states none.
+    for max_wait in [None, Some(60_000)] {
+        let now = last_ms.saturating_sub(4_000).max(10);
+        assert_eq!(admit(now, max_wait).is_ok(), answer_by_ms >= 4_000);
+        assert_eq!(admit(now + 1, max_wait), Err(RefusalReason::Stopping));
+    }
+}
+
+#[test]
+fn a_router_that_is_about_to_exit_admits_nothing() {
+    let mut router = router(0);
+    router.handle(10, ForwardEvent::Stop { grace: ClockSpan::from_secs(30) });
+    router.handle(3_010, ForwardEvent::Drained);
+    let arrival =
+        ForwardArrival { max_wait: Some(ClockSpan::from_ms(50)), ..arrival("/open/x", None) };
+    let refusal = router.state.admit(at(3_010), arrival).unwrap_err();
     assert_eq!(refusal.reason, RefusalReason::Stopping);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn an_open_request_begins_no_attempt_that_would_be_ended_while_it_connects() {
+    let mut router = router(1);
+    let mut request = router.state.admit(at(10), arrival("/open/x", None)).unwrap();
+    router.handle(20, ForwardEvent::Stop { grace: ClockSpan::from_ms(2_000) });
+    assert!(router.state.choose_target(at(1_200), &mut request.clone()).is_ok());
+    let refusal = router.state.choose_target(at(1_400), &mut request).unwrap_err();
+    assert_eq!((refusal.reason, refusal.reason.is_not_run()), (RefusalReason::Stopping, true));
+    // Once it may have run, the refusal must not say that it hasn't.
+    request.may_have_run = true;
+    let failure = router.state.choose_target(at(1_400), &mut request).unwrap_err();
+    assert!(!failure.reason.is_not_run());
 }
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a target run a request.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, future::Future, rc::Rc};
 
 use bytes::Bytes;
 use godwitroad_base::ClockTime;
@@ -15,7 +15,7 @@
 
 use super::events::check_first_event;
 use crate::{
-    client::{SendError, TargetExchange},
+    client::{Result, SendError, TargetExchange},
     core::SharedCore,
     platform::{AnswerMetadata, PlatformAdapter},
     relay::{self, TargetDialer},
@@ -74,6 +74,24 @@
         self.core.deadline(self.request().time_left(self.core.now()))
     }
 
+    /// Waits for a step of the exchange with the target, until open requests must be answered at the latest.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the step, or [`SendError::TimeOver`] if the answer is due.
+    pub(super) async fn before_answer_due<T>(
+        &self,
+        step: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        let mut answer_due = self.core.answer_due.subscribe();
+        tokio::select! {
+            biased;
+            result = step => result,
+            // The sender lives as long as the process.
+            _ = answer_due.wait_for(|due| *due) => Err(SendError::TimeOver),
+        }
+    }
+
     /// Ends the attempt and returns the request with its next step.
     pub(super) fn finish(mut self, outcome: AttemptOutcome) -> (ForwardRequest, NextStep) {
         let mut request = self.request.take().expect("an attempt ends once");
@@ -110,10 +128,9 @@
         let target = &self.plan.target;
         let started_ms = self.plan.started_ms;
         let dialer = TargetDialer { core: &core, name: target, started_ms, address, request: &id };
-        let sent = core
-            .client
-            .send_over(&dialer, address, request, Some(&id), fresh_connection, deadline)
-            .await;
+        let send =
+            core.client.send_over(&dialer, address, request, Some(&id), fresh_connection, deadline);
+        let sent = self.before_answer_due(send).await;
         let exchange = sent.map_err(|error| self.outcome(error, AnswerPhase::Waiting))?;
         if !exchange.is_relayed {
             if exchange.is_first {
@@ -171,7 +188,8 @@
             is_streaming && goes_on.get().is_some()
         };
         let phase = AnswerPhase::Beginning;
-        match answer.exchange.read_ahead(suffices, self.deadline()).await {
+        let read = answer.exchange.read_ahead(suffices, self.deadline());
+        match self.before_answer_due(read).await {
             Ok(true) if goes_on.get() == Some(false) => Err(AttemptOutcome::Failed),
             Ok(sufficed) if sufficed == is_streaming => Ok(answer),
             Ok(_) => Err(AttemptOutcome::Lost { phase }),
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -38,24 +38,6 @@
 const ORIGIN_TIMEOUT: ClockSpan = ClockSpan::from_ms(100);
 const ORIGIN_CHECK_INTERVAL: ClockSpan = ClockSpan::from_ms(20);
 
-/// Counts a request as open, from when it was read until its answer is complete and this value is dropped.
-pub(super) struct OpenRequest<P: PlatformAdapter> {
-    core: SharedCore<P>,
-}
-
-impl<P: PlatformAdapter> OpenRequest<P> {
-    fn new(core: SharedCore<P>) -> OpenRequest<P> {
-        core.open_requests.set(core.open_requests.get() + 1);
-        OpenRequest { core }
-    }
-}
-
-impl<P: PlatformAdapter> Drop for OpenRequest<P> {
-    fn drop(&mut self) {
-        self.core.open_requests.set(self.core.open_requests.get() - 1);
-    }
-}
-
 /// A request that is refused before it reaches the decision state: the status, the type in the error body, and the
 /// reason for the log.
 struct UnreadableRequest {
@@ -84,7 +66,6 @@
         Ok(parts) => parts,
         Err(unreadable) => return refuse_unreadable(&core, &request, &unreadable),
     };
-    let open_request = OpenRequest::new(core.clone());
     let id = arrival.id.clone();
     let context = format!(
         " host={} path={} account={} tokens={:?}",
@@ -94,7 +75,7 @@
         arrival.tokens,
     );
     match core.admit(arrival) {
-        Ok(admitted) => forward(&core, admitted, payload, open_request).await,
+        Ok(admitted) => forward(&core, admitted, payload).await,
         Err(refusal) => refuse_request(&core, &id, &context, refusal),
     }
 }
@@ -208,7 +189,6 @@
     core: &SharedCore<P>,
     mut request: ForwardRequest,
     payload: CallerPayload,
-    open_request: OpenRequest<P>,
 ) -> HttpResponse {
     let payload = Rc::new(payload);
     // The last complete answer of an earlier attempt. It is preferred to an error answer of the router.
@@ -227,7 +207,7 @@
                 match start_stream(attempt, exchange, payload.clone()).await {
                     Ok((first, stream)) => {
                         let head = stream.head().clone();
-                        let body = StreamBody::new(first, stream, open_request);
+                        let body = StreamBody::new(first, stream);
                         return deliver(core, &head, body);
                     }
                     Err((returned, NextStep::Again)) => {
@@ -307,7 +287,8 @@
     attempt: ActiveAttempt<P>,
     mut exchange: TargetExchange,
 ) -> (ForwardRequest, NextStep, BufferedAnswer) {
-    match exchange.read_to_end(attempt.deadline()).await {
+    let read = exchange.read_to_end(attempt.deadline());
+    match attempt.before_answer_due(read).await {
         Ok(body) => {
             let head = AnswerHead::from_exchange(&exchange);
             core.client.release(exchange);
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -14,7 +14,7 @@
 
 use super::{
     attempt::{ActiveAttempt, CallerPayload, is_stream},
-    caller::{AnswerHead, OpenRequest},
+    caller::AnswerHead,
     events::EventSplitter,
     handover::{
         AcceptedOffer, AnswerProgress, WaitEnd, offer_relocation, open_attempt, wait_or_hand_over,
@@ -296,7 +296,8 @@
     splitter: &mut EventSplitter,
 ) -> std::result::Result<StreamRead, AttemptOutcome> {
     loop {
-        match exchange.next(attempt.deadline()).await {
+        let next = exchange.next(attempt.deadline());
+        match attempt.before_answer_due(next).await {
             Ok(Some(bytes)) => match splitter.push(&bytes) {
                 Ok(Some(events)) => return Ok(StreamRead::Events(events)),
                 Ok(None) => {}
@@ -348,17 +349,11 @@
 pub(super) struct StreamBody<P: PlatformAdapter> {
     first: Option<Bytes>,
     next: Option<NextEvents<P>>,
-    // Counts the request as open until the last byte was passed to the connection.
-    _open: OpenRequest<P>,
 }
 
 impl<P: PlatformAdapter> StreamBody<P> {
-    pub(super) fn new(
-        first: Bytes,
-        stream: CallerStream<P>,
-        open: OpenRequest<P>,
-    ) -> StreamBody<P> {
-        StreamBody { first: Some(first), next: Some(read(stream)), _open: open }
+    pub(super) fn new(first: Bytes, stream: CallerStream<P>) -> StreamBody<P> {
+        StreamBody { first: Some(first), next: Some(read(stream)) }
     }
 }
 
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -87,23 +87,28 @@
     }
 }
 
-/// Marks a request as open on the connection of the current task until it is dropped.
+/// The number of requests whose answers aren't complete, over all connections of a listener.
+pub(crate) type OpenCount = Rc<Cell<usize>>;
+
+/// Marks a request as open on the connection of the current task, and counts it, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct ConnectionRequest {
     activity: Rc<ConnectionActivity>,
+    open: OpenCount,
 }
 
 impl ConnectionRequest {
-    /// Marks a request as open.
+    /// Marks a request as open and counts it in `open`.
     ///
     /// # Panics
     ///
     /// Panics if the current task doesn't serve a [`CallerStream`].
-    pub(crate) fn open() -> ConnectionRequest {
+    pub(crate) fn open(open: OpenCount) -> ConnectionRequest {
         let activity = CURRENT_ACTIVITY.with(Rc::clone);
         activity.has_request.set(true);
-        activity.open_requests.set(activity.open_requests.get() + 1);
-        ConnectionRequest { activity }
+        activity.open_requests.update(|requests| requests + 1);
+        open.update(|requests| requests + 1);
+        ConnectionRequest { activity, open }
     }
 
     /// Keeps the request open until its answer's body is complete or dropped.
@@ -114,7 +119,8 @@
 
 impl Drop for ConnectionRequest {
     fn drop(&mut self) {
-        self.activity.open_requests.set(self.activity.open_requests.get() - 1);
+        self.activity.open_requests.update(|requests| requests - 1);
+        self.open.update(|requests| requests - 1);
         self.activity.record(false);
     }
 }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    caller_stream::OpenCount,
     client::TargetClient,
     order_lease, orders,
     platform::PlatformAdapter,
@@ -43,13 +44,14 @@
     pub(crate) check_store: Notify,
     /// Wakes the task that maintains this router's entry, because the store has returned from an older copy.
     pub(crate) write_entry: Notify,
-    /// The requests that were read and whose answers aren't complete.
-    pub(crate) open_requests: Cell<usize>,
+    /// The requests of callers that have begun to arrive and whose answers aren't complete.
+    pub(crate) open_requests: OpenCount,
     /// The connections to targets that are relayed for other routers.
     pub(crate) open_relays: Cell<usize>,
-    pub(crate) stopping: Cell<bool>,
     /// Set to `true` to make callers' connections close as soon as they are idle.
     pub(crate) closing: watch::Sender<bool>,
+    /// Set to `true` when open requests must be answered, as the process is about to end.
+    pub(crate) answer_due: watch::Sender<bool>,
     clock: NodeClock,
     state: RefCell<ForwardState>,
 }
@@ -71,10 +73,10 @@
             send_gossip: Notify::new(),
             check_store: Notify::new(),
             write_entry: Notify::new(),
-            open_requests: Cell::new(0),
+            open_requests: OpenCount::default(),
             open_relays: Cell::new(0),
-            stopping: Cell::new(false),
             closing: watch::Sender::new(false),
+            answer_due: watch::Sender::new(false),
             clock,
             state: RefCell::new(state),
         })
@@ -233,7 +235,7 @@
 
     /// Returns whether the process received the signal to stop.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.read(|state| state.stop_phase().is_stopping())
     }
 
     /// Waits for `span`.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -5,8 +5,11 @@
 use actix_rt::{System, spawn};
 use anyhow::{Context as _, Result, anyhow};
 use godwitroad_base::ClockSpan;
-use godwitroad_forward::ForwardEvent;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use godwitroad_forward::{ForwardEvent, ForwardState, StopPhase, StopSchedule};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::timeout_at,
+};
 
 use crate::{
     core::{ProxyCore, SharedCore},
@@ -19,18 +22,8 @@
     telemetry::NodeLog,
 };
 
-/// The minimum time for which a stopping router still answers requests. The balancer checks readiness every second and
-/// removes a router after the second negative answer. No request is admitted any more when this time ends, so that none
-/// becomes open while the process exits.
-const DRAIN_TIME: ClockSpan = ClockSpan::from_ms(3_000);
-
-/// The time after the start of a stop at which idle connections are closed. Until then each answer closes its
-/// connection, so that few are left: a request that arrives while its connection is being closed may be lost if the
-/// caller doesn't retry it.
-const IDLE_CLOSE_DELAY: ClockSpan = ClockSpan::from_ms(2_500);
-
-/// The part of the grace time that is reserved for releasing the order lease and exiting.
-const EXIT_MARGIN: ClockSpan = ClockSpan::from_ms(400);
+/// The longest time for releasing the order lease before the process exits.
+const RELEASE_TIMEOUT: ClockSpan = ClockSpan::from_ms(200);
 
 /// The interval at which a stopping router checks whether it has finished.
 const STOP_CHECK_INTERVAL: ClockSpan = ClockSpan::from_ms(50);
@@ -123,26 +116,20 @@
 // Reports the router as not ready, so that the balancer removes it, and then completes the open requests.
 async fn stop<P: PlatformAdapter>(core: &SharedCore<P>) {
     let started = core.now();
-    core.log.event("stopping", &format!("open_requests={}", core.open_requests.get()));
-    core.stopping.set(true);
-    core.handle(ForwardEvent::Stop);
+    let grace = core.settings.borrow().grace;
+    let detail = format!("open_requests={} grace_ms={}", core.open_requests.get(), grace.as_ms());
+    core.log.event("stopping", &detail);
+    core.handle(ForwardEvent::Stop { grace });
     core.send_gossip.notify_one();
-    let grace = core.settings.borrow().grace.saturating_sub(EXIT_MARGIN);
-    store::deregister(core).await;
-    loop {
-        let elapsed = core.now().since(started);
-        if elapsed >= IDLE_CLOSE_DELAY {
-            core.closing.send_replace(true);
-        }
-        let is_rolling_out = core.read(|state| state.is_rolling_out(core.now()));
-        let open = core.open_requests.get() + core.open_relays.get();
-        let is_done = elapsed >= DRAIN_TIME && open == 0 && !is_rolling_out;
-        if is_done || elapsed >= grace {
-            break;
+    let leaving = core.clone();
+    spawn(async move { store::deregister(&leaving).await });
+    while let StopPhase::Draining(schedule) = core.read(ForwardState::stop_phase) {
+        if !advance_stop(core, schedule) {
+            core.sleep(STOP_CHECK_INTERVAL).await;
         }
-        core.sleep(STOP_CHECK_INTERVAL).await;
     }
-    order_lease::release(core).await;
+    // A store that doesn't answer must not delay the exit.
+    let _ = timeout_at(core.deadline(RELEASE_TIMEOUT), order_lease::release(core)).await;
     let detail = format!(
         "after_ms={} open_requests={} open_relays={}",
         core.now().since(started).as_ms(),
@@ -152,11 +139,31 @@
     core.log.event("stopped", &detail);
 }
 
+// Takes the steps of a stop that are due; returns whether the process can exit.
+fn advance_stop<P: PlatformAdapter>(core: &SharedCore<P>, schedule: StopSchedule) -> bool {
+    let now = core.now();
+    if now >= schedule.close_idle_at {
+        core.closing.send_replace(true);
+    }
+    if now >= schedule.answer_by && !core.answer_due.send_replace(true) {
+        core.log.event("grace_over", &format!("open_requests={}", core.open_requests.get()));
+    }
+    let is_rolling_out = core.read(|state| state.is_rolling_out(now));
+    let open = core.open_requests.get() + core.open_relays.get();
+    let is_done = now >= schedule.drain_until && open == 0 && !is_rolling_out;
+    let is_over = is_done || now >= schedule.exit_by;
+    if is_over {
+        // No request is admitted between this step and the exit, so none is cut off.
+        core.handle(ForwardEvent::Drained);
+    }
+    is_over
+}
+
 async fn watch_settings<P: PlatformAdapter>(core: SharedCore<P>, mut hangup: Signal) {
     let mut last_modified: Option<SystemTime> = core.platform.settings_changed();
     loop {
         let hangup_received =
-            tokio::time::timeout_at(core.deadline(SETTINGS_CHECK_INTERVAL), hangup.recv()).await;
+            timeout_at(core.deadline(SETTINGS_CHECK_INTERVAL), hangup.recv()).await;
         let modified = core.platform.settings_changed();
         if hangup_received.is_ok() || modified != last_modified {
             last_modified = modified;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     answer,
-    caller_stream::{CallerStream, ConnectionRequest, idle_end, read_end},
+    caller_stream::{CallerStream, ConnectionRequest, OpenCount, idle_end, read_end},
     core::SharedCore,
     platform::PlatformAdapter,
 };
@@ -52,7 +52,8 @@
             answer::answer(handler_core.clone(), request, body)
         }));
     let limits = move || limits_in_force(&limits_core);
-    let service = connection_service(&core, app, limits).await;
+    let open = core.open_requests.clone();
+    let service = connection_service(&core, app, limits, open).await;
     accept_all(core, listener, service).await;
 }
 
@@ -75,7 +76,7 @@
             }
         }),
     );
-    let service = connection_service(&core, app, CallerLimits::default).await;
+    let service = connection_service(&core, app, CallerLimits::default, OpenCount::default()).await;
     accept_all(core, listener, service).await;
 }
 
@@ -89,7 +90,7 @@
             async move { HttpResponse::Ok().content_type("text/plain; charset=utf-8").body(text) }
         }),
     );
-    let service = connection_service(&core, app, CallerLimits::default).await;
+    let service = connection_service(&core, app, CallerLimits::default, OpenCount::default()).await;
     accept_all(core, listener, service).await;
 }
 
@@ -128,6 +129,7 @@
     core: &SharedCore<P>,
     app: App<T>,
     limits: impl Fn() -> CallerLimits + Clone + 'static,
+    open: OpenCount,
 ) -> ConnectionService
 where
     P: PlatformAdapter,
@@ -142,8 +144,8 @@
 {
     let closing = core.closing.subscribe();
     let stream_limits = limits.clone();
-    let app = app.wrap_fn(|request, service| {
-        let (open, answer) = (ConnectionRequest::open(), service.call(request));
+    let app = app.wrap_fn(move |request, service| {
+        let (open, answer) = (ConnectionRequest::open(open.clone()), service.call(request));
         async move { answer.await.map(|answer| answer.map_body(|_, body| open.hold(body))) }
     });
     let factory = HttpService::build()
--- a/crates/router/src/arrival.rs
+++ b/crates/router/src/arrival.rs
@@ -154,6 +154,9 @@
             path: arrival.path,
             prompt: arrival.prompt,
         };
+        if !self.ends_in_time(facts.deadline) {
+            return Err(CallerError::not_run(ErrorKind::NotReady));
+        }
         self.check_zone_contact(context.now, &facts)?;
         Ok(facts)
     }
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -83,6 +83,12 @@
     /// Requests from all zones which configuration is in force there; the answers appear in
     /// [`crate::RouterState::status`].
     RequestProgress,
+    /// The process will be asked to stop and has to end within `limit`. Requests whose deadline is later are refused from
+    /// now on, and those that are still open shortly before the limit get an error that says what is known of them.
+    PrepareStop {
+        /// The time until the process ends.
+        limit: ClockSpan,
+    },
     /// A graceful stop was requested: the process exits after all running requests have ended.
     Stop,
     /// Time passed; drivers send this event periodically.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -81,6 +81,8 @@
     last_load_update: ClockTime,
     pub(crate) fleet: Option<FleetComponents>,
     pub(crate) stop: StopPhase,
+    /// When all requests must have been answered, in a planned stop.
+    pub(crate) answer_by: Option<ClockTime>,
     was_ready: bool,
 }
 
@@ -136,6 +138,7 @@
             last_load_update: now,
             fleet: fleet.map(|fleet| FleetComponents::new(now, &settings, fleet, &mut random)),
             stop: StopPhase::Running,
+            answer_by: None,
             was_ready: false,
             settings,
         }
@@ -212,6 +215,7 @@
             RouterEvent::RequestProgress => {
                 self.handle_fleet_event(&mut context, FleetEvent::Sync(SyncEvent::RequestProgress));
             }
+            RouterEvent::PrepareStop { limit } => self.prepare_stop(context.now, limit),
             RouterEvent::Stop => self.begin_stop(),
             RouterEvent::Tick => self.tick(&mut context),
         }
@@ -364,6 +368,7 @@
         self.expire_queued(context);
         self.cancel_abandoned_requests(context);
         self.end_silent_requests(context);
+        self.answer_open_requests(context);
         if context.now.since(self.last_load_update) >= self.settings.load_update_period {
             self.last_load_update = context.now;
             self.broadcast_load_update(context);
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -1,13 +1,23 @@
 //! The planned stop of a router.
 //!
-//! The router refuses new requests and waits for the running ones to end. It then leaves the roster and hands off its
-//! index shard and its rate limit state, so that the successors take over its keys immediately. The process exits last.
+//! The router first admits only what it can finish before the process has to end, and refuses new requests once the load
+//! balancer avoids it. It waits for the running ones to end. It then leaves the roster and hands off its index shard and
+//! its rate limit state, so that the successors take over its keys immediately. The process exits last.
 
-use godwitroad_base::ClockTime;
+use godwitroad_base::{ClockSpan, ClockTime};
+use godwitroad_lifecycle::LifeStage;
 use godwitroad_member::MemberEvent;
 use godwitroad_prefix::ShardEvent;
 
-use crate::{RouterAction, RouterState, fleet::FleetEvent, state::EventContext};
+use crate::{
+    CallerError, ErrorKind, RouterAction, RouterState, fleet::FleetEvent, state::EventContext,
+};
+
+/// The longest time before the end of the process that is reserved for the last answers.
+const MAX_ANSWER_MARGIN: ClockSpan = ClockSpan::from_ms(500);
+
+/// The divisor of the time limit that gives the margin of short ones.
+const ANSWER_MARGIN_DIVISOR: u64 = 8;
 
 /// The phase of a planned stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +37,36 @@
 }
 
 impl RouterState {
+    /// Records that the process ends after `limit`.
+    pub(crate) fn prepare_stop(&mut self, now: ClockTime, limit: ClockSpan) {
+        let share = ClockSpan::from_ms(limit.as_ms() / ANSWER_MARGIN_DIVISOR);
+        self.answer_by = Some(now + limit.saturating_sub(share.min(MAX_ANSWER_MARGIN)));
+    }
+
+    /// Returns whether a request with this deadline can be finished before the process ends.
+    pub(crate) fn ends_in_time(&self, deadline: ClockTime) -> bool {
+        self.answer_by.is_none_or(|answer_by| deadline <= answer_by)
+    }
+
+    /// Ends all open requests when the process is about to end.
+    pub(crate) fn answer_open_requests(&mut self, context: &mut EventContext<'_>) {
+        if self.answer_by.is_none_or(|answer_by| context.now < answer_by) {
+            return;
+        }
+        for id in self.requests.select(|_| true) {
+            let stage = self.requests.get(id).and_then(|entry| entry.stage.as_ref());
+            let error = if stage.is_some_and(LifeStage::has_not_run) {
+                CallerError::not_run(ErrorKind::NotReady)
+            } else {
+                CallerError {
+                    message: "the router stopped before the answer was complete".to_owned(),
+                    ..CallerError::unknown(ErrorKind::TargetFailed)
+                }
+            };
+            self.fail_request(context, id, error);
+        }
+    }
+
     pub(crate) fn begin_stop(&mut self) {
         if self.stop == StopPhase::Running {
             self.stop = StopPhase::Draining;
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -411,6 +411,48 @@
     assert_eq!(driver.replies(id).last(), Some(&CallerReply::End));
 }
 
+/// Guards against requests that are taken on before a stop and cut off at its end.
+#[parameterized(two = { 2_000, 1_750 }, four = { 4_000, 3_500 }, eight = { 8_000, 7_500 })]
+fn planned_stop_takes_on_only_what_ends_in_time(limit_ms: u64, answer_by_ms: u64) {
+    let mut driver = TestDriver::new();
+    driver.send(RouterEvent::PrepareStop { limit: ClockSpan::from_ms(limit_ms) });
+    let within = |ms| RequestArrival { deadline: Some(ClockSpan::from_ms(ms)), ..chat("secret-1") };
+    let (_, actions) = driver.request(within(answer_by_ms));
+    assert_eq!(dispatches(&actions).len(), 1);
+    let (_, actions) = driver.request(within(answer_by_ms + 1));
+    let found = errors(&actions);
+    assert_eq!((found[0].kind, found[0].outcome), (ErrorKind::NotReady, RunOutcome::NotRun));
+    assert!(dispatches(&actions).is_empty());
+}
+
+#[test]
+fn requests_that_are_open_at_the_end_of_a_stop_get_a_true_answer() {
+    let mut driver = TestDriver::new();
+    let (running, _) = driver.request(registration("secret-1"));
+    let (streaming, _) = driver.request(chat("secret-1"));
+    driver.report(streaming, 1, started());
+    driver.report(streaming, 1, token(0));
+    let queued: Vec<_> = (0..200).map(|_| driver.request(chat("secret-1")).0).collect();
+    let is_queued = |driver: &TestDriver, id| {
+        driver.replies(id).is_empty()
+            && dispatches(&driver.actions).iter().all(|order| order.id != id)
+    };
+    let queued: Vec<_> = queued.into_iter().filter(|id| is_queued(&driver, *id)).collect();
+    assert!(!queued.is_empty());
+    driver.send(RouterEvent::PrepareStop { limit: ClockSpan::from_ms(4_000) });
+    driver.send(RouterEvent::Stop);
+    driver.advance(3_400);
+    assert!(driver.replies(running).is_empty());
+    driver.advance(200);
+    assert_eq!(driver.state.request_count(), 0);
+    let outcome = |id| match driver.replies(id).last() {
+        Some(CallerReply::Failed(error)) => error.outcome,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!((outcome(running), outcome(streaming)), (RunOutcome::Unknown, RunOutcome::Unknown));
+    assert!(queued.iter().all(|id| outcome(*id) == RunOutcome::NotRun));
+}
+
 #[test]
 fn nearest_targets_are_used_when_there_are_more_than_the_index_holds() {
     let mut driver = TestDriver::new();
