--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -34,7 +34,7 @@
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, VmName};
 
 use crate::{
-    peers::{GossipMessage, PeerTable},
+    peers::{GossipMessage, PeerTable, ReachableMark},
     rules::AccountRule,
     tag_of,
     usage::{LocalUsage, SpareInflow, seconds},
@@ -102,8 +102,8 @@
     // A sum over a window keeps to the limit even if this inflow is used in addition to the level.
     spare: SpareInflow,
     local: LocalUsage,
-    // What the peers last reported.
-    peers: BTreeMap<VmName, PeerUsage>,
+    // What the peers last reported, by their slots.
+    peers: Vec<Option<PeerUsage>>,
 }
 
 /// The size and the fill rate of an account's bucket, for the whole fleet.
@@ -139,18 +139,46 @@
     window: ClockSpan,
 }
 
+/// The positions of peers in the buckets' lists.
+#[derive(Clone, Debug, Default)]
+struct PeerSlots {
+    slots: BTreeMap<VmName, usize>,
+    free: Vec<usize>,
+}
+
 /// This router's estimate of all buckets.
 #[derive(Clone, Debug)]
 pub struct AllowanceTable {
     settings: AllowanceSettings,
     buckets: BTreeMap<AccountName, AccountBucket>,
-    // The reachable peers when the levels were last adjusted.
+    // The reachable peers when the levels were last adjusted, and the mark of that set.
     reachable: BTreeSet<VmName>,
+    mark: Option<ReachableMark>,
+    slots: PeerSlots,
     // The time after which all reachable peers have a report.
     report_delay: ClockSpan,
     needs_immediate_report: bool,
 }
 
+impl PeerSlots {
+    // Returns the slot of a peer, which it keeps until it is released.
+    fn take(&mut self, peer: &VmName) -> usize {
+        if let Some(slot) = self.slots.get(peer) {
+            return *slot;
+        }
+        let slot = self.free.pop().unwrap_or(self.slots.len());
+        self.slots.insert(peer.clone(), slot);
+        slot
+    }
+
+    // Releases the slot of a peer for another one; `None` if it has none.
+    fn release(&mut self, peer: &VmName) -> Option<usize> {
+        let slot = self.slots.remove(peer)?;
+        self.free.push(slot);
+        Some(slot)
+    }
+}
+
 impl PeerUsage {
     // Returns what the peer may have admitted against its share of the bucket if it is cut off. The share counts
     // gradually, the longer messages are overdue.
@@ -180,14 +208,14 @@
 
     // Returns what the reachable peers may have admitted if they are cut off.
     fn reserved(&self, now: ClockTime, members: usize) -> f64 {
-        let recent = self.peers.values().filter(|peer| peer.is_reachable(now));
+        let recent = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
         recent.map(|peer| peer.reserved(now, self.size, members)).sum()
     }
 
     // Returns what this router may admit now, and the rate at which that grows.
     fn free(&mut self, now: ClockTime, view: FleetView) -> (f64, f64) {
         let asked = self.local.reported_rate();
-        let recent = self.peers.values().filter(|peer| peer.is_reachable(now));
+        let recent = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
         let asked_in_all = asked + recent.map(|peer| f64::from(peer.asked_rate)).sum::<f64>();
         let even = 1.0 / view.reachable as f64;
         let weight = EVEN_FRACTION * even
@@ -213,8 +241,9 @@
     }
 
     // Subtracts the share of a peer that has become unreachable, as the peer may go on admitting requests against it.
-    fn deduct_lost_peer(&mut self, now: ClockTime, members: usize, peer: &VmName) {
-        self.level -= match self.peers.remove(peer) {
+    fn deduct_lost_peer(&mut self, now: ClockTime, members: usize, slot: Option<usize>) {
+        let peer = slot.and_then(|slot| self.peers.get_mut(slot)?.take());
+        self.level -= match peer {
             Some(peer) => peer.reserved(now, self.size, members),
             None => self.level.max(0.0) / members as f64,
         };
@@ -224,12 +253,16 @@
     fn receive(
         &mut self,
         now: ClockTime,
+        slot: usize,
         message: &GossipMessage,
         entry: Option<&UsageEntry>,
         timeout: ClockSpan,
     ) {
+        if self.peers.len() <= slot {
+            self.peers.resize(slot + 1, None);
+        }
         // A message has room for only some accounts; the others stay as last reported.
-        let previous = self.peers.get(&message.place.vm);
+        let previous = self.peers[slot];
         let known = previous.filter(|previous| previous.incarnation == message.incarnation);
         let known = known.map_or((0, 0), |previous| (previous.total, previous.asked_rate));
         let (total, asked_rate) = entry.map_or(known, |(_, total, rate)| (*total, *rate));
@@ -237,7 +270,8 @@
         let incarnation = message.incarnation;
         let current =
             PeerUsage { incarnation, total, asked_rate, last_received: now, timeout, remaining };
-        let Some(previous) = self.peers.insert(message.place.vm.clone(), current) else { return };
+        self.peers[slot] = Some(current);
+        let Some(previous) = previous else { return };
         if now.since(previous.last_received) >= previous.timeout {
             // What it admitted while unreachable counted against its share, which is already subtracted.
             return;
@@ -260,6 +294,8 @@
             settings,
             buckets: BTreeMap::new(),
             reachable: BTreeSet::new(),
+            mark: None,
+            slots: PeerSlots::default(),
             report_delay: ClockSpan::default(),
             needs_immediate_report: false,
         }
@@ -289,6 +325,10 @@
     // The sets are compared, not their sizes: the share of a peer that became unreachable is subtracted even if another
     // peer became reachable at the same time, as that one adds nothing to the level.
     fn update_reachable(&mut self, now: ClockTime, peers: &PeerTable) {
+        if self.mark.is_some_and(|mark| peers.is_unchanged(now, mark)) {
+            return;
+        }
+        self.mark = Some(peers.reachable_mark(now));
         let is_same =
             self.reachable.iter().eq(peers.reachable(now).map(|(message, _)| &message.place.vm));
         if is_same {
@@ -299,9 +339,11 @@
             peers.reachable(now).map(|(message, _)| message.place.vm.clone()).collect();
         let unreachable: Vec<VmName> = self.reachable.difference(&reachable).cloned().collect();
         let members = peers.len() + 1;
+        let lost: Vec<Option<usize>> =
+            unreachable.iter().map(|peer| self.slots.release(peer)).collect();
         for bucket in self.buckets.values_mut() {
             bucket.fill(now, fleet_fraction);
-            unreachable.iter().for_each(|peer| bucket.deduct_lost_peer(now, members, peer));
+            lost.iter().for_each(|slot| bucket.deduct_lost_peer(now, members, *slot));
         }
         self.reachable = reachable;
     }
@@ -321,13 +363,13 @@
         }
     }
 
+    // Returns an account's bucket, filled up to now. The set of reachable peers must be up to date.
     fn bucket(
         &mut self,
         now: ClockTime,
         rule: &AccountRule,
         peers: &PeerTable,
     ) -> &mut AccountBucket {
-        self.update_reachable(now, peers);
         let fleet_fraction = self.fleet_fraction(peers);
         let size = self.bucket_size(rule);
         let initial_level = if self.settings.restarted { 0.0 } else { size.burst };
@@ -337,7 +379,7 @@
             last_filled: now,
             spare: SpareInflow::default(),
             local: LocalUsage::default(),
-            peers: BTreeMap::new(),
+            peers: Vec::new(),
         });
         bucket.size = size;
         bucket.fill(now, fleet_fraction);
@@ -400,10 +442,12 @@
         message: &GossipMessage,
         timeout: ClockSpan,
     ) {
+        self.update_reachable(now, peers);
+        let slot = self.slots.take(&message.place.vm);
         for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
             let tag = tag_of(rule.name.as_str());
             let entry = message.usage.iter().find(|(account, ..)| *account == tag);
-            self.bucket(now, rule, peers).receive(now, message, entry, timeout);
+            self.bucket(now, rule, peers).receive(now, slot, message, entry, timeout);
         }
     }
 
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -128,6 +128,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<VmName, PeerState>,
+    // The number of events after which another peer may be reachable, or the timeout of one may end sooner.
+    changes: u64,
+}
+
+/// Tells when the set of reachable peers may have changed, without a comparison of the sets.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReachableMark {
+    changes: u64,
+    // The first time at which one of the reachable peers may count as unreachable.
+    valid_until: Option<ClockTime>,
 }
 
 /// The shortest time without a message after which a peer counts as unreachable. It spans several gossip intervals, as
@@ -175,6 +185,11 @@
     pub fn is_reachable(&self, now: ClockTime) -> bool {
         self.last_received.is_some_and(|last_received| now.since(last_received) < self.timeout)
     }
+
+    // Returns when the peer counts as unreachable unless another message arrives; `None` before the first one.
+    fn expires_at(&self) -> Option<ClockTime> {
+        self.last_received.map(|last_received| last_received + self.timeout)
+    }
 }
 
 impl PeerTable {
@@ -184,12 +199,14 @@
         let entry = self.peers.entry(place.vm.clone()).or_insert(state);
         if entry.place.address != place.address {
             *entry = PeerState::new(place);
+            self.changes += 1;
         }
     }
 
     /// Removes a peer that has deregistered or whose entry has expired.
     pub fn remove(&mut self, vm: &VmName) {
         self.peers.remove(vm);
+        self.changes += 1;
     }
 
     /// Returns the work in progress that a reachable peer last reported; empty for an unreachable one.
@@ -222,10 +239,15 @@
             if before != Some(message.incarnation) {
                 peer.run_since = Some(now);
             }
+            let was_reachable = peer.is_reachable(now);
+            let expired_at = peer.expires_at();
             peer.last_received = Some(now);
             peer.arrived_after = Some(arrived_after.min(now));
             peer.timeout = timeout;
             peer.last_message = Some(message);
+            if !was_reachable || Some(now + timeout) < expired_at {
+                self.changes += 1;
+            }
         }
         is_newer
     }
@@ -245,6 +267,19 @@
         })
     }
 
+    /// Returns the mark of the set of peers that are reachable now.
+    pub fn reachable_mark(&self, now: ClockTime) -> ReachableMark {
+        let reachable = self.peers.values().filter(|peer| peer.is_reachable(now));
+        let valid_until = reachable.filter_map(PeerState::expires_at).min();
+        ReachableMark { changes: self.changes, valid_until }
+    }
+
+    /// Returns whether the peers that were reachable at the time of `mark` are those that are reachable now. A negative
+    /// answer says nothing.
+    pub fn is_unchanged(&self, now: ClockTime, mark: ReachableMark) -> bool {
+        self.changes == mark.changes && mark.valid_until.is_none_or(|until| now < until)
+    }
+
     /// Returns the number of known peers.
     pub fn len(&self) -> usize {
         self.peers.len()
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -1,10 +1,12 @@
 //! Gossip messages between routers, and the selection of the holders whose cache events this router reads.
 
-use godwitroad_base::{ClockSpan, ClockTime, VmName, rendezvous};
+use std::collections::BTreeMap;
+
+use godwitroad_base::{ClockSpan, ClockTime, VmName, ZoneName, rendezvous};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{FeedSource, ForwardAction, ForwardState};
-use crate::{GossipMessage, PeerPlace, SegmentKey, SentPromptEntry, tag_of};
+use crate::{GossipMessage, PeerPlace, PeerTable, SegmentKey, SentPromptEntry, tag_of};
 
 /// How long a target counts as about to load weights after a message said so; the holder of the order lease repeats it
 /// until the load has ended.
@@ -186,48 +188,61 @@
     /// availability zone take precedence, then those with the highest rendezvous score for the holder.
     pub fn feeds(&self, now: ClockTime) -> Vec<FeedSource> {
         let Some(rules) = &self.rules else { return Vec::new() };
+        let readers = FeedReaders::new(&self.settings.place, &self.peers, now);
         let mut feeds = Vec::new();
         for record in self.roster.iter() {
             let engine = rules.services.get(&record.service).and_then(|rule| rule.engine.as_ref());
             let Some(engine) = engine else { continue };
             let calls = engine.event_calls as usize;
-            if self.reads_feed(now, record.name.as_str(), Some(&record.zone), calls) {
+            if readers.reads(record.name.as_str(), &record.zone, calls) {
                 feeds.push(FeedSource::Target(record.name.clone()));
             }
         }
         if let Some(store) = rules.cache_store()
-            && self.reads_feed(
-                now,
-                &store.address.to_string(),
-                Some(&store.zone),
-                store.event_calls as usize,
-            )
+            && readers.reads(&store.address.to_string(), &store.zone, store.event_calls as usize)
         {
             feeds.push(FeedSource::Kept(store.address));
         }
         feeds
     }
+}
 
-    fn reads_feed(
-        &self,
-        now: ClockTime,
-        name: &str,
-        zone: Option<&godwitroad_base::ZoneName>,
-        calls: usize,
-    ) -> bool {
-        let own = &self.settings.place;
-        let reachable = self.peers.iter().filter(|peer| peer.is_reachable(now));
-        let mut readers: Vec<&PeerPlace> = reachable.map(|peer| &peer.place).collect();
+/// The routers among which the feeds of holders are divided, by availability zone.
+struct FeedReaders<'a> {
+    own: &'a PeerPlace,
+    zones: BTreeMap<&'a ZoneName, Vec<&'a VmName>>,
+    // The number of reachable peers.
+    peers: usize,
+}
+
+impl<'a> FeedReaders<'a> {
+    fn new(own: &'a PeerPlace, peers: &'a PeerTable, now: ClockTime) -> FeedReaders<'a> {
+        let mut zones: BTreeMap<&ZoneName, Vec<&VmName>> = BTreeMap::new();
+        let mut count = 0;
+        for peer in peers.iter().filter(|peer| peer.is_reachable(now)) {
+            zones.entry(&peer.place.zone).or_default().push(&peer.place.vm);
+            count += 1;
+        }
+        FeedReaders { own, zones, peers: count }
+    }
+
+    // Returns whether this router is among those that read the feed of a holder, which answers `calls` at once.
+    fn reads(&self, name: &str, zone: &ZoneName, calls: usize) -> bool {
         let places = calls.saturating_sub(SPARE_EVENT_CALLS).max(1);
-        if readers.len() < places {
+        if self.peers < places {
             return true;
         }
-        readers.push(own);
+        let near = self.zones.get(zone).map_or(0, Vec::len);
+        let is_near = self.own.zone == *zone;
+        if !is_near && near >= places {
+            return false;
+        }
         let key = xxh3_64(name.as_bytes());
-        readers.sort_by_key(|place| {
-            let is_other = Some(&place.zone) != zone;
-            (is_other, std::cmp::Reverse(rendezvous::score(key, place.vm.as_str())))
-        });
-        readers.iter().take(places).any(|place| place.vm == own.vm)
+        let own_score = rendezvous::score(key, self.own.vm.as_str());
+        let is_ahead = |vm: &&&VmName| rendezvous::score(key, vm.as_str()) >= own_score;
+        let rivals = self.zones.iter().filter(|(other, _)| (**other == zone) == is_near);
+        let ahead = rivals.flat_map(|(_, vms)| vms).filter(is_ahead).count();
+        let ahead_in_all = if is_near { ahead } else { near + ahead };
+        ahead_in_all < places
     }
 }
