--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetRoster {
     entries: BTreeMap<TargetName, RosterEntry>,
+    // The names of the targets in `entries` by their tags.
+    tags: BTreeMap<u32, TargetName>,
     leaving: LeavingTable,
 }
 
@@ -91,6 +93,7 @@
         record.draining |= self.leaving.contains(record.run_key());
         let entry = RosterEntry { record: Arc::new(record), expired_at: None, unreadable: false };
         let Some(before) = self.entries.insert(name.clone(), entry) else {
+            self.tags.insert(tag_of(name.as_str()), name);
             return RosterChange::Started;
         };
         let was_unreadable = before.unreadable;
@@ -132,7 +135,10 @@
                 entry.expired_at.get_or_insert(now);
                 None
             }
-            _ => self.entries.remove(name).map(|entry| entry.record),
+            _ => {
+                self.tags.remove(&tag_of(name.as_str()));
+                self.entries.remove(name).map(|entry| entry.record)
+            }
         }
     }
 
@@ -142,7 +148,10 @@
             entry.expired_at.is_some_and(|expired_at| now.since(expired_at) >= EXPIRY_GRACE)
         };
         let expired = self.entries.extract_if(.., |_, entry| is_expired(entry));
-        let expired = expired.map(|(_, entry)| entry.record).collect();
+        let expired: Vec<_> = expired.map(|(_, entry)| entry.record).collect();
+        for record in &expired {
+            self.tags.remove(&tag_of(record.name.as_str()));
+        }
         let listed: BTreeSet<RunKey> =
             self.iter().filter(|record| record.draining).map(|record| record.run_key()).collect();
         self.leaving.expire(now, |key| listed.contains(&key));
@@ -179,7 +188,8 @@
 
     /// Returns the target whose name has this tag.
     pub(crate) fn find_by_tag(&self, tag: u32) -> Option<&Arc<TargetRecord>> {
-        self.iter().find(|record| tag_of(record.name.as_str()) == tag)
+        let entry = self.entries.get(self.tags.get(&tag)?)?;
+        (!entry.unreadable).then_some(&entry.record)
     }
 
     /// Returns all listed targets in the order of their names.
