Changes of the store are read from peers; a router without the store follows its peers

Change: each router keeps the store's latest answers (ChangeLog, 512 KB, without gaps, of one era) and hands them on to peers that ask for what follows a revision (opening 3 of the connections between routers). A router that hears of a newer revision asks the nearest two peers that have it, and calls the store only if neither hands it on; one whose calls fail asks them before each further try. What is handed on is the store's own answer. It is no freshness proof, which still comes from the store or with a peer's proof. Routers announce in gossip that they answer (a section at the end, which earlier builds pass over), and ask no others, so that builds mix. Counters: changes.read, changes.failed, changes.served, changes.served_bytes.

Steps of decision tests that expected Read for changes that peers know of expect CatchUp, which is what they mean.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! depends on the order of a hash map. Many routers can therefore run in one process under virtual time.
 
 mod allowance;
+mod changes;
 mod choice;
 mod freshness;
 mod leaving;
@@ -27,6 +28,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 pub use allowance::{AllowanceSettings, AllowanceTable, UsageEntry};
+pub use changes::{ChangeLog, ChangePiece, MAX_CHANGES_BYTES};
 pub use choice::{
     ChoiceSettings, PromptDemand, SegmentSource, TargetCandidate, TargetChoice, ZoneDistance,
     choose_candidate,
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -98,6 +98,9 @@
     /// brittle targets.
     #[serde(skip)]
     pub reaches_store: bool,
+    /// Whether peers may read the store's changes from the sender; encoded after the path to the store.
+    #[serde(skip)]
+    pub shares_changes: bool,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -84,6 +84,7 @@
             reach: self.reach.notes(),
             brittle,
             reaches_store: self.store_path.is_direct(),
+            shares_changes: !self.stop.is_stopping(),
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -44,7 +44,7 @@
 use godwitroad_throttle::{DeferralTable, ReturnQueue, ThrottleTable};
 
 use crate::{
-    AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChoiceSettings,
+    AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChangeLog, ChoiceSettings,
     ConfigFreshness, ContactSettings, ForwardRefusal, ForwardRules, GossipMessage, LoadTable,
     OriginNotes, OriginSettings, PeerPlace, PeerTable, ReachSettings, RefusalReason, ReloadEntry,
     SentPromptEntry, StopPhase, StopSchedule, TargetRecord, TargetRoster, reach::ReachTable,
@@ -233,6 +233,7 @@
     store_recovered_at: Option<ClockTime>,
     store_path: StorePath,
     store_progress: StoreProgress,
+    changes: ChangeLog,
     era: EraProgress,
     roster: TargetRoster,
     peers: PeerTable,
@@ -334,6 +335,7 @@
             store_recovered_at: None,
             store_path: StorePath::default(),
             store_progress: StoreProgress::default(),
+            changes: ChangeLog::default(),
             era: EraProgress::default(),
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -3,14 +3,15 @@
 //! Every change of the store ends the watch call of every router that watches it, and the platform counts calls. Only a
 //! few routers therefore watch the store: the first of each availability zone by name, so that a zone keeps working
 //! when it is cut off, and the holder of the order lease. Their gossip messages contain the revision up to which they
-//! have read. The other routers read the store when a peer knows a newer revision: at once if the change affects which
-//! requests may be sent to which target, otherwise after `NON_URGENT_READ_DELAY`. A router that receives no recent
-//! freshness proof from any peer watches the store itself.
+//! have read. The other routers read the changes when a peer knows a newer revision: at once if the change affects which
+//! requests may be sent to which target, otherwise after `NON_URGENT_READ_DELAY`. They read them from a peer that has
+//! them, and from the store only if no peer hands them on. A router that receives no recent freshness proof from any
+//! peer watches the store itself.
 
 use godwitroad_base::{ClockSpan, ClockTime, StoreRevision};
 
-use super::{ForwardAction, ForwardState};
-use crate::GossipMessage;
+use super::{ForwardAction, ForwardState, RelayPeer};
+use crate::{ChangePiece, GossipMessage};
 
 /// The number of routers that watch the store in a fleet of one zone, so that the loss of one delays no changes.
 const SINGLE_ZONE_WATCHERS: usize = 2;
@@ -31,8 +32,10 @@
 pub enum StoreStep {
     /// Send a watch call that waits up to this long for changes.
     Watch(ClockSpan),
-    /// Read the changes that are already there, without waiting.
+    /// Read the store without waiting, as a request needs to know its present state.
     Read,
+    /// Read the changes that peers know of, from one of them or from the store.
+    CatchUp,
     /// Make no call until gossip reports changes.
     Idle,
 }
@@ -48,6 +51,8 @@
     has_urgent: bool,
     // When the store last answered.
     last_answer: Option<ClockTime>,
+    // When changes were last read from a peer.
+    last_catch_up: Option<ClockTime>,
     // When the newest read started whose answer shows the store as it was then, and not an older copy.
     viewed_from: Option<ClockTime>,
     // Whether a request waits for a newer one.
@@ -99,12 +104,14 @@
             self.peers.reachable(now).any(|(message, _)| revision(message) > after)
         };
         let is_due = || {
-            self.store_progress.last_answer.is_none_or(|at| now.since(at) >= NON_URGENT_READ_DELAY)
+            let progress = &self.store_progress;
+            let last_read = progress.last_answer.max(progress.last_catch_up);
+            last_read.is_none_or(|at| now.since(at) >= NON_URGENT_READ_DELAY)
         };
         if peers_know_newer(|message| message.urgent_revision)
             || is_due() && peers_know_newer(|message| message.revision)
         {
-            StoreStep::Read
+            StoreStep::CatchUp
         } else {
             StoreStep::Idle
         }
@@ -158,6 +165,30 @@
         self.is_watcher(now) && self.store_progress.last_answer.is_some_and(is_young)
     }
 
+    /// Returns peers from which the changes after a revision may be read, in the order in which to ask them.
+    pub fn change_peers(&mut self, now: ClockTime, after: StoreRevision) -> Vec<RelayPeer> {
+        let key = self.random.next_u64();
+        let has_newer = |message: &GossipMessage| {
+            message.shares_changes && !message.stopping && message.revision > after
+        };
+        self.nearest_peers(now, key, has_newer, |_| 0)
+    }
+
+    /// Keeps an answer of the store for peers.
+    pub fn record_changes(&mut self, piece: ChangePiece) {
+        self.changes.record(piece);
+    }
+
+    /// Returns the changes after a revision for a peer, or `None` if they aren't all known.
+    pub fn changes_since(&self, after: StoreRevision) -> Option<Vec<ChangePiece>> {
+        self.changes.since(after)
+    }
+
+    /// Records that changes were read from a peer. They prove nothing about the store's present state.
+    pub fn record_catch_up(&mut self, now: ClockTime) {
+        self.store_progress.last_catch_up = Some(now);
+    }
+
     /// Records the revision of the last change that was read.
     pub(super) fn store_changed(
         &mut self,
--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -62,7 +62,7 @@
 }
 
 fn place_of(index: usize) -> PeerPlace {
-    let address = Ipv4Addr::new(10, 1, 0, index as u8 + 1).into();
+    let address = Ipv4Addr::new(10, 1, (index / 250) as u8, (index % 250) as u8 + 1).into();
     PeerPlace { vm: format!("vm-{index}").into(), zone: ZONES[index % ZONES.len()].into(), address }
 }
 
@@ -196,6 +196,7 @@
     sixteen = { Plan { routers: 16, asked: 16, ..PLAN } },
     more = { Plan { routers: 86, asked: 86, ..PLAN } },
     most = { Plan { routers: 97, asked: 97, ..PLAN } },
+    large = { Plan { routers: 295, asked: 295, rate: 300_000, ..PLAN } },
     small_limit = { Plan { rate: 50_000, ..PLAN } },
     little_hot = { Plan { hot_load: 1.5, ..PLAN } },
     busy_before = { Plan { load: 0.95, ..PLAN } },
@@ -230,6 +231,8 @@
     few = { Plan { routers: 9, asked: 9, ..PLAN } },
     at_five_routers = { Plan { asked: 5, ..PLAN } },
     at_one_router = { Plan { asked: 1, ..PLAN } },
+    large = { Plan { routers: 295, asked: 295, rate: 300_000, ..PLAN } },
+    large_with_small_limit = { Plan { routers: 295, asked: 295, rate: 60_000, ..PLAN } },
 )]
 fn use_that_grows_within_the_limit_is_hardly_ever_refused(plan: Plan) {
     let fleet = Fleet::run(Plan { hot_load: 0.9, ..plan }, 0);
--- a/crates/forward/tests/store_era.rs
+++ b/crates/forward/tests/store_era.rs
@@ -225,7 +225,7 @@
     message.place = place("vm-0a", "a", 9);
     router.receive(100, message);
     let own = StoreRevision::new(StoreEra::new(1), 900);
-    assert_eq!(router.state.next_store_step(at(110), own), StoreStep::Read);
+    assert_eq!(router.state.next_store_step(at(110), own), StoreStep::CatchUp);
     let same = StoreRevision::new(StoreEra::new(2), 3);
     assert_eq!(router.state.next_store_step(at(110), same), StoreStep::Idle);
 }
--- a/crates/forward/tests/store_watch.rs
+++ b/crates/forward/tests/store_watch.rs
@@ -213,7 +213,7 @@
             node.after.map(|after| node.router.state.next_store_step(at(now), revision(after)));
         let wait = match step {
             _ if node.is_failing => 1,
-            None | Some(StoreStep::Read) => 1,
+            None | Some(StoreStep::Read | StoreStep::CatchUp) => 1,
             Some(StoreStep::Watch(wait)) => wait.as_ms(),
             Some(StoreStep::Idle) => return,
         };
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -146,6 +146,7 @@
         (message.reach.is_empty(), encode_section(&message.reach)?),
         (message.brittle.is_empty(), encode_section(&message.brittle)?),
         (!message.reaches_store, encode_section(&message.reaches_store)?),
+        (!message.shares_changes, encode_section(&message.shares_changes)?),
     ];
     let last = sections.iter().rposition(|(is_empty, _)| !is_empty);
     let used = last.map_or(&[][..], |last| &sections[..=last]);
@@ -172,6 +173,7 @@
     message.reach = decode_section(&mut rest)?;
     message.brittle = decode_section(&mut rest)?;
     message.reaches_store = decode_section(&mut rest)?;
+    message.shares_changes = decode_section(&mut rest)?;
     Some(message)
 }
 
--- /dev/null
+++ b/crates/proxy/src/relay/changes.rs
@@ -0,0 +1,117 @@
+//! Reads changes of the store from a peer that has them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use godwitroad_base::StoreRevision;
+use godwitroad_forward::{ChangePiece, MAX_CHANGES_BYTES, RelayPeer};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
+    time::timeout,
+};
+
+use super::{OpeningAnswer, RelayOpening, dial::connect_from};
+use crate::{client::watched_stream::WatchedStream, core::SharedCore, platform::PlatformAdapter};
+
+/// The time limit for one peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The limit of peers that are asked, one after the other.
+const MAX_PEERS: usize = 2;
+
+/// The size limit of encoded changes: their bodies, and the revisions and lengths beside them.
+const MAX_ENCODED_BYTES: usize = MAX_CHANGES_BYTES + 8 * 1024;
+
+/// An encoded [`ChangePiece`].
+type EncodedPiece = (StoreRevision, StoreRevision, Vec<u8>);
+
+/// Why a peer gave no changes.
+#[derive(Debug, thiserror::Error)]
+enum ChangesError {
+    #[error("the connection to the peer failed: {0}")]
+    Connection(#[from] std::io::Error),
+    #[error("the peer didn't answer in time")]
+    TimeOver,
+    #[error("the peer answered {0:?}")]
+    Refused(Option<OpeningAnswer>),
+    #[error("{0} bytes of changes are too many")]
+    TooLarge(usize),
+    #[error("the changes can't be decoded: {0}")]
+    Encoding(#[from] postcard::Error),
+}
+
+/// A `Result` with a [`ChangesError`].
+type Result<T> = std::result::Result<T, ChangesError>;
+
+/// Reads the changes after a revision from the first of some peers that hands them on.
+pub(crate) async fn read_changes<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    peers: &[RelayPeer],
+    after: StoreRevision,
+) -> Option<Vec<ChangePiece>> {
+    for peer in peers.iter().take(MAX_PEERS) {
+        let asked = timeout(PEER_TIMEOUT, read_from(core, peer, after)).await;
+        match asked.unwrap_or(Err(ChangesError::TimeOver)) {
+            Ok(pieces) => {
+                core.metrics.count("changes.read", 1);
+                return Some(pieces);
+            }
+            Err(error) => {
+                core.metrics.count("changes.failed", 1);
+                let detail = format!("peer={} after={after} error={error}", peer.vm);
+                core.log.event("changes_not_read", &detail);
+            }
+        }
+    }
+    None
+}
+
+async fn read_from<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    peer: &RelayPeer,
+    after: StoreRevision,
+) -> Result<Vec<ChangePiece>> {
+    let (own_address, port) = {
+        let settings = core.settings.borrow();
+        (settings.forward.place.address, settings.peers.port())
+    };
+    let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
+    let mut stream = WatchedStream::new(stream);
+    let opening = RelayOpening::Changes(after).encode();
+    stream.write_all(&opening.expect("a revision fits an opening")).await?;
+    decode(&mut stream).await
+}
+
+/// Encodes the peer's answer, or returns `None` if it is too large.
+pub(super) fn encode(pieces: &[ChangePiece]) -> Option<Vec<u8>> {
+    let pieces: Vec<EncodedPiece> =
+        pieces.iter().map(|piece| (piece.after, piece.upto, piece.body.to_vec())).collect();
+    let payload = postcard::to_extend(&pieces, Vec::new()).ok()?;
+    let length = u32::try_from(payload.len()).ok()?;
+    let is_small = payload.len() <= MAX_ENCODED_BYTES;
+    is_small
+        .then(|| [&[OpeningAnswer::Connected.code()][..], &length.to_be_bytes(), &payload].concat())
+}
+
+// Reads the peer's answer.
+async fn decode(stream: &mut (impl AsyncRead + Unpin)) -> Result<Vec<ChangePiece>> {
+    let answer = OpeningAnswer::from_code(stream.read_u8().await?);
+    if answer != Some(OpeningAnswer::Connected) {
+        return Err(ChangesError::Refused(answer));
+    }
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_ENCODED_BYTES {
+        return Err(ChangesError::TooLarge(length));
+    }
+    let mut payload = vec![0; length];
+    stream.read_exact(&mut payload).await?;
+    let (pieces, rest): (Vec<EncodedPiece>, _) = postcard::take_from_bytes(&payload)?;
+    if !rest.is_empty() {
+        return Err(ChangesError::Encoding(postcard::Error::DeserializeBadEncoding));
+    }
+    let pieces = pieces.into_iter();
+    Ok(pieces.map(|(after, upto, body)| ChangePiece { after, upto, body: body.into() }).collect())
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/changes.rs"]
+mod tests;
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -273,7 +273,7 @@
 }
 
 // Connects from the router's own address, by which the peer recognizes it.
-async fn connect_from(own: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+pub(super) async fn connect_from(own: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(own, 0))?;
     socket.connect(to).await
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -7,16 +7,20 @@
 //!
 //! The target is named by its name and the start of its run rather than by an address, so that a peer connects only to targets
 //! that it lists. For the store, each router has the address in its own settings.
+//!
+//! A router also asks peers for the changes of the store that they have read, which takes no call to the store.
 
+mod changes;
 mod dial;
 mod serve;
 mod store;
 mod stream;
 
-use godwitroad_base::TargetName;
-use serde::{Deserialize, Serialize};
+use godwitroad_base::{StoreRevision, TargetName};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+pub(crate) use changes::read_changes;
 pub(crate) use dial::{TargetDialer, record_direct};
 pub(crate) use serve::serve_peers;
 pub(crate) use store::call_store;
@@ -30,6 +34,9 @@
 /// The first byte of an opening to the store.
 const STORE_OPENING: u8 = 2;
 
+/// The first byte of an opening that asks for changes of the store. Routers of an earlier build refuse it.
+const CHANGES_OPENING: u8 = 3;
+
 /// The size limit of an encoded [`TargetOpening`].
 const MAX_OPENING_BYTES: usize = 512;
 
@@ -40,6 +47,8 @@
     Target(TargetOpening),
     /// The store.
     Store,
+    /// Nothing: the peer answers with the changes of the store after this revision.
+    Changes(StoreRevision),
 }
 
 /// The run of a target to connect to.
@@ -90,6 +99,9 @@
                 (TARGET_OPENING, postcard::to_extend(opening, Vec::new()).ok()?)
             }
             RelayOpening::Store => (STORE_OPENING, Vec::new()),
+            RelayOpening::Changes(after) => {
+                (CHANGES_OPENING, postcard::to_extend(after, Vec::new()).ok()?)
+            }
         };
         if payload.len() > MAX_OPENING_BYTES {
             return None;
@@ -106,7 +118,7 @@
     async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Result<RelayOpening> {
         let kind = stream.read_u8().await?;
         let max_length = match kind {
-            TARGET_OPENING => MAX_OPENING_BYTES,
+            TARGET_OPENING | CHANGES_OPENING => MAX_OPENING_BYTES,
             STORE_OPENING => 0,
             other => return Err(OpeningError::Kind(other)),
         };
@@ -119,11 +131,20 @@
         }
         let mut payload = vec![0; length];
         stream.read_exact(&mut payload).await?;
-        let (opening, rest) = postcard::take_from_bytes(&payload)?;
-        if !rest.is_empty() {
-            return Err(OpeningError::Encoding(postcard::Error::DeserializeBadEncoding));
+        match kind {
+            CHANGES_OPENING => decode_whole(&payload).map(RelayOpening::Changes),
+            _ => decode_whole(&payload).map(RelayOpening::Target),
         }
-        Ok(RelayOpening::Target(opening))
+    }
+}
+
+// Decodes a payload that must have no other bytes.
+fn decode_whole<T: DeserializeOwned>(payload: &[u8]) -> Result<T> {
+    let (value, rest) = postcard::take_from_bytes(payload)?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(OpeningError::Encoding(postcard::Error::DeserializeBadEncoding))
     }
 }
 
--- a/crates/proxy/src/relay/serve.rs
+++ b/crates/proxy/src/relay/serve.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::spawn;
-use godwitroad_base::VmName;
+use godwitroad_base::{StoreRevision, VmName};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    OpeningAnswer, OpeningError, RelayOpening,
+    OpeningAnswer, OpeningError, RelayOpening, changes,
     stream::{LENGTH_BYTES, MAX_CHUNK_BYTES, write_chunk},
 };
 use crate::{
@@ -28,6 +28,9 @@
 /// The time limit for connecting to a target or to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// The time limit for sending changes of the store.
+const CHANGES_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// The buffer for the bytes of requests.
 const REQUEST_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -80,6 +83,9 @@
             return refuse(core, stream, OpeningAnswer::Malformed).await;
         }
     };
+    if let RelayOpening::Changes(after) = opening {
+        return send_changes(core, stream, after).await;
+    }
     let Some(target_address) = destination(core, &opening) else {
         return refuse(core, stream, OpeningAnswer::Unknown).await;
     };
@@ -116,6 +122,7 @@
             state.relay_target(&opening.target, opening.started_ms).map(|record| record.address)
         }
         RelayOpening::Store => state.relays_store().then(|| core.platform.store_address()),
+        RelayOpening::Changes(_) => None,
     })
 }
 
@@ -130,12 +137,27 @@
             let detail = format!("target={} peer={peer} {detail}", opening.target);
             core.log.request("relay_served", &opening.request, &detail);
         }
-        RelayOpening::Store => {
+        RelayOpening::Store | RelayOpening::Changes(_) => {
             core.log.event("store_relay_served", &format!("peer={peer} {detail}"));
         }
     }
 }
 
+async fn send_changes<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    mut stream: WatchedStream,
+    after: StoreRevision,
+) {
+    let known = core.read(|state| state.changes_since(after));
+    let Some(bytes) = known.and_then(|pieces| changes::encode(&pieces)) else {
+        return refuse(core, stream, OpeningAnswer::Unknown).await;
+    };
+    core.metrics.count("changes.served", 1);
+    core.metrics.count("changes.served_bytes", bytes.len() as u64);
+    // A peer that doesn't read them asks another one.
+    let _ = timeout(CHANGES_TIMEOUT, stream.write_all(&bytes)).await;
+}
+
 async fn refuse<P: PlatformAdapter>(
     core: &SharedCore<P>,
     mut stream: WatchedStream,
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -9,7 +9,7 @@
 use actix_rt::spawn;
 use bytes::Bytes;
 use godwitroad_base::{ClockSpan, ClockTime, StoreEra, StoreRevision, TargetName, VmName};
-use godwitroad_forward::{ForwardEvent, StoreRoute, StoreStep};
+use godwitroad_forward::{ChangePiece, ForwardEvent, StoreRoute, StoreStep};
 use http::{Request, Response, StatusCode};
 use tokio::time::timeout_at;
 
@@ -97,7 +97,24 @@
     core.metrics.record("store.call_ms", core.now().since(sent_at).as_ms());
     let answer = sent?;
     check_era(core, sent_in, core.platform.read_store_era(answer.headers())?)?;
-    Ok(core.platform.read_store(call, answer.status(), answer.body())?)
+    let read = core.platform.read_store(call, answer.status(), answer.body())?;
+    record_changes(core, call, &read, answer.body());
+    Ok(read)
+}
+
+// Keeps the answer to a watch for peers.
+fn record_changes<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    call: &StoreCall,
+    answer: &StoreAnswer,
+    body: &Bytes,
+) {
+    let StoreCall::Watch { after, .. } = call else { return };
+    let StoreAnswer::Items { revision, last_change, .. } = answer else { return };
+    let era = core.read(|state| state.store_era()).unwrap_or_default();
+    let body = if *last_change > 0 { &body[..] } else { &[] };
+    let (after, upto) = (StoreRevision::new(era, *after), StoreRevision::new(era, *revision));
+    core.update(|state| state.record_changes(ChangePiece { after, upto, body: body.into() }));
 }
 
 // Sends a request to the store, directly or through a peer, and records which path brought an answer.
@@ -211,11 +228,21 @@
 ) {
     while core.read(|state| state.store_era()) == Some(after.era()) {
         let step = core.read(|state| state.next_store_step(core.now(), after));
+        // A router without an answer of the store follows its peers as far as they know more.
+        if (step == StoreStep::CatchUp || backoff.is_failing())
+            && let Some(revision) = catch_up(core, listed, after).await
+        {
+            after = revision;
+            if !backoff.is_failing() {
+                core.sleep(batch_delay(core)).await;
+                continue;
+            }
+        }
         let wait = match step {
             // After a failure, the next call must show immediately whether the store is reachable again.
             _ if backoff.is_failing() => IMMEDIATE_WAIT,
             StoreStep::Watch(wait) => wait,
-            StoreStep::Read => IMMEDIATE_WAIT,
+            StoreStep::Read | StoreStep::CatchUp => IMMEDIATE_WAIT,
             StoreStep::Idle => {
                 // The pause is bounded so that the time since the peers' last gossip is checked again.
                 let _ = timeout_at(core.deadline(IDLE_PAUSE), core.check_store.notified()).await;
@@ -236,7 +263,7 @@
                 }
                 backoff.record_success(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
-                if last_change > 0 || step == StoreStep::Read {
+                if last_change > 0 || matches!(step, StoreStep::Read | StoreStep::CatchUp) {
                     core.sleep(batch_delay(core)).await;
                 }
             }
@@ -251,6 +278,39 @@
     }
 }
 
+// Reads the changes after a revision from a peer. Returns the revision up to which they were read, or `None` if no peer
+// hands them on.
+async fn catch_up<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    listed: &mut ListedNames,
+    after: StoreRevision,
+) -> Option<StoreRevision> {
+    let peers = core.update(|state| state.change_peers(core.now(), after));
+    let pieces = relay::read_changes(core, &peers, after).await?;
+    let mut read_to = after;
+    for piece in pieces {
+        // The era may have changed while the peer was asked.
+        let is_current = core.read(|state| state.store_era()) == Some(piece.upto.era());
+        if !is_current || piece.after > read_to || piece.upto <= read_to {
+            continue;
+        }
+        let call = StoreCall::Watch { after: read_to.number(), wait: IMMEDIATE_WAIT };
+        if !piece.body.is_empty() {
+            let read = core.platform.read_store(&call, StatusCode::OK, &piece.body).ok()?;
+            let StoreAnswer::Items { items, last_change, .. } = read else { return None };
+            apply_items(core, listed, items);
+            if last_change > 0 {
+                let revision = StoreRevision::new(after.era(), last_change);
+                core.handle(ForwardEvent::StoreChanged { revision });
+            }
+        }
+        read_to = piece.upto;
+        core.update(|state| state.record_changes(piece));
+    }
+    core.update(|state| state.record_catch_up(core.now()));
+    (read_to > after).then_some(read_to)
+}
+
 // Batches changes in quick succession into one call. Routers other than the first watcher can wait longer because they
 // read changes only after it.
 fn batch_delay<P: PlatformAdapter>(core: &SharedCore<P>) -> ClockSpan {
--- a/crates/proxy/tests/unit/gossip.rs
+++ b/crates/proxy/tests/unit/gossip.rs
@@ -10,7 +10,8 @@
 
 fn message() -> GossipMessage {
     let mut state = ForwardState::new(ForwardSettings::default());
-    state.gossip_message(godwitroad_base::ClockTime::from_ms(1_000), false)
+    let message = state.gossip_message(godwitroad_base::ClockTime::from_ms(1_000), false);
+    GossipMessage { shares_changes: false, ..message }
 }
 
 fn notes(entries: u64) -> QuarantineNotes {
@@ -129,6 +130,15 @@
     assert_eq!(read_by_older, GossipMessage { brittle: Vec::new(), ..message });
 }
 
+#[test]
+fn an_offer_of_changes_comes_back_and_older_routers_read_the_rest() {
+    let message = GossipMessage { shares_changes: true, ..message() };
+    let bytes = encode(&message).expect("a message that fits");
+    assert_eq!(decode(&bytes), Some(message.clone()));
+    let read_by_older: GossipMessage = postcard::from_bytes(&bytes[1..]).expect("a message");
+    assert_eq!(read_by_older, GossipMessage { shares_changes: false, ..message });
+}
+
 #[test]
 fn routers_without_the_quarantine_read_and_are_read() {
     let plain = message();
--- a/crates/proxy/tests/unit/relay.rs
+++ b/crates/proxy/tests/unit/relay.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 
 use actix_rt::System;
+use godwitroad_base::{StoreEra, StoreRevision};
 use proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest};
 use tokio::io::{AsyncReadExt, repeat};
 use yare::parameterized;
@@ -53,7 +54,9 @@
 }
 
 #[parameterized(
-    another_kind = { &[3, 0, 1, 0] },
+    another_kind = { &[4, 0, 1, 0] },
+    changes_after_nothing = { &[3, 0, 1, 0] },
+    changes_with_more_than_a_revision = { &[3, 0, 3, 1, 2, 9] },
     store_with_content = { &[2, 0, 1, 0] },
     too_large = { &[1, 255, 255, 0] },
     more_than_an_opening = { &[1, 0, 6, 1, 97, 5, 1, 98, 7] },
@@ -67,7 +70,8 @@
 
 /// Guards against a peer that makes the reader take or reserve more than an opening needs.
 #[parameterized(
-    another_version = { &[3], 1 },
+    another_version = { &[4], 1 },
+    changes = { &[3, 2, 0], 515 },
     store = { &[2], 3 },
     largest_length = { &[1, 255, 255], 3 },
     one_byte_over = { &[1, 2, 1], 3 },
@@ -82,6 +86,13 @@
     assert_eq!((1 << 20) - bytes.limit(), expected);
 }
 
+#[test]
+fn an_opening_for_changes_is_read_as_it_was_sent() {
+    let opening = RelayOpening::Changes(StoreRevision::new(StoreEra::new(3), u64::MAX));
+    let bytes = opening.encode().expect("a short opening");
+    assert_eq!(read_opening(&bytes).expect("it is readable"), opening);
+}
+
 #[test]
 fn an_altered_opening_is_never_read_as_the_original() {
     let bytes = opening("9c41").encode().expect("a short opening");
