A stopping peer's relayed connections are not used for further requests

Cause: a router that serves through a peer keeps idle connections that lead through it. When that peer stops, a request on one of them may be cut at the end of the peer's grace period, and the connections kept the peer from exiting.

Change: a router closes them when a peer first says that it is stopping. New ones are refused there at once, as before.

--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -218,6 +218,12 @@
         peer.and_then(|peer| peer.last_message.as_ref()).map_or(&[], |message| &message.loads)
     }
 
+    /// Returns whether a peer said that it is stopping.
+    pub fn is_stopping(&self, vm: &VmName) -> bool {
+        let last = self.peers.get(vm).and_then(|peer| peer.last_message.as_ref());
+        last.is_some_and(|message| message.stopping)
+    }
+
     /// Returns whether a message is newer than the last one from its sender.
     pub fn is_newer(&self, message: &GossipMessage) -> bool {
         let last = self.peers.get(&message.place.vm).and_then(|peer| peer.last_message.as_ref());
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -131,6 +131,9 @@
             (message.version, message.proof_age_ms, message.loading.clone());
         let weight_versions = message.weight_versions.clone();
         let timeout = self.peer_timeout(&message);
+        if message.stopping && !self.peers.is_stopping(&message.place.vm) {
+            actions.push(ForwardAction::CloseRelays);
+        }
         if self.peers.is_newer(&message) {
             self.era.record_peer_version(now, message.version);
             // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -219,6 +219,8 @@
     SendGossip,
     /// Call [`ForwardState::next_store_step`] again, as its result may have changed.
     CheckStore,
+    /// Close the idle connections that lead through peers, as one of them is stopping.
+    CloseRelays,
     /// Write a log line: the name of the event and its details.
     Notice(&'static str, String),
 }
--- a/crates/forward/tests/reach.rs
+++ b/crates/forward/tests/reach.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use godwitroad_base::ClockSpan;
-use godwitroad_forward::{DirectOutcome, ForwardEvent, GossipMessage, ReachNotes};
+use godwitroad_forward::{DirectOutcome, ForwardAction, ForwardEvent, GossipMessage, ReachNotes};
 use support::{TestRouter, at, place, router, settings, target};
 use yare::parameterized;
 
@@ -155,7 +155,11 @@
     );
     let cut = ReachNotes { is_cut: true, ..ReachNotes::default() };
     own.receive(1_100, GossipMessage { reach: cut, ..peers[0].gossip_message(1_100) });
+    own.actions.clear();
     own.receive(1_100, GossipMessage { stopping: true, ..peers[1].gossip_message(1_100) });
+    own.receive(1_110, GossipMessage { stopping: true, ..peers[1].gossip_message(1_110) });
+    let closes = own.actions.iter().filter(|action| **action == ForwardAction::CloseRelays);
+    assert_eq!(closes.count(), 1);
     assert_eq!(asked(&mut own, 1_100), ["vm-9"]);
     assert!(asked(&mut own, 9_000).is_empty(), "no peer was heard of lately");
 }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -351,6 +351,11 @@
         self.pool.borrow_mut().close_paths(address, relayed);
     }
 
+    /// Closes the idle connections that lead through peers.
+    pub(crate) fn close_relayed(&self) {
+        self.pool.borrow_mut().close_relayed();
+    }
+
     /// Adds a connection on which nothing was sent to the pool.
     pub(crate) fn add_unused(&self, address: SocketAddr, connection: TargetConnection) {
         self.pool.borrow_mut().put(address, connection, &HeaderMap::new());
--- a/crates/proxy/src/client/pool.rs
+++ b/crates/proxy/src/client/pool.rs
@@ -72,6 +72,13 @@
         self.idle.remove(&address);
     }
 
+    /// Closes the idle connections that lead through peers, whatever their addresses.
+    pub(super) fn close_relayed(&mut self) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|entry| !entry.connection.is_relayed());
+        }
+    }
+
     /// Closes the idle connections to an address that lead through a peer, or those that don't.
     pub(super) fn close_paths(&mut self, address: SocketAddr, relayed: bool) {
         if let Some(idle) = self.idle.get_mut(&address) {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -111,6 +111,7 @@
                 }
                 ForwardAction::SendGossip => self.send_gossip.notify_one(),
                 ForwardAction::CheckStore => self.check_store.notify_one(),
+                ForwardAction::CloseRelays => self.client.close_relayed(),
                 ForwardAction::Notice(event, detail) => {
                     self.metrics.count(event, 1);
                     self.log.event(event, &detail);
