--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -47,7 +47,7 @@
     AllowanceSettings, AllowanceTable, CacheEventBatch, CachedSegments, ChangeLog, ChoiceSettings,
     ConfigFreshness, ContactSettings, ForwardRefusal, ForwardRules, GossipMessage, LoadTable,
     OriginNotes, OriginSettings, PeerPlace, PeerTable, ReachSettings, RefusalReason, ReloadEntry,
-    SentPromptEntry, StopPhase, StopSchedule, TargetRecord, TargetRoster, reach::ReachTable,
+    SentPromptEntry, StopPhase, TargetRecord, TargetRoster, reach::ReachTable,
     recent::RecentEntries,
 };
 
@@ -497,11 +497,7 @@
                 actions.push(ForwardAction::Notice("order_answered", detail));
                 self.weights.answer(now, &target, answer);
             }
-            ForwardEvent::Stop { grace } => {
-                if !self.stop.is_stopping() {
-                    self.stop = StopPhase::Draining(StopSchedule::new(now, grace));
-                }
-            }
+            ForwardEvent::Stop { grace } => self.stop.begin(now, grace),
             ForwardEvent::Drained => self.stop = StopPhase::Closed,
             ForwardEvent::Tick => self.tick(now, actions),
         }
--- a/crates/forward/src/stop.rs
+++ b/crates/forward/src/stop.rs
@@ -66,6 +66,13 @@
 }
 
 impl StopPhase {
+    /// Begins a stop that must have ended after `grace`, unless one has begun.
+    pub fn begin(&mut self, now: ClockTime, grace: ClockSpan) {
+        if !self.is_stopping() {
+            *self = StopPhase::Draining(StopSchedule::new(now, grace));
+        }
+    }
+
     /// Returns whether the router is stopping.
     pub fn is_stopping(self) -> bool {
         self != StopPhase::Running
