Routers of a zone read a change at different times, and watchers are asked last

Change: a router waits for a random time, up to 16 ms for each router of its zone and 800 ms at most, before it reads a change from a peer, and asks routers that watch the store last.

--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -27,6 +27,12 @@
 /// The time since the last read after which a router also reads changes that are not urgent.
 const NON_URGENT_READ_DELAY: ClockSpan = ClockSpan::from_ms(3_000);
 
+/// The longest pause before changes are read from peers, for each reachable peer of the zone.
+const CATCH_UP_PAUSE_PER_PEER: ClockSpan = ClockSpan::from_ms(16);
+
+/// The longest such pause in a large zone.
+const MAX_CATCH_UP_PAUSE: ClockSpan = ClockSpan::from_ms(800);
+
 /// What a router should do next to learn of changes in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreStep {
@@ -171,7 +177,17 @@
         let has_newer = |message: &GossipMessage| {
             message.shares_changes && !message.stopping && message.revision > after
         };
-        self.nearest_peers(now, key, has_newer, |_| 0)
+        // Watchers have a change first, and are needed for the next one.
+        self.nearest_peers(now, key, has_newer, |message| u8::from(message.watches_store))
+    }
+
+    /// Returns how long to wait before changes are read from peers. All routers of a zone hear of a change at once, when
+    /// only the zone's watcher has it; those that wait read it from others.
+    pub fn catch_up_pause(&mut self, now: ClockTime) -> ClockSpan {
+        let zone = &self.settings.place.zone;
+        let near = self.peers.reachable(now).filter(|(message, _)| message.place.zone == *zone);
+        let longest = near.count() as u64 * CATCH_UP_PAUSE_PER_PEER.as_ms();
+        ClockSpan::from_ms(self.random.below(longest.min(MAX_CATCH_UP_PAUSE.as_ms()) + 1))
     }
 
     /// Keeps an answer of the store for peers.
--- a/crates/forward/tests/store_watch.rs
+++ b/crates/forward/tests/store_watch.rs
@@ -393,3 +393,26 @@
         }
     }
 }
+
+// All routers of a zone hear of a change at the same time. If they all asked its watcher at once, it would answer no
+// other calls for long.
+#[test]
+fn routers_of_a_zone_read_a_change_at_different_times_and_watchers_are_asked_last() {
+    let mut own = TestRouter::new(settings("vm-own", 200));
+    let template =
+        GossipMessage { shares_changes: true, revision: revision(9), ..own.gossip_message(1) };
+    for index in 0..40 {
+        let place = place(&format!("vm-{index:02}"), "a", index + 1);
+        let message = GossipMessage { place, watches_store: index == 0, ..template.clone() };
+        own.receive(2, message);
+    }
+    let pauses: Vec<u64> = (0..100).map(|_| own.state.catch_up_pause(at(3)).as_ms()).collect();
+    assert!(pauses.iter().all(|pause| *pause <= 640), "{pauses:?}");
+    let soon = pauses.iter().filter(|pause| **pause < 100).count();
+    assert!((5..30).contains(&soon), "{soon} of 100 in the first 100 ms");
+    for _ in 0..20 {
+        let peers = own.state.change_peers(at(3), revision(8));
+        assert!(!peers.is_empty() && peers.iter().all(|peer| peer.vm != "vm-00".into()));
+    }
+    assert!(own.state.change_peers(at(3), revision(9)).is_empty());
+}
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -229,6 +229,9 @@
     while core.read(|state| state.store_era()) == Some(after.era()) {
         let step = core.read(|state| state.next_store_step(core.now(), after));
         // A router without an answer of the store follows its peers as far as they know more.
+        if step == StoreStep::CatchUp && !backoff.is_failing() {
+            core.sleep(core.update(|state| state.catch_up_pause(core.now()))).await;
+        }
         if (step == StoreStep::CatchUp || backoff.is_failing())
             && let Some(revision) = catch_up(core, listed, after).await
         {
