Relay: one function connects to a peer and sends an opening; comments

Reading changes from a peer repeated what opening a connection to a target does. Three doc comments say what they mean to a reader who has seen nothing else. No behaviour changes.

--- a/crates/forward/src/stop.rs
+++ b/crates/forward/src/stop.rs
@@ -29,7 +29,7 @@
 pub struct StopSchedule {
     /// When idle connections are closed.
     pub close_idle_at: ClockTime,
-    /// Until when the router stays although nothing is open.
+    /// The earliest time of the exit, even if no request is open.
     pub drain_until: ClockTime,
     /// When all requests must have been answered.
     pub answer_by: ClockTime,
--- a/crates/proxy/src/relay/changes.rs
+++ b/crates/proxy/src/relay/changes.rs
@@ -1,16 +1,16 @@
 //! Reads changes of the store from a peer that has them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use godwitroad_base::StoreRevision;
 use godwitroad_forward::{ChangePiece, MAX_CHANGES_BYTES, RelayPeer};
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt},
     time::timeout,
 };
 
-use super::{OpeningAnswer, RelayOpening, dial::connect_from};
-use crate::{client::watched_stream::WatchedStream, core::SharedCore, platform::PlatformAdapter};
+use super::{OpeningAnswer, RelayOpening, dial::send_opening};
+use crate::{core::SharedCore, platform::PlatformAdapter};
 
 /// The time limit for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -70,14 +70,9 @@
     peer: &RelayPeer,
     after: StoreRevision,
 ) -> Result<Vec<ChangePiece>> {
-    let (own_address, port) = {
-        let settings = core.settings.borrow();
-        (settings.forward.place.address, settings.peers.port())
-    };
-    let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
-    let mut stream = WatchedStream::new(stream);
     let opening = RelayOpening::Changes(after).encode();
-    stream.write_all(&opening.expect("a revision fits an opening")).await?;
+    let opening = opening.expect("a revision fits an opening");
+    let mut stream = send_opening(core, peer, &opening).await?;
     decode(&mut stream).await
 }
 
--- a/crates/proxy/src/relay/dial.rs
+++ b/crates/proxy/src/relay/dial.rs
@@ -253,14 +253,8 @@
     peer: &RelayPeer,
     opening: &RelayOpening,
 ) -> std::result::Result<TargetConnection, RelayFailure> {
-    let (own_address, port) = {
-        let settings = core.settings.borrow();
-        (settings.forward.place.address, settings.peers.port())
-    };
     let opening = opening.encode().ok_or(RelayFailure::TooLarge)?;
-    let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
-    let mut stream = WatchedStream::new(stream);
-    stream.write_all(&opening).await?;
+    let mut stream = send_opening(core, peer, &opening).await?;
     let code = stream.read_u8().await?;
     match OpeningAnswer::from_code(code) {
         Some(OpeningAnswer::Connected) => {
@@ -272,8 +266,28 @@
     }
 }
 
+/// Connects to a peer and sends an encoded opening.
+///
+/// # Errors
+///
+/// Returns the error of the connection.
+pub(super) async fn send_opening<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    peer: &RelayPeer,
+    opening: &[u8],
+) -> std::io::Result<WatchedStream> {
+    let (own_address, port) = {
+        let settings = core.settings.borrow();
+        (settings.forward.place.address, settings.peers.port())
+    };
+    let stream = connect_from(own_address, SocketAddr::new(peer.address, port)).await?;
+    let mut stream = WatchedStream::new(stream);
+    stream.write_all(opening).await?;
+    Ok(stream)
+}
+
 // Connects from the router's own address, by which the peer recognizes it.
-pub(super) async fn connect_from(own: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect_from(own: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(own, 0))?;
     socket.connect(to).await
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -47,7 +47,7 @@
     Target(TargetOpening),
     /// The store.
     Store,
-    /// Nothing: the peer answers with the changes of the store after this revision.
+    /// No connection; the peer itself answers with the store's changes after this revision.
     Changes(StoreRevision),
 }
 
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -16,7 +16,7 @@
 /// The longest time before the end of the process that is reserved for the last answers.
 const MAX_ANSWER_MARGIN: ClockSpan = ClockSpan::from_ms(500);
 
-/// The divisor of the time limit that gives the margin of short ones.
+/// A short stop reserves its time limit divided by this for the last answers.
 const ANSWER_MARGIN_DIVISOR: u64 = 8;
 
 /// The phase of a planned stop.
