--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -169,6 +169,10 @@
 impl Client {
     pub fn connect(address: SocketAddr, patience: Duration) -> Option<Client> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        Client::over(stream, patience)
+    }
+
+    pub fn over(stream: TcpStream, patience: Duration) -> Option<Client> {
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(patience)).ok()?;
         let writer = stream.try_clone().ok()?;
--- a/review/standin/member.rs
+++ b/review/standin/member.rs
@@ -146,6 +146,10 @@
         client.read().is_some_and(|answer| answer.status == 200)
     }
 
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         // The process is a child of this one, so that its id can't have been given to another.
         unsafe { kill(self.child.id() as i32, signal) };
