Reset callers' connections that end before an answer without framing does

Cause: only the end of the connection marks the end of such an answer, and the kernel ends the connections of a killed process in the same way (FIN). Marking a broken end inside an event needs a process that lives.

Change: the socket of a connection that carries such an answer has SO_LINGER with a time of zero, which is cleared when the body has ended and all of it was written, right before the orderly close. Any other end is a reset. The same holds for callers of HTTP/1.0, whose streams never have framing. Found on the way: a caller that closes its own side got an orderly end of an open stream.

--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -29,6 +29,7 @@
     stream::{CallerStream, StreamBody},
 };
 use crate::{
+    caller_stream::mark_end_by_close,
     client::{BodyFraming, TargetExchange},
     core::SharedCore,
     platform::PlatformAdapter,
@@ -328,7 +329,8 @@
 }
 
 // Delivers an answer. If only the end of the connection marks the end of the target's answer, the answer may be cut, so it
-// is passed on in the same way rather than with a length or chunks that would declare it complete.
+// is passed on in the same way rather than with a length or chunks that would declare it complete. The caller's connection
+// is reset if the answer doesn't reach its end here.
 fn deliver<P: PlatformAdapter>(
     core: &SharedCore<P>,
     head: &AnswerHead,
@@ -347,6 +349,9 @@
     if core.is_stopping() || is_unframed {
         response.force_close();
     }
+    if is_unframed && let Err(error) = mark_end_by_close() {
+        core.log.warn("reset_at_close_not_set", &format!("error={error}"));
+    }
     let mut response = response.body(body);
     response.head_mut().no_chunking(is_unframed);
     response
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -4,6 +4,10 @@
 //! are unread. A busy process may find a request and the reason to close its connection at the same time. For the same
 //! reason the time limit for the head of the first request is applied here, where nothing else can be read: the service
 //! would look at its timer before it reads.
+//!
+//! An answer with neither a length nor chunks is complete for its caller when the connection ends in order. The kernel ends
+//! the connections of a killed process in order, too, so a connection with such an answer is set to be reset at its end, until
+//! all of the answer was written.
 
 use std::{
     cell::{Cell, RefCell},
@@ -57,9 +61,17 @@
     is_receiving: Cell<bool>,
     // The time of the last transfer or complete answer.
     last: Cell<Instant>,
+    // Whether an orderly end of the connection marks the end of an answer.
+    marks_end: Cell<bool>,
 }
 
 impl ConnectionActivity {
+    // Sets whether the connection is reset when its socket is closed, by this process or with it.
+    fn set_reset_at_close(&self, resets: bool) -> io::Result<()> {
+        let stream = self.stream.borrow();
+        SockRef::from(&*stream).set_linger(resets.then_some(Duration::ZERO))
+    }
+
     fn record(&self, is_receiving: bool) {
         self.is_receiving.set(is_receiving);
         self.last.set(Instant::now());
@@ -167,6 +179,7 @@
             open_requests: Cell::new(0),
             is_receiving: Cell::new(true),
             last: Cell::new(Instant::now()),
+            marks_end: Cell::new(false),
         });
         let head_end = Box::pin(sleep(Duration::from_millis(head_timeout.as_ms())));
         CallerStream { stream, activity, head_end, has_new_bytes: false }
@@ -201,6 +214,22 @@
     }
 }
 
+/// Declares that only the end of the current task's connection marks the end of its answer. Unless the answer's body has
+/// ended and all of it was written, the connection is reset, also if the process is killed.
+///
+/// # Errors
+///
+/// Returns an error if the socket doesn't take the option.
+///
+/// # Panics
+///
+/// Panics if the current task doesn't serve a [`CallerStream`].
+pub(crate) fn mark_end_by_close() -> io::Result<()> {
+    let activity = CURRENT_ACTIVITY.with(Rc::clone);
+    activity.marks_end.set(true);
+    activity.set_reset_at_close(true)
+}
+
 /// Completes when the connection of the current task has been idle for the time limit in force. `limits` returns the limits
 /// in force.
 ///
@@ -276,7 +305,15 @@
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
+    // The HTTP service calls this after it has written all that it has of an answer.
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.activity.marks_end.get() {
+            if self.activity.open_requests.get() > 0 {
+                // The body hasn't ended, as when the caller has closed its side. The service drops the socket next.
+                return Poll::Ready(Ok(()));
+            }
+            self.activity.set_reset_at_close(false)?;
+        }
         Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(context)
     }
 }
