Daemon: bound what the answers to all polls take together

Reported by another operator: a worker's bytes without end took the memory of the machine that had called it. Here, each poll of an engine's load or cache events read up to 64 MiB, and nothing bounded the sum over engines.

Change: answers of up to 64 KiB are read at any time; the rest of a larger one, up to 32 MiB, while no other poll reads one, and within 2 s.

--- a/crates/daemon/src/target/poll.rs
+++ b/crates/daemon/src/target/poll.rs
@@ -2,13 +2,16 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use awc::Client;
+use actix_web::error::PayloadError;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
 use godwitroad_base::{ClockSpan, TargetName};
 use godwitroad_router::{CacheBatch, LoadReport, RouterEvent};
 use rustls::ClientConfig;
 use serde::de::DeserializeOwned;
 use tokio::{
-    sync::mpsc::UnboundedReceiver,
+    sync::{Semaphore, mpsc::UnboundedReceiver},
     task::JoinHandle,
     time::{sleep, timeout},
 };
@@ -28,8 +31,15 @@
 /// The delay after a failed read, so that an unreachable engine is not polled in a tight loop.
 const RETRY_DELAY_MS: u64 = 500;
 
-/// The maximum size of an engine's answer; a snapshot lists its complete cache.
-const MAX_POLL_BYTES: usize = 64 << 20;
+/// The maximum size of an answer that any number of polls may read at a time.
+const MAX_SMALL_BYTES: usize = 64 << 10;
+
+/// The maximum size of an engine's answer; a snapshot lists its complete cache. One answer above [`MAX_SMALL_BYTES`] is read at a
+/// time, so that engines whose answers don't end can't exhaust the memory together.
+const MAX_LARGE_BYTES: usize = 32 << 20;
+
+/// The time in which the rest of a large answer must be received, as other engines wait.
+const LARGE_ANSWER_TIMEOUT_MS: u64 = 2_000;
 
 #[derive(Clone)]
 struct PollContext {
@@ -38,6 +48,8 @@
     event_loop: EventLoopHandle,
     telemetry: Arc<NodeTelemetry>,
     load_poll_interval: ClockSpan,
+    // Held while the rest of a large answer is read.
+    large_answer: Arc<Semaphore>,
 }
 
 /// Runs one pair of tasks for each target of the most recent list.
@@ -49,7 +61,9 @@
     mut lists: UnboundedReceiver<Vec<PollTarget>>,
 ) {
     let (scheme, client) = target_client(tls.as_ref());
-    let context = PollContext { scheme, client, event_loop, telemetry, load_poll_interval };
+    let large_answer = Arc::new(Semaphore::new(1));
+    let context =
+        PollContext { scheme, client, event_loop, telemetry, load_poll_interval, large_answer };
     let mut running: HashMap<TargetName, (PollTarget, Vec<JoinHandle<()>>)> = HashMap::new();
     while let Some(list) = lists.recv().await {
         running.retain(|_, (target, tasks)| {
@@ -125,8 +139,7 @@
             if response.status().as_u16() != 200 {
                 return None;
             }
-            let body = response.body().limit(MAX_POLL_BYTES).await.ok()?;
-            serde_json::from_slice(&body).ok()
+            self.read_answer(&mut response).await
         };
         let value = timeout(Duration::from_millis(timeout_ms), read).await.ok().flatten();
         if value.is_none() {
@@ -134,4 +147,46 @@
         }
         value
     }
+
+    // Returns `None` if the answer is too large, breaks off or can't be decoded.
+    async fn read_answer<T: DeserializeOwned, S>(
+        &self,
+        response: &mut ClientResponse<S>,
+    ) -> Option<T>
+    where
+        S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    {
+        let mut body = Vec::new();
+        if read_up_to(response, &mut body, MAX_SMALL_BYTES).await? == BodyEnd::Reached {
+            return serde_json::from_slice(&body).ok();
+        }
+        let _permit = self.large_answer.acquire().await.ok()?;
+        let rest = read_up_to(response, &mut body, MAX_LARGE_BYTES);
+        let end = timeout(Duration::from_millis(LARGE_ANSWER_TIMEOUT_MS), rest).await.ok()??;
+        (end == BodyEnd::Reached).then(|| serde_json::from_slice(&body).ok()).flatten()
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyEnd {
+    Reached,
+    BeyondLimit,
+}
+
+// Appends a body to `bytes` until it ends, or until there are more than `limit`. Returns `None` if the body breaks off.
+async fn read_up_to<S>(
+    response: &mut ClientResponse<S>,
+    bytes: &mut Vec<u8>,
+    limit: usize,
+) -> Option<BodyEnd>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    while bytes.len() <= limit {
+        match response.next().await {
+            Some(part) => bytes.extend_from_slice(&part.ok()?),
+            None => return Some(BodyEnd::Reached),
+        }
+    }
+    Some(BodyEnd::BeyondLimit)
 }
