Urgent gossip of large fleets doesn't leave the region

Cause, from a trial that logged each message: urgent messages with news of streams that broke off at their beginning, to all 294 peers, were 62 to 71 MB a second to the other region over a link that takes 37.5 MB, when 40 targets crashed. What the full link broke off was news again.

Change: where a fleet is so large that routers outside a zone get messages in turn, an urgent message of a change of the store goes to the own zone, and one with news that only this router has to the own region. Other regions get both in the regular rounds. Small fleets: unchanged.

--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -122,7 +122,7 @@
 
     /// Returns whether admissions or sent prompts should be gossiped without waiting for the next round.
     pub fn has_urgent_gossip(&self) -> bool {
-        // Urgent messages go to all peers; in a large fleet, sent prompts, the use of limits and targets that leave
+        // Urgent messages go to many peers; in a large fleet, sent prompts, the use of limits and targets that leave
         // therefore wait for the regular rounds.
         self.has_new_sent_prompts && self.other_zone_rounds() == 1
             || self.throttle.has_unreported() && self.other_zone_rounds() == 1
--- a/crates/forward/src/state/gossip_schedule.rs
+++ b/crates/forward/src/state/gossip_schedule.rs
@@ -3,6 +3,11 @@
 //! With a message to every peer in every round, the traffic of each router would grow with the fleet. Peers in the same
 //! availability zone get one in every round, as they share its targets. The others get one in turn, some in each round,
 //! which bounds a router's traffic in a large fleet; each message states how long the next one may take.
+//!
+//! Urgent messages of a small fleet go to all peers. In a large one they would fill the links between regions when many
+//! routers have the same news, as when many targets load weights or crash. There, a change of the store goes to the own zone, as each
+//! zone has routers that watch the store, and what only this router knows goes to the own region. Other regions learn of both
+//! in the regular rounds: of a change from the first of many routers whose turn it is.
 
 use std::net::IpAddr;
 
@@ -30,30 +35,41 @@
         GOSSIP_INTERVAL
     }
 
-    /// Returns the minimum time before an urgent message; it grows with the fleet, as all peers get urgent messages.
+    /// Returns the minimum time before an urgent message; it grows with the fleet, as many peers get urgent messages.
     pub fn urgent_gossip_pause(&self) -> ClockSpan {
         ClockSpan::from_ms(MIN_URGENT_PAUSE.as_ms() * self.other_zone_rounds())
     }
 
-    /// Returns the addresses of the peers that get a message in a round; an urgent one goes to all peers.
+    /// Returns the addresses of the peers that get a message in a round, which may be an urgent one. The caller must ask before it
+    /// takes the message, after which this router has no news.
     pub fn gossip_recipients(&self, round: u64, urgent: bool) -> Vec<IpAddr> {
         let other_zone_rounds = self.other_zone_rounds();
+        let is_large = other_zone_rounds > 1;
+        let has_own_news = urgent && self.has_own_news();
         let mut recipients = Vec::new();
         for (index, peer) in self.peers.iter().enumerate() {
-            let rounds = if peer.place.zone == self.settings.place.zone {
-                1
+            let (rounds, is_urgent) = if peer.place.zone == self.settings.place.zone {
+                (1, urgent)
             } else if self.is_other_region(&peer.place) {
-                other_zone_rounds.max(OTHER_REGION_ROUNDS)
+                (other_zone_rounds.max(OTHER_REGION_ROUNDS), urgent && !is_large)
             } else {
-                other_zone_rounds
+                (other_zone_rounds, urgent && !is_large || has_own_news)
             };
-            if urgent || (round + index as u64).is_multiple_of(rounds) {
+            if is_urgent || (round + index as u64).is_multiple_of(rounds) {
                 recipients.push(peer.place.address);
             }
         }
         recipients
     }
 
+    // Returns whether this router has urgent news that no other router tells.
+    fn has_own_news(&self) -> bool {
+        self.stop.is_stopping()
+            || self.allowance.needs_immediate_report()
+            || self.quarantine.has_news()
+            || self.repeats.has_news()
+    }
+
     // Returns the number of rounds in which each peer outside this router's zone gets one message.
     pub(super) fn other_zone_rounds(&self) -> u64 {
         let own = &self.settings.place.zone;
--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -118,8 +118,8 @@
             }
             router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
             router.handle(now, ForwardEvent::Tick);
-            let message = router.gossip_message(now);
             let recipients = router.state.gossip_recipients(round, is_urgent);
+            let message = router.gossip_message(now);
             self.next_rounds[index] = (now + 200, round + 1);
             for to in 0..self.plan.routers {
                 let is_sent = to != index && recipients.contains(&place_of(to).address);
--- a/crates/forward/tests/support/leaving_fleet.rs
+++ b/crates/forward/tests/support/leaving_fleet.rs
@@ -466,10 +466,10 @@
                 continue;
             }
             self.routers[router].handle(now, ForwardEvent::Tick);
-            let message = self.routers[router].gossip_message(now);
             self.rounds[router] += 1;
             let recipients =
                 self.routers[router].state.gossip_recipients(self.rounds[router], is_urgent);
+            let message = self.routers[router].gossip_message(now);
             for to in
                 (0..self.plan.routers).filter(|to| recipients.contains(&router_place(*to).address))
             {
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -54,14 +54,18 @@
     round: u64,
     is_urgent: bool,
 ) {
+    let recipients = recipients(core, round, is_urgent);
     let message =
         core.update(|state| state.gossip_message(core.now(), round < INTRODUCTION_ROUNDS));
     let Some(bytes) = encode(&message) else {
         core.log.warn("note_too_large", &format!("sequence={}", message.sequence));
         return;
     };
+    let urgency = if is_urgent { "urgent" } else { "regular" };
+    core.metrics.count(&format!("notes.{urgency}"), recipients.len() as u64);
+    core.metrics.count(&format!("notes.{urgency}_bytes"), (recipients.len() * bytes.len()) as u64);
     let port = core.settings.borrow().peers.port();
-    for address in recipients(core, round, is_urgent) {
+    for address in recipients {
         // A send error has the same effect as a lost datagram.
         let _ = socket.send_to(&bytes, SocketAddr::new(address, port)).await;
     }
