An account that becomes isolated leaves nothing to others

Cause: the salt of all accounts that aren't isolated names the model and its version alone. Change: it names the set of isolated accounts too, by a hash of their names, so that under one salt only accounts outside the set ever sent.

The new test compares the salts before and after; the old salt of the others doesn't depend on the set, which its first check rejects.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod changes;
 mod choice;
 mod freshness;
+mod isolation;
 mod leaving;
 mod load;
 mod peers;
--- a/crates/forward/src/segments.rs
+++ b/crates/forward/src/segments.rs
@@ -1,7 +1,7 @@
 //! Tracks which prompt segments each target has in its cache.
 //!
 //! A caller declares its prompt as a list of segments ([`PromptPart`]), and engines cache complete segments under a
-//! salt that the router sets. The salt contains the version of the weights and, for isolated accounts, the account, so
+//! salt that the router sets. The salt contains the version of the weights and the account or the set of isolated accounts, so
 //! that a segment computed with other weights or for another isolated account is never reused. Sizes are counted in
 //! tokens, as segments differ widely in length.
 //!
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -49,7 +49,7 @@
     ConfigFreshness, ContactSettings, ForwardRefusal, ForwardRules, GossipMessage, LoadTable,
     OriginNotes, OriginSettings, PeerPlace, PeerTable, ReachSettings, RefusalReason, ReloadEntry,
     SentPromptEntry, StopPhase, TargetRecord, TargetRoster, announcements::AnnouncementList,
-    reach::ReachTable, recent::RecentEntries,
+    isolation::IsolatedAccounts, reach::ReachTable, recent::RecentEntries,
 };
 
 use brittle::BrittleState;
@@ -254,6 +254,7 @@
 pub struct ForwardState {
     settings: ForwardSettings,
     rules: Option<Arc<ForwardRules>>,
+    isolated: IsolatedAccounts,
     freshness: ConfigFreshness,
     store_failing_since: Option<ClockTime>,
     store_recovered_at: Option<ClockTime>,
@@ -358,6 +359,7 @@
     pub fn new(settings: ForwardSettings) -> ForwardState {
         ForwardState {
             rules: None,
+            isolated: IsolatedAccounts::default(),
             freshness: ConfigFreshness::default(),
             store_failing_since: None,
             store_recovered_at: None,
@@ -544,6 +546,7 @@
         self.return_queues.retain(|service, _| rules.services.contains_key(service));
         self.origins.set_span(origins::take_up_span(&rules));
         self.deferral_queues.clear();
+        self.isolated = IsolatedAccounts::new(&rules.accounts);
         self.rules = Some(rules);
     }
 
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -12,7 +12,7 @@
 use crate::{
     EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, PromptDemand, RefusalReason,
     SegmentKey, SegmentSource, SendPlan, TargetCandidate, TargetRecord, WorkSum, ZoneDistance,
-    choose_candidate, tag_of,
+    choose_candidate, isolation::IsolatedAccounts, tag_of,
 };
 
 /// The retry-after time if no target is usable; a target's restart or loading of weights takes about this long.
@@ -272,7 +272,7 @@
             records.iter().map(|record| version_of(request, record)).collect();
         let mut prompts = Vec::new();
         for version in versions {
-            let mut prompt = salted_prompt(request, version);
+            let mut prompt = salted_prompt(request, version, &self.isolated);
             prompt.holders = self.holders(now, request, rules, &prompt.chain);
             prompts.push(prompt);
         }
@@ -493,12 +493,15 @@
     record.versions.get(request.arrival.model.as_ref()?).copied()
 }
 
-fn salted_prompt(request: &ForwardRequest, version: Option<u64>) -> SaltedPrompt {
+fn salted_prompt(
+    request: &ForwardRequest,
+    version: Option<u64>,
+    isolated: &IsolatedAccounts,
+) -> SaltedPrompt {
     let arrival = &request.arrival;
     let model = arrival.model.as_ref().map_or("", ModelName::as_str);
-    let account = request.account.as_ref().filter(|account| account.isolated);
-    let account = account.map_or("", |account| account.name.as_str());
-    let salt: Arc<str> = format!("{model}.{}.{account}", version.unwrap_or(0)).into();
+    let wall = isolated.salt_of(request.account.as_deref());
+    let salt: Arc<str> = format!("{model}.{}.{wall}", version.unwrap_or(0)).into();
     let chain =
         arrival.prompt.iter().map(|part| (SegmentKey::new(&salt, &part.id), part.tokens)).collect();
     SaltedPrompt { version, salt, chain, holders: Vec::new() }
--- a/crates/forward/tests/placement.rs
+++ b/crates/forward/tests/placement.rs
@@ -7,7 +7,8 @@
 
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::{
-    CacheEvent, CacheEventBatch, FeedSource, ForwardArrival, ForwardEvent, SegmentKey, SendPlan,
+    AccountRule, CacheEvent, CacheEventBatch, FeedSource, ForwardArrival, ForwardEvent, SegmentKey,
+    SendPlan,
 };
 use support::{TestRouter, arrival, at, prompt, router, rules, target};
 
@@ -103,6 +104,33 @@
     assert_ne!(newer.salt, shared);
 }
 
+/// Guards against an account that becomes isolated while others go on using what its earlier requests left in caches.
+#[test]
+fn an_account_that_becomes_isolated_leaves_nothing_to_others() {
+    let salts = |router: &mut TestRouter, now| {
+        let mut own = prompt("s", "o");
+        own.key = arrival("/stream/x", Some("key-two")).key;
+        [plan_for(router, now, own).salt, plan_for(router, now, prompt("s", "o")).salt]
+    };
+    let mut router = router(0);
+    let [own_before, shared_before] = salts(&mut router, 10);
+    assert_eq!(own_before, shared_before);
+    let mut own = prompt("s", "o");
+    own.key = arrival("/stream/x", Some("key-two")).key;
+    let mut admitted_before = router.state.admit(at(10), own).expect("within the limit");
+    let mut isolated = rules(2);
+    isolated.accounts[1] = Arc::new(AccountRule { isolated: true, ..support::account("two", 0) });
+    router.handle(20, ForwardEvent::Rules(Arc::new(isolated)));
+    let [own_after, shared_after] = salts(&mut router, 30);
+    assert_ne!(shared_after, shared_before, "others find what the account left");
+    assert_ne!(own_after, shared_after);
+    let plan = router.state.choose_target(at(30), &mut admitted_before).expect("a target");
+    assert_eq!(plan.salt, own_after, "a request that was admitted before adds to what others find");
+    // What was left while nobody was isolated may be found again when nobody is.
+    router.handle(40, ForwardEvent::Rules(Arc::new(rules(3))));
+    assert_eq!(salts(&mut router, 50), [own_before, shared_before]);
+}
+
 #[test]
 fn cache_entries_of_a_restarted_target_are_removed() {
     let mut router = router(0);
