--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -13,6 +13,7 @@
 };
 use tokio::time::Instant;
 
+use super::body::BodyShare;
 use super::events::check_first_event;
 use crate::{
     client::{Result, SendError, TargetExchange},
@@ -30,6 +31,8 @@
     pub(super) body: Bytes,
     /// Whether the caller can read an answer in chunks.
     pub(super) reads_chunks: bool,
+    /// What the body takes of the memory for bodies.
+    pub(super) share: BodyShare,
 }
 
 /// The head of a valid answer, with its body unread.
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -8,8 +8,8 @@
     http::{StatusCode, Version},
     web,
 };
-use bytes::{Bytes, BytesMut};
-use futures_util::{StreamExt, stream};
+use bytes::Bytes;
+use futures_util::stream;
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::{
     AnswerPhase, AttemptOutcome, CallerLimits, ForwardArrival, ForwardRefusal, ForwardRequest,
@@ -18,12 +18,12 @@
 use godwitroad_frontend::framing::{HOP_HEADERS, check_framing};
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Uri,
-    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST},
+    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING},
 };
-use tokio::time::timeout;
 
 use super::{
     attempt::{ActiveAttempt, CallerPayload, is_stream},
+    body::{BodyShare, read_body},
     errors::{error_response, refusal_response},
     handover::open_attempt,
     stream::{CallerStream, StreamBody},
@@ -41,10 +41,17 @@
 
 /// A request that is refused before it reaches the decision state: the status, the type in the error body, and the
 /// reason for the log.
-struct UnreadableRequest {
-    status: u16,
-    kind: &'static str,
-    reason: String,
+pub(super) struct UnreadableRequest {
+    pub(super) status: u16,
+    pub(super) kind: &'static str,
+    pub(super) reason: String,
+    pub(super) retry_after: Option<ClockSpan>,
+}
+
+impl UnreadableRequest {
+    pub(super) fn new(status: u16, kind: &'static str, reason: String) -> UnreadableRequest {
+        UnreadableRequest { status, kind, reason, retry_after: None }
+    }
 }
 
 /// Handles a caller's request and returns the answer, whose body may still be streaming.
@@ -56,11 +63,14 @@
     core.metrics.count("requests.arrived", 1);
     let limits = core.read(|state| state.rules().map(|rules| rules.limits)).unwrap_or_default();
     let request_parts = match read_head(&core, &request, &limits) {
-        Ok((mut arrival, mut payload)) => read_body(body, &limits).await.map(|body| {
-            payload.body = body;
-            arrival.digest = payload.digest(&arrival.host);
-            (arrival, payload)
-        }),
+        Ok((mut arrival, mut payload)) => {
+            let declared = declared_length(&request);
+            read_body(body, declared, &limits, &core.body_budget).await.map(|(body, share)| {
+                (payload.body, payload.share) = (body, share);
+                arrival.digest = payload.digest(&arrival.host);
+                (arrival, payload)
+            })
+        }
         Err(unreadable) => Err(unreadable),
     };
     let (arrival, payload) = match request_parts {
@@ -86,13 +96,22 @@
     request: &HttpRequest,
     unreadable: &UnreadableRequest,
 ) -> HttpResponse {
-    let UnreadableRequest { status, kind, reason } = unreadable;
+    let UnreadableRequest { status, kind, reason, retry_after } = unreadable;
     core.metrics.count("requests.unreadable", 1);
     let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("");
     let detail = format!("status={status} type={kind} reason={reason}");
     core.log.request("request_unreadable", id, &detail);
     // The connection is closed because unread bytes of this request would be parsed as the next one.
-    error_response(*status, kind, "not_run", id, None, true)
+    error_response(*status, kind, "not_run", id, retry_after.map(ClockSpan::as_ms), true)
+}
+
+// Returns the length of a request's body, or `None` if it comes in chunks. The framing is checked when the head is read.
+fn declared_length(request: &HttpRequest) -> Option<usize> {
+    if request.headers().contains_key(TRANSFER_ENCODING.as_str()) {
+        return None;
+    }
+    let length = request.headers().get(CONTENT_LENGTH.as_str());
+    length.map_or(Some(0), |length| length.to_str().ok()?.trim().parse().ok())
 }
 
 fn read_head<P: PlatformAdapter>(
@@ -100,14 +119,14 @@
     request: &HttpRequest,
     limits: &CallerLimits,
 ) -> std::result::Result<(ForwardArrival, CallerPayload), UnreadableRequest> {
-    let invalid = |reason: String| UnreadableRequest { status: 400, kind: "invalid", reason };
+    let invalid = |reason: String| UnreadableRequest::new(400, "invalid", reason);
     check_framing(request.headers()).map_err(|reason| invalid(reason.to_string()))?;
     let target = request.uri().path_and_query().map_or("/", |path| path.as_str());
     let bytes: usize =
         request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
     if bytes + target.len() > limits.head_bytes {
         let reason = format!("the head is larger than {} bytes", limits.head_bytes);
-        return Err(UnreadableRequest { status: 431, kind: "head_too_large", reason });
+        return Err(UnreadableRequest::new(431, "head_too_large", reason));
     }
     let mut headers = HeaderMap::with_capacity(request.headers().len());
     for (name, value) in request.headers() {
@@ -129,35 +148,8 @@
     let method = method.map_err(|error| invalid(error.to_string()))?;
     let uri: Uri = target.parse().map_err(|error| invalid(format!("path: {error}")))?;
     let reads_chunks = request.version() > Version::HTTP_10;
-    Ok((arrival, CallerPayload { method, uri, headers, body: Bytes::new(), reads_chunks }))
-}
-
-async fn read_body(
-    mut body: web::Payload,
-    limits: &CallerLimits,
-) -> std::result::Result<Bytes, UnreadableRequest> {
-    let mut received = BytesMut::new();
-    let read_timeout = std::time::Duration::from_millis(limits.idle_timeout.as_ms());
-    loop {
-        let Ok(chunk) = timeout(read_timeout, body.next()).await else {
-            let reason = "the body was not received in time".to_string();
-            return Err(UnreadableRequest { status: 408, kind: "body_timeout", reason });
-        };
-        match chunk {
-            None => return Ok(received.freeze()),
-            Some(Ok(chunk)) if received.len() + chunk.len() <= limits.body_bytes => {
-                received.extend_from_slice(&chunk);
-            }
-            Some(Ok(_)) => {
-                let reason = format!("the body is larger than {} bytes", limits.body_bytes);
-                return Err(UnreadableRequest { status: 413, kind: "body_too_large", reason });
-            }
-            Some(Err(error)) => {
-                let reason = error.to_string();
-                return Err(UnreadableRequest { status: 400, kind: "body_broken", reason });
-            }
-        }
-    }
+    let (body, share) = (Bytes::new(), BodyShare::default());
+    Ok((arrival, CallerPayload { method, uri, headers, body, reads_chunks, share }))
 }
 
 // Removes the hop-by-hop headers and the framing headers, which are set again for each connection.
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    answer::BodyBudget,
     caller_stream::OpenCount,
     client::TargetClient,
     order_lease, orders,
@@ -46,6 +47,8 @@
     pub(crate) write_entry: Notify,
     /// The requests of callers that have begun to arrive and whose answers aren't complete.
     pub(crate) open_requests: OpenCount,
+    /// The memory for large bodies of callers' requests.
+    pub(crate) body_budget: BodyBudget,
     /// The connections to targets that are relayed for other routers.
     pub(crate) open_relays: Cell<usize>,
     /// Set to `true` to make callers' connections close as soon as they are idle.
@@ -64,6 +67,7 @@
     pub(crate) fn new(platform: P, settings: ProxySettings, log: NodeLog) -> SharedCore<P> {
         let clock = NodeClock::start();
         let state = ForwardState::new(settings.forward.clone());
+        let body_budget = BodyBudget::new(settings.body_budget);
         Rc::new(ProxyCore {
             platform,
             settings: RefCell::new(settings),
@@ -74,6 +78,7 @@
             check_store: Notify::new(),
             write_entry: Notify::new(),
             open_requests: OpenCount::default(),
+            body_budget,
             open_relays: Cell::new(0),
             closing: watch::Sender::new(false),
             answer_due: watch::Sender::new(false),
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -22,6 +22,8 @@
     pub grace: ClockSpan,
     /// The time after which this router's entry in the store expires unless it is renewed.
     pub entry_lease: ClockSpan,
+    /// The bytes that the large bodies of callers' requests may take together. Changes need a restart.
+    pub body_budget: usize,
     /// The settings of the decision state.
     pub forward: ForwardSettings,
 }
@@ -37,6 +39,7 @@
             seeds: Vec::new(),
             grace: ClockSpan::from_secs(8),
             entry_lease: ClockSpan::from_secs(600),
+            body_budget: 64 << 20,
             forward: ForwardSettings::default(),
         }
     }
