Log the figures behind a refused allowance, and late gossip

The log of a refusal by allowance names neither the bucket nor the reports it rests on, so that the hypotheses of docs/incidents/late-gossip.md can't be told apart. allowance_refused has the figures with the request's id, gossip_gaps compares the gaps between a peer's messages with the period that it promised, and the histogram notes_round_ms has the time between a router's own rounds. No decision changes.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -139,6 +139,32 @@
     window: ClockSpan,
 }
 
+/// What a router may admit for an account, in units, and the figures behind it.
+#[derive(Clone, Copy, Debug)]
+struct AllowanceShare {
+    free: f64,
+    // The units per second by which `free` grows.
+    rate: f64,
+    // What overdue peers may have admitted.
+    reserved: f64,
+    // The inflow of the last window that didn't fit the full bucket.
+    spare: f64,
+    // What this router admitted and some peers may not know of.
+    unreported: f64,
+    pool: f64,
+    // What callers ask for at all routers until reports arrive.
+    expected: f64,
+}
+
+/// Why an allowance has no room for a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AllowanceRefusal {
+    /// The time after which the bucket holds enough.
+    pub wait: ClockSpan,
+    /// The figures that decided it, for the log.
+    pub detail: String,
+}
+
 /// The positions of peers in the buckets' lists.
 #[derive(Clone, Debug, Default)]
 struct PeerSlots {
@@ -212,8 +238,8 @@
         recent.map(|peer| peer.reserved(now, self.size, members)).sum()
     }
 
-    // Returns what this router may admit now, and the rate at which that grows.
-    fn free(&mut self, now: ClockTime, view: FleetView) -> (f64, f64) {
+    // Returns what this router may admit now, with the figures behind it.
+    fn share(&mut self, now: ClockTime, view: FleetView) -> AllowanceShare {
         let asked = self.local.reported_rate();
         let recent = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
         let asked_in_all = asked + recent.map(|peer| f64::from(peer.asked_rate)).sum::<f64>();
@@ -222,22 +248,44 @@
             + (1.0 - EVEN_FRACTION) * if asked_in_all > 0.0 { asked / asked_in_all } else { even };
         let rate = self.size.rate * view.fraction * weight;
         let debt = self.local.pay_back(now, rate);
-        let level = self.level - self.reserved(now, view.members);
-        if level <= 0.0 {
-            return (level, self.size.rate * view.fraction);
-        }
+        let reserved = self.reserved(now, view.members);
+        let level = self.level - reserved;
         let unreported = self.local.unreported(now, view.delay);
-        let pool = level
-            + unreported
-            + self.spare.sum(now, view.window)
-            + self.size.margin * view.fraction;
+        let spare = self.spare.sum(now, view.window);
+        let pool = level + unreported + spare + self.size.margin * view.fraction;
         let expected = asked_in_all * seconds(view.delay);
+        let share =
+            AllowanceShare { free: level, rate, reserved, spare, unreported, pool, expected };
+        if level <= 0.0 {
+            return AllowanceShare { rate: self.size.rate * view.fraction, ..share };
+        }
         let free = if expected < pool {
             asked * seconds(view.delay) + (pool - expected) * (weight + even) / 2.0 - unreported
         } else {
             pool * weight - unreported.max(debt)
         };
-        (free.min(level), rate)
+        AllowanceShare { free: free.min(level), ..share }
+    }
+
+    fn describe(&self, now: ClockTime, share: AllowanceShare, view: FleetView) -> String {
+        let ages = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
+        let oldest = ages.map(|peer| now.since(peer.last_received).as_ms()).max();
+        format!(
+            "free={:.0} level={:.0} burst={:.0} rate={:.0} reserved={:.0} spare={:.0} unreported={:.0} pool={:.0} expected={:.0} \
+             members={} reachable={} report_delay_ms={} oldest_report_ms={oldest:?}",
+            share.free,
+            self.level,
+            self.size.burst,
+            self.size.rate,
+            share.reserved,
+            share.spare,
+            share.unreported,
+            share.pool,
+            share.expected,
+            view.members,
+            view.reachable,
+            view.delay.as_ms(),
+        )
     }
 
     // Subtracts the share of a peer that has become unreachable, as the peer may go on admitting requests against it.
@@ -390,14 +438,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the bucket holds enough, if it is empty now.
+    /// Returns the refusal if this router's share of the allowance is used up.
     pub fn admit(
         &mut self,
         now: ClockTime,
         rule: &AccountRule,
         units: u64,
         peers: &PeerTable,
-    ) -> std::result::Result<(), ClockSpan> {
+    ) -> std::result::Result<(), AllowanceRefusal> {
         if rule.rate == 0 && rule.burst == 0 {
             return Ok(());
         }
@@ -405,10 +453,12 @@
         let view = self.fleet_view(peers);
         let bucket = self.bucket(now, rule, peers);
         bucket.local.ask(now, units);
-        let (free, rate) = bucket.free(now, view);
-        if free <= 0.0 {
-            let wait = (units as f64 - free) * 1_000.0 / rate.max(1.0);
-            return Err(ClockSpan::from_ms(wait as u64).min(MAX_RETRY_AFTER));
+        let share = bucket.share(now, view);
+        if share.free <= 0.0 {
+            let wait = (units as f64 - share.free) * 1_000.0 / share.rate.max(1.0);
+            let wait = ClockSpan::from_ms(wait as u64).min(MAX_RETRY_AFTER);
+            let detail = bucket.describe(now, share, view);
+            return Err(AllowanceRefusal { wait, detail });
         }
         bucket.level -= units as f64;
         bucket.local.admit(units);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,7 +29,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use allowance::{AllowanceSettings, AllowanceTable, UsageEntry};
+pub use allowance::{AllowanceRefusal, AllowanceSettings, AllowanceTable, UsageEntry};
 pub use changes::{ChangeLog, ChangePiece, MAX_CHANGES_BYTES};
 pub use choice::{
     ChoiceSettings, PromptDemand, SegmentSource, TargetCandidate, TargetChoice, ZoneDistance,
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -218,6 +218,11 @@
         peer.and_then(|peer| peer.last_message.as_ref()).map_or(&[], |message| &message.loads)
     }
 
+    /// Returns what is known about a peer.
+    pub fn get(&self, vm: &VmName) -> Option<&PeerState> {
+        self.peers.get(vm)
+    }
+
     /// Returns whether a peer said that it is stopping.
     pub fn is_stopping(&self, vm: &VmName) -> bool {
         let last = self.peers.get(vm).and_then(|peer| peer.last_message.as_ref());
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -6,7 +6,7 @@
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, ServiceName};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::ForwardState;
+use super::{ForwardAction, ForwardState};
 use crate::{
     AccountRule, ForwardArrival, ForwardRefusal, ForwardRequest, ForwardRules, RefusalReason,
     RouteRule, StopPhase,
@@ -110,7 +110,13 @@
         };
         match self.allowance.admit(now, rule, units, &self.peers) {
             Ok(()) => Ok(units),
-            Err(wait) => Err(ForwardRefusal::after(RefusalReason::AllowanceUsed, wait)),
+            Err(refusal) => {
+                let (id, account) = (&arrival.id, rule.name.as_str());
+                let detail =
+                    format!("request={id} account={account} units={units} {}", refusal.detail);
+                self.notices.push(ForwardAction::Notice("allowance_refused", detail));
+                Err(ForwardRefusal::after(RefusalReason::AllowanceUsed, refusal.wait))
+            }
         }
     }
 
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -135,6 +135,7 @@
             actions.push(ForwardAction::CloseRelays);
         }
         if self.peers.is_newer(&message) {
+            self.record_gossip_gap(now, &message);
             self.era.record_peer_version(now, message.version);
             // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
             if let Some(rules) = &self.rules {
--- a/crates/forward/src/state/gossip_schedule.rs
+++ b/crates/forward/src/state/gossip_schedule.rs
@@ -11,7 +11,7 @@
 
 use std::net::IpAddr;
 
-use godwitroad_base::ClockSpan;
+use godwitroad_base::{ClockSpan, ClockTime};
 
 use super::ForwardState;
 use crate::{GossipMessage, MIN_PEER_TIMEOUT};
@@ -84,6 +84,24 @@
         )
     }
 
+    /// Returns the longest time until the next message of a message's sender, apart from its delay on the way.
+    fn promised_gap(&self, message: &GossipMessage) -> ClockSpan {
+        if message.place.zone == self.settings.place.zone {
+            GOSSIP_INTERVAL
+        } else {
+            ClockSpan::from_ms(message.period_ms.into())
+        }
+    }
+
+    pub(super) fn record_gossip_gap(&mut self, now: ClockTime, message: &GossipMessage) {
+        let Some(peer) = self.peers.get(&message.place.vm) else { return };
+        let previous = peer.last_message.as_ref();
+        let previous = previous.filter(|last| last.incarnation == message.incarnation);
+        if let (Some(previous), Some(last_received)) = (previous, peer.last_received) {
+            self.gossip_gaps.record(now.since(last_received), self.promised_gap(previous));
+        }
+    }
+
     /// Returns the time after which the sender of a message counts as unreachable if no other one arrives: 2.5 of its
     /// periods, but at least [`MIN_PEER_TIMEOUT`].
     pub(super) fn peer_timeout(&self, message: &GossipMessage) -> ClockSpan {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod deferral;
 mod era;
 mod gossip;
+mod gossip_gaps;
 mod gossip_schedule;
 mod handover;
 mod health;
@@ -55,6 +56,7 @@
 use brittle::BrittleState;
 use deferral::DeferralQueues;
 use era::EraProgress;
+use gossip_gaps::GossipGaps;
 use health::HealthTable;
 use quarantine::SharedQuarantine;
 pub use reach::{ConnectPlan, RelayPeer};
@@ -264,6 +266,7 @@
     era: EraProgress,
     roster: TargetRoster,
     peers: PeerTable,
+    gossip_gaps: GossipGaps,
     allowance: AllowanceTable,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
     cached_segments: BTreeMap<FeedSource, CachedSegments>,
@@ -369,6 +372,7 @@
             era: EraProgress::default(),
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
+            gossip_gaps: GossipGaps::default(),
             allowance: AllowanceTable::new(settings.allowance),
             retry_budgets: BTreeMap::new(),
             cached_segments: BTreeMap::new(),
@@ -576,6 +580,9 @@
         self.observe_builds(now);
         self.end_deferrals(now, actions);
         self.loads.set_peers(self.peers.reachable(now).map(|(message, _)| message));
+        if let Some(detail) = self.gossip_gaps.take_summary(now) {
+            actions.push(ForwardAction::Notice("gossip_gaps", detail));
+        }
     }
 
     fn report_readiness(&mut self, now: ClockTime, actions: &mut Vec<ForwardAction>) {
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -34,6 +34,7 @@
 /// Sends gossip to peers for as long as the process runs.
 pub(crate) async fn run_sender<P: PlatformAdapter>(core: SharedCore<P>, socket: Rc<UdpSocket>) {
     let mut round = 0;
+    let mut last_round = core.now();
     loop {
         let (interval, min_pause) =
             core.read(|state| (state.gossip_interval(), state.urgent_gossip_pause()));
@@ -41,6 +42,9 @@
         core.sleep(min_pause).await;
         // An urgent change ends the round early.
         let is_urgent = timeout_at(deadline, core.send_gossip.notified()).await.is_ok();
+        let now = core.now();
+        core.metrics.record("notes.round_ms", now.since(last_round).as_ms());
+        last_round = now;
         core.handle(ForwardEvent::Tick);
         core.client.close_expired();
         send_to_peers(&core, &socket, round, is_urgent).await;
