Reproduce SHORT: an account at a third of its limit is refused by 295 routers

The histories of hot_account.rs began a round every 200 ms, the product's loop only after the pause of urgent messages: 320 ms with 295 routers.

--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -113,7 +113,7 @@
             let (due, round) = self.next_rounds[index];
             let is_paused = now + 200 < due + router.state.urgent_gossip_pause().as_ms();
             let is_urgent = !is_paused && router.state.has_urgent_gossip();
-            if now < due && !is_urgent {
+            if is_paused || now < due && !is_urgent {
                 continue;
             }
             router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
@@ -239,3 +239,14 @@
     let admitted = fleet.admitted_between(0, LENGTH_MS);
     assert!(admitted * 100 >= fleet.requested * 99, "{admitted} of {}", fleet.requested);
 }
+
+#[parameterized(
+    many = { PLAN },
+    large = { Plan { routers: 295, asked: 295, ..PLAN } },
+    large_with_small_limit = { Plan { routers: 295, asked: 295, rate: 60_000, ..PLAN } },
+)]
+fn use_of_a_third_of_the_limit_is_hardly_ever_refused(plan: Plan) {
+    let fleet = Fleet::run(Plan { load: 0.34, hot_load: 0.34, ..plan }, 0);
+    let admitted = fleet.admitted_between(0, LENGTH_MS);
+    assert!(admitted * 100 >= fleet.requested * 99, "{admitted} of {}", fleet.requested);
+}
