Keep the gossip period that messages promise

Cause: the schedule was promised in forward and kept by a loop in proxy, which slept the pause of urgent messages before every round. With 295 routers that is 320 ms in place of 200, so a peer of another zone heard from a router every 5.1 s in place of the promised 3.2 s, counted as overdue, and its share of all allowances was reserved. The histories had a loop of their own with rounds of 200 ms.

Change: GossipSchedule decides when a round is due, whether it is urgent and who gets it; the proxy only waits and sends, and the histories of hot accounts, allowances, quarantine, limits, deferrals, leaving targets and software builds are driven by it as well. Peers that have waited longest go first, so that joining and leaving peers don't cost others their turn, and a late round doesn't delay the next. News that a regular message took is still told to the region.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -64,8 +64,8 @@
     CacheEvent, CacheEventBatch, CachedSegments, PromptPart, SegmentKey, SentPromptEntry,
 };
 pub use state::{
-    ConnectPlan, FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState, RelayPeer,
-    RetryBounds, StoreRoute, StoreStep, WeightRecord,
+    ConnectPlan, FeedSource, ForwardAction, ForwardEvent, ForwardSettings, ForwardState,
+    GossipRound, RelayPeer, RetryBounds, StoreRoute, StoreStep, WeightRecord,
 };
 pub use stop::{StopPhase, StopSchedule};
 
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -117,6 +117,8 @@
     pub place: PeerPlace,
     /// When its last message arrived; `None` before the first.
     pub last_received: Option<ClockTime>,
+    /// When this router last sent it a message; `None` before the first.
+    pub last_sent: Option<ClockTime>,
     /// A time before the arrival of its last message, which may have waited in the socket.
     pub arrived_after: Option<ClockTime>,
     /// When the first message of its current run arrived.
@@ -177,6 +179,7 @@
         PeerState {
             place,
             last_received: None,
+            last_sent: None,
             arrived_after: None,
             run_since: None,
             timeout: MIN_PEER_TIMEOUT,
@@ -206,6 +209,13 @@
         }
     }
 
+    /// Records that a peer is sent a message, and returns its address; `None` if it isn't known.
+    pub fn record_sent(&mut self, now: ClockTime, vm: &VmName) -> Option<IpAddr> {
+        let peer = self.peers.get_mut(vm)?;
+        peer.last_sent = Some(now);
+        Some(peer.place.address)
+    }
+
     /// Removes a peer that has deregistered or whose entry has expired.
     pub fn remove(&mut self, vm: &VmName) {
         self.peers.remove(vm);
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -38,7 +38,8 @@
     /// Returns this router's next gossip message; `include_known_peers` adds some of the routers that it knows.
     pub fn gossip_message(&mut self, now: ClockTime, include_known_peers: bool) -> GossipMessage {
         self.sequence += 1;
-        let usage = self.allowance.report(now, MAX_ENTRIES, self.gossip_period());
+        let kept_period = self.kept_gossip_period(now);
+        let usage = self.allowance.report(now, MAX_ENTRIES, kept_period);
         let origins = self.origin_notes(now);
         let brittle = self.brittle_reports(now);
         let loads = self.loads.own_work().map(|(target, work)| {
@@ -55,8 +56,7 @@
         let skipped = self.sequence as usize * MAX_KNOWN_PEERS % self.peers.len().max(1);
         let known_peers = self.peers.iter().skip(skipped).map(|peer| peer.place.clone());
         self.has_new_sent_prompts = false;
-        // Entries are sent in two messages, as one may be lost.
-        let repeat_span = self.gossip_period() + REPEAT_MARGIN;
+        let repeat_span = kept_period + REPEAT_MARGIN;
         let (revision, urgent_revision) = self.store_progress.revisions();
         GossipMessage {
             place: self.settings.place.clone(),
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -57,6 +57,8 @@
 use deferral::DeferralQueues;
 use era::EraProgress;
 use gossip_gaps::GossipGaps;
+pub use gossip_schedule::GossipRound;
+use gossip_schedule::GossipSchedule;
 use health::HealthTable;
 use quarantine::SharedQuarantine;
 pub use reach::{ConnectPlan, RelayPeer};
@@ -241,7 +243,7 @@
         /// How long the last version still counts as recent; zero if it no longer does.
         recent_for: ClockSpan,
     },
-    /// Send a gossip message to all peers without waiting for the next round.
+    /// The next round of gossip may be due sooner; see [`ForwardState::next_gossip`].
     SendGossip,
     /// Call [`ForwardState::next_store_step`] again, as its result may have changed.
     CheckStore,
@@ -266,6 +268,7 @@
     era: EraProgress,
     roster: TargetRoster,
     peers: PeerTable,
+    gossip_schedule: GossipSchedule,
     gossip_gaps: GossipGaps,
     allowance: AllowanceTable,
     retry_budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -372,6 +375,7 @@
             era: EraProgress::default(),
             roster: TargetRoster::default(),
             peers: PeerTable::default(),
+            gossip_schedule: GossipSchedule::default(),
             gossip_gaps: GossipGaps::default(),
             allowance: AllowanceTable::new(settings.allowance),
             retry_budgets: BTreeMap::new(),
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -5,7 +5,7 @@
 use godwitroad_base::{ClockSpan, ClockTime, ModelName, TargetName};
 use godwitroad_orders::{TermAction, TermAnswer, WeightAction, WeightReport, WeightTarget};
 
-use super::{ForwardAction, ForwardEvent, ForwardState};
+use super::{ForwardAction, ForwardEvent, ForwardState, gossip_schedule::UrgentScope};
 use crate::{TargetRecord, tag_of};
 
 impl ForwardState {
@@ -164,7 +164,7 @@
         let changing: BTreeSet<TargetName> = self.weights.changing().cloned().collect();
         if changing != self.announced_loading {
             self.announced_loading = changing;
-            actions.push(ForwardAction::SendGossip);
+            self.request_gossip(UrgentScope::Zone, actions);
         }
     }
 
--- a/crates/forward/src/state/origins.rs
+++ b/crates/forward/src/state/origins.rs
@@ -172,8 +172,8 @@
     }
 
     pub(super) fn origin_notes(&mut self, now: ClockTime) -> OriginNotes {
-        let rounds = self.gossip_period().as_ms().div_ceil(self.gossip_interval().as_ms());
-        let repeats = REPEATS_PER_ROUND * u32::try_from(rounds).unwrap_or(1);
+        let rounds = u32::try_from(self.gossip_period_rounds()).unwrap_or(1);
+        let repeats = REPEATS_PER_ROUND * rounds;
         self.origins.notes(now, repeats)
     }
 }
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -10,7 +10,7 @@
 
 use godwitroad_base::{ClockSpan, ClockTime, StoreRevision};
 
-use super::{ForwardAction, ForwardState, RelayPeer};
+use super::{ForwardAction, ForwardState, RelayPeer, gossip_schedule::UrgentScope};
 use crate::{ChangePiece, GossipMessage};
 
 /// The number of routers that watch the store in a fleet of one zone, so that the loss of one delays no changes.
@@ -218,7 +218,7 @@
         {
             self.store_progress.last_urgent_revision = revision;
             if self.is_watcher(now) {
-                actions.push(ForwardAction::SendGossip);
+                self.request_gossip(UrgentScope::Zone, actions);
             }
         }
     }
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -3,7 +3,9 @@
 use godwitroad_base::{ClockTime, TargetName};
 use godwitroad_origins::{BuildTag, ServiceTag};
 
-use super::{FeedSource, ForwardAction, ForwardState, MIN_EXPIRY_OUTAGE};
+use super::{
+    FeedSource, ForwardAction, ForwardState, MIN_EXPIRY_OUTAGE, gossip_schedule::UrgentScope,
+};
 use crate::{
     EXPIRY_GRACE, LeavingNotice, LeavingSign, ReloadEntry, RosterChange, TargetRecord, tag_of,
 };
@@ -127,7 +129,7 @@
             let entry = (tag_of(name.as_str()), tag_of(model.as_str()), *version);
             self.reloaded.push(now, entry);
         }
-        actions.push(ForwardAction::SendGossip);
+        self.request_gossip(UrgentScope::Zone, actions);
     }
 
     pub(super) fn receive_reloads(
--- a/crates/forward/tests/allowances.rs
+++ b/crates/forward/tests/allowances.rs
@@ -149,15 +149,11 @@
         }
         let Some(router) = &mut self.routers[index] else { return };
         router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
-        if !now.is_multiple_of(200) && !router.state.has_urgent_gossip() {
-            return;
-        }
-        router.handle(now, ForwardEvent::Tick);
-        let message = router.gossip_message(now);
+        let Some(round) = router.gossip_round(now) else { return };
         for to in (0..ROUTERS).filter(|to| *to != index) {
             if self.partitions[to] == self.partitions[index] {
                 let delay = self.random.below(60);
-                self.messages.push((now + delay, to, message.clone()));
+                self.messages.push((now + delay, to, round.message.clone()));
             }
         }
     }
--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
 use godwitroad_base::SeededRandom;
-use godwitroad_forward::{ForwardEvent, GossipMessage, PeerPlace};
+use godwitroad_forward::{ForwardEvent, GossipMessage, GossipRound, PeerPlace};
 use support::{TestRouter, at, limited_rules, settings, token_request};
 use yare::parameterized;
 
@@ -54,7 +54,7 @@
     plan: Plan,
     random: SeededRandom,
     routers: Vec<TestRouter>,
-    next_rounds: Vec<(u64, u64)>,
+    first_rounds: Vec<u64>,
     messages: BTreeMap<u64, Vec<(usize, GossipMessage)>>,
     requests: BTreeMap<u64, Vec<(usize, u64, bool)>>,
     admitted: Vec<(u64, u64)>,
@@ -90,7 +90,7 @@
         Fleet {
             plan,
             routers: (0..plan.routers).map(|index| start(0, index, plan)).collect(),
-            next_rounds: (0..plan.routers).map(|_| (random.below(200), 0)).collect(),
+            first_rounds: (0..plan.routers).map(|_| random.below(200)).collect(),
             random,
             messages: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -110,17 +110,15 @@
         }
         for index in 0..self.plan.routers {
             let router = &mut self.routers[index];
-            let (due, round) = self.next_rounds[index];
-            let is_paused = now + 200 < due + router.state.urgent_gossip_pause().as_ms();
-            let is_urgent = !is_paused && router.state.has_urgent_gossip();
-            if is_paused || now < due && !is_urgent {
+            if now < self.first_rounds[index] && !router.state.has_urgent_gossip() {
                 continue;
             }
-            router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
-            router.handle(now, ForwardEvent::Tick);
-            let recipients = router.state.gossip_recipients(round, is_urgent);
-            let message = router.gossip_message(now);
-            self.next_rounds[index] = (now + 200, round + 1);
+            if now.is_multiple_of(200) {
+                router.handle(now, ForwardEvent::StoreAnswered { read_from: at(now) });
+            }
+            let Some(GossipRound { message, recipients, .. }) = router.gossip_round(now) else {
+                continue;
+            };
             for to in 0..self.plan.routers {
                 let is_sent = to != index && recipients.contains(&place_of(to).address);
                 if is_sent && !self.is_cut(now, index, to) {
--- a/crates/forward/tests/software_builds.rs
+++ b/crates/forward/tests/software_builds.rs
@@ -246,15 +246,12 @@
             let is_cut = |run: &RouterRun| run.has_lost(now, self.plan, StepLoss::Peers);
             let cut: Vec<bool> = self.routers.iter().map(is_cut).collect();
             let router = &mut self.routers[index].router;
-            if !now.is_multiple_of(200) && !router.state.has_urgent_gossip() {
-                continue;
-            }
-            let message = router.gossip_message(now);
+            let Some(round) = router.gossip_round(now) else { continue };
             for other in (0..self.routers.len()).filter(|other| *other != index) {
                 let is_lost = cut[index] || cut[other];
                 if !is_lost && !self.random.chance(self.plan.gossip_loss) {
                     let arrives = now + self.random.below(40);
-                    self.in_flight.push((arrives, other, message.clone()));
+                    self.in_flight.push((arrives, other, round.message.clone()));
                 }
             }
         }
--- a/crates/forward/tests/support/crash_fleet.rs
+++ b/crates/forward/tests/support/crash_fleet.rs
@@ -16,7 +16,6 @@
 const PLAIN_TARGETS: usize = 3;
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 30_000;
-const GOSSIP_MS: u64 = 200;
 
 /// The operator's bounds: the time after the fifth crash, or the third one of a request that comes again, from which at most
 /// three more such requests may reach targets, and the time for which a router must have been undisturbed for its requests to count.
@@ -356,17 +355,16 @@
 
     fn gossip(&mut self, now: u64) {
         for router in 0..ROUTERS {
-            let is_round = (now / STEP_MS + router as u64).is_multiple_of(GOSSIP_MS / STEP_MS);
-            let is_due = is_round || self.routers[router].state.has_urgent_gossip();
-            if !is_due || self.is_suspended(now, router) {
+            // The routers' rounds begin at different times.
+            if now < STEP_MS * router as u64 || self.is_suspended(now, router) {
                 continue;
             }
-            let message = self.routers[router].gossip_message(now);
+            let Some(round) = self.routers[router].gossip_round(now) else { continue };
             for to in (0..ROUTERS).filter(|to| *to != router) {
                 let is_lost = self.plan.loses_gossip && self.random.chance(0.2);
                 if self.partitions[to] == self.partitions[router] && !is_lost {
                     let delay = 1 + self.random.below(20);
-                    self.messages.push((now + delay, to, message.clone()));
+                    self.messages.push((now + delay, to, round.message.clone()));
                 }
             }
         }
--- a/crates/forward/tests/support/leaving_fleet.rs
+++ b/crates/forward/tests/support/leaving_fleet.rs
@@ -13,7 +13,6 @@
 
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 14_000;
-const GOSSIP_MS: u64 = 200;
 const ANSWER_MS: u64 = 60;
 const HEARTBEAT_MS: u64 = 1_000;
 
@@ -126,7 +125,6 @@
     drained_at: Vec<u64>,
     running: Vec<RunningRequest>,
     messages: Vec<(u64, usize, GossipMessage)>,
-    rounds: Vec<u64>,
     requests: u64,
     // By target and router: whether an answer of its first run told the router since it started.
     told: Vec<Vec<bool>>,
@@ -229,7 +227,6 @@
             drained_at: vec![0; plan.routers],
             running: Vec::new(),
             messages: Vec::new(),
-            rounds: vec![0; plan.routers],
             requests: 0,
             told: vec![vec![false; plan.routers]; plan.targets],
             first_told: vec![None; plan.targets],
@@ -460,24 +457,18 @@
 
     fn gossip(&mut self, now: u64) {
         for router in 0..self.plan.routers {
-            let is_round = (now / STEP_MS + router as u64).is_multiple_of(GOSSIP_MS / STEP_MS);
-            let is_urgent = !is_round && self.routers[router].state.has_urgent_gossip();
-            if !(is_round || is_urgent) || self.is_suspended(now, router) {
+            // The routers' rounds begin at different times.
+            if now < STEP_MS * router as u64 || self.is_suspended(now, router) {
                 continue;
             }
-            self.routers[router].handle(now, ForwardEvent::Tick);
-            self.rounds[router] += 1;
-            let recipients =
-                self.routers[router].state.gossip_recipients(self.rounds[router], is_urgent);
-            let message = self.routers[router].gossip_message(now);
-            for to in
-                (0..self.plan.routers).filter(|to| recipients.contains(&router_place(*to).address))
-            {
+            let Some(round) = self.routers[router].gossip_round(now) else { continue };
+            let is_recipient = |to: &usize| round.recipients.contains(&router_place(*to).address);
+            for to in (0..self.plan.routers).filter(is_recipient) {
                 let is_lost = self.plan.loses_gossip && self.random.chance(0.2);
                 if !is_lost && !self.is_cut_out(router) && !self.is_cut_in(to) {
                     let longest = if self.plan.late_gossip { 300 } else { 20 };
                     let delay = 1 + self.random.below(longest);
-                    self.messages.push((now + delay, to, message.clone()));
+                    self.messages.push((now + delay, to, round.message.clone()));
                 }
             }
         }
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use godwitroad_config::KeyHash;
 use godwitroad_forward::{
     AccountRule, CallerLimits, EngineRule, ForwardAction, ForwardArrival, ForwardEvent,
-    ForwardRules, ForwardSettings, ForwardState, GossipMessage, PeerPlace, PromptPart,
+    ForwardRules, ForwardSettings, ForwardState, GossipMessage, GossipRound, PeerPlace, PromptPart,
     RequestDigest, RouteRule, ServiceRule, SharedCacheStore, TargetRecord,
 };
 
@@ -164,6 +164,15 @@
         );
     }
 
+    /// Begins a round of gossip if one is due, as the product does.
+    pub(crate) fn gossip_round(&mut self, now: u64) -> Option<GossipRound> {
+        if at(now) < self.state.next_gossip() {
+            return None;
+        }
+        self.handle(now, ForwardEvent::Tick);
+        self.state.begin_gossip_round(at(now))
+    }
+
     pub(crate) fn gossip_message(&mut self, now: u64) -> GossipMessage {
         self.state.gossip_message(at(now), false)
     }
--- a/crates/forward/tests/support/turning_fleet.rs
+++ b/crates/forward/tests/support/turning_fleet.rs
@@ -10,7 +10,6 @@
 
 const STEP_MS: u64 = 10;
 pub(crate) const LENGTH_MS: u64 = 20_000;
-const GOSSIP_MS: u64 = 200;
 const REJECT_MS: u64 = 10;
 const SLOTS: usize = 6;
 
@@ -438,18 +437,16 @@
 
     fn gossip(&mut self, now: u64) {
         for router in 0..self.plan.routers {
-            let is_round = (now / STEP_MS + router as u64).is_multiple_of(GOSSIP_MS / STEP_MS);
-            let is_due = is_round || self.routers[router].state.has_urgent_gossip();
-            if !is_due || self.is_suspended(now, router) {
+            // The routers' rounds begin at different times.
+            if now < STEP_MS * router as u64 || self.is_suspended(now, router) {
                 continue;
             }
-            self.routers[router].handle(now, ForwardEvent::Tick);
-            let message = self.routers[router].gossip_message(now);
+            let Some(round) = self.routers[router].gossip_round(now) else { continue };
             for to in (0..self.plan.routers).filter(|to| *to != router) {
                 let is_lost = self.plan.loses_gossip && self.random.chance(0.2);
                 if now >= self.cut_until[router] && !is_lost {
                     let delay = 1 + self.random.below(20);
-                    self.messages.push((now + delay, to, message.clone()));
+                    self.messages.push((now + delay, to, round.message.clone()));
                 }
             }
         }
--- a/crates/forward/tests/target_limits.rs
+++ b/crates/forward/tests/target_limits.rs
@@ -14,7 +14,6 @@
 
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 24_000;
-const GOSSIP_MS: u64 = 200;
 const ANSWER_MS: u64 = 60;
 
 /// When the targets name their limit, and when their need ends.
@@ -223,18 +222,16 @@
     fn gossip(&mut self, now: u64) {
         let routers = self.plan.routers;
         for router in 0..routers {
-            let is_round = (now / STEP_MS + router as u64).is_multiple_of(GOSSIP_MS / STEP_MS);
-            let is_due = is_round || self.routers[router].state.has_urgent_gossip();
-            if !is_due || self.is_suspended(now, router) {
+            // The routers' rounds begin at different times.
+            if now < STEP_MS * router as u64 || self.is_suspended(now, router) {
                 continue;
             }
-            self.routers[router].handle(now, ForwardEvent::Tick);
-            let message = self.routers[router].gossip_message(now);
+            let Some(round) = self.routers[router].gossip_round(now) else { continue };
             for to in (0..routers).filter(|to| *to != router) {
                 let is_lost = self.plan.loses_gossip && self.random.chance(0.2);
                 if !self.is_cut[to] && !self.is_cut[router] && !is_lost {
                     let delay = 1 + self.random.below(20);
-                    self.messages.push((now + delay, to, message.clone()));
+                    self.messages.push((now + delay, to, round.message.clone()));
                 }
             }
         }
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -3,9 +3,14 @@
 //! Each message replaces the sender's previous one, so a lost datagram needs no retransmission. Connections as in
 //! `tarpc` would only add state: a stalled connection would delay every later message.
 
-use std::{io::ErrorKind, net::SocketAddr, rc::Rc};
-
-use godwitroad_forward::{ForwardEvent, GossipMessage};
+use std::{
+    io::ErrorKind,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
+
+use godwitroad_base::ClockSpan;
+use godwitroad_forward::{ForwardEvent, ForwardState, GossipMessage, GossipRound};
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::SockRef;
 use tokio::{net::UdpSocket, time::timeout_at};
@@ -15,13 +20,12 @@
 /// The version of the message format. Messages of other versions are ignored.
 const FORMAT_VERSION: u8 = 2;
 
-/// The number of rounds after the start in which messages also list other routers and go to the seeds. In these rounds
-/// peers may know no router but the seeds.
-const INTRODUCTION_ROUNDS: u64 = 20;
-
 /// The size limit of an encoded message, so that it fits a datagram without fragmentation on common networks.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// The longest time between two checks that no datagram waits in the socket.
+const DRAIN_CHECK_INTERVAL: ClockSpan = ClockSpan::from_ms(200);
+
 /// Opens the UDP socket for gossip.
 ///
 /// # Errors
@@ -33,39 +37,36 @@
 
 /// Sends gossip to peers for as long as the process runs.
 pub(crate) async fn run_sender<P: PlatformAdapter>(core: SharedCore<P>, socket: Rc<UdpSocket>) {
-    let mut round = 0;
     let mut last_round = core.now();
     loop {
-        let (interval, min_pause) =
-            core.read(|state| (state.gossip_interval(), state.urgent_gossip_pause()));
-        let deadline = core.deadline(interval);
-        core.sleep(min_pause).await;
-        // An urgent change ends the round early.
-        let is_urgent = timeout_at(deadline, core.send_gossip.notified()).await.is_ok();
+        let due = core.read(ForwardState::next_gossip);
         let now = core.now();
-        core.metrics.record("notes.round_ms", now.since(last_round).as_ms());
-        last_round = now;
+        if now < due {
+            // A notification may bring the round forward.
+            let _ = timeout_at(core.deadline(due.since(now)), core.send_gossip.notified()).await;
+            continue;
+        }
         core.handle(ForwardEvent::Tick);
         core.client.close_expired();
-        send_to_peers(&core, &socket, round, is_urgent).await;
-        round += 1;
+        if let Some(round) = core.update(|state| state.begin_gossip_round(now)) {
+            core.metrics.record("notes.round_ms", now.since(last_round).as_ms());
+            last_round = now;
+            send_to_peers(&core, &socket, round).await;
+        }
     }
 }
 
 async fn send_to_peers<P: PlatformAdapter>(
     core: &SharedCore<P>,
     socket: &UdpSocket,
-    round: u64,
-    is_urgent: bool,
+    round: GossipRound,
 ) {
-    let recipients = recipients(core, round, is_urgent);
-    let message =
-        core.update(|state| state.gossip_message(core.now(), round < INTRODUCTION_ROUNDS));
-    let Some(bytes) = encode(&message) else {
-        core.log.warn("note_too_large", &format!("sequence={}", message.sequence));
+    let Some(bytes) = encode(&round.message) else {
+        core.log.warn("note_too_large", &format!("sequence={}", round.message.sequence));
         return;
     };
-    let urgency = if is_urgent { "urgent" } else { "regular" };
+    let urgency = if round.is_urgent { "urgent" } else { "regular" };
+    let recipients = recipients(core, round);
     core.metrics.count(&format!("notes.{urgency}"), recipients.len() as u64);
     core.metrics.count(&format!("notes.{urgency}_bytes"), (recipients.len() * bytes.len()) as u64);
     let port = core.settings.borrow().peers.port();
@@ -75,19 +76,15 @@
     }
 }
 
-fn recipients<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    round: u64,
-    is_urgent: bool,
-) -> Vec<std::net::IpAddr> {
-    let own_address = core.settings.borrow().forward.place.address;
-    let mut recipients = core.read(|state| state.gossip_recipients(round, is_urgent));
-    if round < INTRODUCTION_ROUNDS {
-        recipients.extend(core.settings.borrow().seeds.iter().copied());
+fn recipients<P: PlatformAdapter>(core: &SharedCore<P>, round: GossipRound) -> Vec<IpAddr> {
+    let settings = core.settings.borrow();
+    let mut recipients = round.recipients;
+    if round.is_introduction {
+        recipients.extend(settings.seeds.iter().copied());
         recipients.sort_unstable();
         recipients.dedup();
     }
-    recipients.retain(|address| *address != own_address);
+    recipients.retain(|address| *address != settings.forward.place.address);
     recipients
 }
 
@@ -102,7 +99,7 @@
             drained_at = now;
         }
         // Without a deadline, a quiet time of the peers would pass for a suspension of this router.
-        let deadline = core.deadline(core.read(|state| state.gossip_interval()));
+        let deadline = core.deadline(DRAIN_CHECK_INTERVAL);
         let received = timeout_at(deadline, socket.recv_from(&mut buffer)).await;
         let Ok(Ok((length, from))) = received else { continue };
         match decode(&buffer[..length]) {
