Reserve the share of an overdue peer from when its message is due

Callers of an account within its limit got 429 while its bucket was full.

Cause: the share of a peer was reserved from 0.3 of its timeout on, which with 295 routers is 2.4 s, before the peer's next message is due (3.2 s). The share is of the level and of the inflow since, but it was taken from the level alone, so that the reserve could exceed all that it was taken from.

Change: PeerTiming has the promised gap beside the timeout, and the reserve begins when that and a usual delay have passed. It is taken from the inflow that the full bucket didn't take first, then from the level.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -17,8 +17,8 @@
 //! to which most callers turn gets most of the limit once its peers have heard of its callers.
 //!
 //! An unreachable router may be on the other side of a network partition and still admit requests. Once its messages
-//! are overdue, its share of the level and of the inflow since then is reserved; once it counts as unreachable, the
-//! share is subtracted and the bucket fills only at the share of the reachable routers. The other side does the same,
+//! are overdue, its share of the level and of the inflow since then is reserved, first from the inflow that the full
+//! bucket didn't take; once it counts as unreachable, the share is subtracted and the bucket fills only at the share of the reachable routers. The other side does the same,
 //! so that the shares never exceed the bucket in total. When a router becomes reachable again, its share is added to
 //! the rate and the burst but not to the level, as the other side may have used it.
 //!
@@ -34,7 +34,7 @@
 use godwitroad_base::{AccountName, ClockSpan, ClockTime, VmName};
 
 use crate::{
-    peers::{GossipMessage, PeerTable, ReachableMark},
+    peers::{GossipMessage, PeerTable, PeerTiming, ReachableMark},
     rules::AccountRule,
     tag_of,
     usage::{LocalUsage, SpareInflow, seconds},
@@ -74,9 +74,6 @@
 /// that callers turn to has its even part until its peers hear of it.
 const EVEN_FRACTION: f64 = 0.25;
 
-/// The fraction of a peer's timeout without a message from which a partition is suspected: one message and its delay.
-const PARTITION_SUSPICION_START: f64 = 0.3;
-
 /// The fraction of a peer's timeout without a message from which its full share is reserved.
 const PARTITION_SUSPICION_END: f64 = 0.6;
 
@@ -122,8 +119,7 @@
     // The units per second that its callers ask for.
     asked_rate: u32,
     last_received: ClockTime,
-    // The time without a message after which the peer counts as unreachable.
-    timeout: ClockSpan,
+    timing: PeerTiming,
     // The bucket's level at `last_received`.
     remaining: f64,
 }
@@ -207,18 +203,18 @@
 
 impl PeerUsage {
     // Returns what the peer may have admitted against its share of the bucket if it is cut off. The share counts
-    // gradually, the longer messages are overdue.
+    // gradually, from when the next message is due.
     fn reserved(&self, now: ClockTime, size: BucketSize, members: usize) -> f64 {
         let passed = now.since(self.last_received);
         let share = (self.remaining + size.rate * seconds(passed)) / members as f64;
-        let overdue = passed.as_ms() as f64 / self.timeout.as_ms().max(1) as f64;
-        let suspicion = (overdue - PARTITION_SUSPICION_START)
-            / (PARTITION_SUSPICION_END - PARTITION_SUSPICION_START);
+        let due = seconds(self.timing.promised + REPORT_TRANSIT);
+        let end = seconds(self.timing.timeout) * PARTITION_SUSPICION_END;
+        let suspicion = (seconds(passed) - due) / (end - due).max(f64::MIN_POSITIVE);
         share * suspicion.clamp(0.0, 1.0)
     }
 
     fn is_reachable(&self, now: ClockTime) -> bool {
-        now.since(self.last_received) < self.timeout
+        now.since(self.last_received) < self.timing.timeout
     }
 }
 
@@ -249,10 +245,11 @@
         let rate = self.size.rate * view.fraction * weight;
         let debt = self.local.pay_back(now, rate);
         let reserved = self.reserved(now, view.members);
-        let level = self.level - reserved;
         let unreported = self.local.unreported(now, view.delay);
         let spare = self.spare.sum(now, view.window);
-        let pool = level + unreported + spare + self.size.margin * view.fraction;
+        // The peers' shares are of the inflow as well, of which the full bucket took nothing.
+        let level = self.level - (reserved - spare).max(0.0);
+        let pool = self.level - reserved + unreported + spare + self.size.margin * view.fraction;
         let expected = asked_in_all * seconds(view.delay);
         let share =
             AllowanceShare { free: level, rate, reserved, spare, unreported, pool, expected };
@@ -304,7 +301,7 @@
         slot: usize,
         message: &GossipMessage,
         entry: Option<&UsageEntry>,
-        timeout: ClockSpan,
+        timing: PeerTiming,
     ) {
         if self.peers.len() <= slot {
             self.peers.resize(slot + 1, None);
@@ -317,10 +314,10 @@
         let remaining = self.level.max(0.0);
         let incarnation = message.incarnation;
         let current =
-            PeerUsage { incarnation, total, asked_rate, last_received: now, timeout, remaining };
+            PeerUsage { incarnation, total, asked_rate, last_received: now, timing, remaining };
         self.peers[slot] = Some(current);
         let Some(previous) = previous else { return };
-        if now.since(previous.last_received) >= previous.timeout {
+        if !previous.is_reachable(now) {
             // What it admitted while unreachable counted against its share, which is already subtracted.
             return;
         }
@@ -483,21 +480,21 @@
         self.needs_immediate_report
     }
 
-    /// Applies the usage that a peer reports; after `timeout` without a message the peer counts as unreachable.
+    /// Applies the usage that a peer reports; `timing` tells when its next message is due.
     pub fn receive(
         &mut self,
         now: ClockTime,
         rules: &[Arc<AccountRule>],
         peers: &PeerTable,
         message: &GossipMessage,
-        timeout: ClockSpan,
+        timing: PeerTiming,
     ) {
         self.update_reachable(now, peers);
         let slot = self.slots.take(&message.place.vm);
         for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
             let tag = tag_of(rule.name.as_str());
             let entry = message.usage.iter().find(|(account, ..)| *account == tag);
-            self.bucket(now, rule, peers).receive(now, slot, message, entry, timeout);
+            self.bucket(now, rule, peers).receive(now, slot, message, entry, timing);
         }
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -48,8 +48,8 @@
 pub use leaving::{LeavingNotice, LeavingSign};
 pub use load::{LoadEntry, LoadReport, LoadTable, WorkSum};
 pub use peers::{
-    DeferralEntry, GossipMessage, MIN_PEER_TIMEOUT, PeerPlace, PeerState, PeerTable, ReachableMark,
-    ReloadEntry,
+    DeferralEntry, GossipMessage, MIN_PEER_TIMEOUT, PeerPlace, PeerState, PeerTable, PeerTiming,
+    ReachableMark, ReloadEntry,
 };
 pub use reach::{DirectOutcome, ReachChange, ReachNotes, ReachSettings};
 pub use request::{
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -129,6 +129,15 @@
     pub last_message: Option<GossipMessage>,
 }
 
+/// When messages of a peer are due.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerTiming {
+    /// The longest time until its next message, apart from the delay on the way.
+    pub promised: ClockSpan,
+    /// The time without a message after which it counts as unreachable.
+    pub timeout: ClockSpan,
+}
+
 /// All known peers by VM.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -130,7 +130,7 @@
         let (version, proof, loading) =
             (message.version, message.proof_age_ms, message.loading.clone());
         let weight_versions = message.weight_versions.clone();
-        let timeout = self.peer_timeout(&message);
+        let timing = self.peer_timing(&message);
         if message.stopping && !self.peers.is_stopping(&message.place.vm) {
             actions.push(ForwardAction::CloseRelays);
         }
@@ -139,7 +139,7 @@
             self.era.record_peer_version(now, message.version);
             // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
             if let Some(rules) = &self.rules {
-                self.allowance.receive(now, &rules.accounts, &self.peers, &message, timeout);
+                self.allowance.receive(now, &rules.accounts, &self.peers, &message, timing);
             }
             let before = self.peers.loads_of(now, &message.place.vm);
             self.loads.replace_peer(before, &message.loads);
@@ -156,7 +156,7 @@
         if message.urgent_revision > urgent.max(revision) {
             actions.push(ForwardAction::CheckStore);
         }
-        if !self.peers.receive(now, arrived_after, message, timeout) {
+        if !self.peers.receive(now, arrived_after, message, timing.timeout) {
             return;
         }
         for tag in loading {
--- a/crates/forward/src/state/gossip_schedule.rs
+++ b/crates/forward/src/state/gossip_schedule.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{ForwardAction, ForwardState};
-use crate::{GossipMessage, MIN_PEER_TIMEOUT};
+use crate::{GossipMessage, MIN_PEER_TIMEOUT, PeerTiming};
 
 /// The time between two regular rounds of gossip.
 const GOSSIP_INTERVAL: ClockSpan = ClockSpan::from_ms(200);
@@ -195,13 +195,15 @@
         oldest.map_or(ClockSpan::ZERO, |sent| now.since(sent)).max(self.gossip_period())
     }
 
-    /// Returns the longest time until the next message of a message's sender, apart from its delay on the way.
-    pub(super) fn promised_gap(&self, message: &GossipMessage) -> ClockSpan {
+    /// Returns when the next message of a message's sender is due. The sender counts as unreachable after 2.5 of its periods
+    /// without another one, but at least [`MIN_PEER_TIMEOUT`].
+    pub(super) fn peer_timing(&self, message: &GossipMessage) -> PeerTiming {
         if message.place.zone == self.settings.place.zone {
-            GOSSIP_INTERVAL
-        } else {
-            ClockSpan::from_ms(message.period_ms.into())
+            return PeerTiming { promised: GOSSIP_INTERVAL, timeout: MIN_PEER_TIMEOUT };
         }
+        let period_ms = u64::from(message.period_ms);
+        let timeout = MIN_PEER_TIMEOUT.max(ClockSpan::from_ms(period_ms * 5 / 2));
+        PeerTiming { promised: ClockSpan::from_ms(period_ms), timeout }
     }
 
     pub(super) fn record_gossip_gap(&mut self, now: ClockTime, message: &GossipMessage) {
@@ -209,16 +211,7 @@
         let previous = peer.last_message.as_ref();
         let previous = previous.filter(|last| last.incarnation == message.incarnation);
         if let (Some(previous), Some(last_received)) = (previous, peer.last_received) {
-            self.gossip_gaps.record(now.since(last_received), self.promised_gap(previous));
-        }
-    }
-
-    /// Returns the time after which the sender of a message counts as unreachable if no other one arrives: 2.5 of its
-    /// periods, but at least [`MIN_PEER_TIMEOUT`].
-    pub(super) fn peer_timeout(&self, message: &GossipMessage) -> ClockSpan {
-        if message.place.zone == self.settings.place.zone {
-            return MIN_PEER_TIMEOUT;
+            self.gossip_gaps.record(now.since(last_received), self.peer_timing(previous).promised);
         }
-        MIN_PEER_TIMEOUT.max(ClockSpan::from_ms(u64::from(message.period_ms) * 5 / 2))
     }
 }
--- a/crates/forward/tests/hot_account.rs
+++ b/crates/forward/tests/hot_account.rs
@@ -4,7 +4,10 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::Ipv4Addr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr},
+};
 
 use godwitroad_base::SeededRandom;
 use godwitroad_forward::{ForwardEvent, GossipMessage, GossipRound, PeerPlace};
@@ -37,6 +40,8 @@
     herd: bool,
     /// The limit is halved.
     lowered: bool,
+    /// The chance that a message is lost.
+    loss: f64,
 }
 
 const PLAN: Plan = Plan {
@@ -48,8 +53,11 @@
     cut: false,
     herd: false,
     lowered: false,
+    loss: 0.0,
 };
 
+const LARGE: Plan = Plan { routers: 295, asked: 295, rate: 300_000, ..PLAN };
+
 struct Fleet {
     plan: Plan,
     random: SeededRandom,
@@ -66,6 +74,16 @@
     PeerPlace { vm: format!("vm-{index}").into(), zone: ZONES[index % ZONES.len()].into(), address }
 }
 
+fn index_of(address: IpAddr) -> usize {
+    match address {
+        IpAddr::V4(address) => {
+            let [_, _, high, low] = address.octets();
+            usize::from(high) * 250 + usize::from(low) - 1
+        }
+        IpAddr::V6(_) => unreachable!("places have IPv4 addresses"),
+    }
+}
+
 fn start(now: u64, index: usize, plan: Plan) -> TestRouter {
     let mut settings = settings("vm", 1);
     settings.place = place_of(index);
@@ -119,9 +137,9 @@
             let Some(GossipRound { message, recipients, .. }) = router.gossip_round(now) else {
                 continue;
             };
-            for to in 0..self.plan.routers {
-                let is_sent = to != index && recipients.contains(&place_of(to).address);
-                if is_sent && !self.is_cut(now, index, to) {
+            for to in recipients.into_iter().map(index_of).filter(|to| *to != index) {
+                let is_lost = self.plan.loss > 0.0 && self.random.chance(self.plan.loss);
+                if !is_lost && !self.is_cut(now, index, to) {
                     let due = now + STEP_MS * (1 + self.random.below(3));
                     self.messages.entry(due).or_default().push((to, message.clone()));
                 }
@@ -194,7 +212,11 @@
     sixteen = { Plan { routers: 16, asked: 16, ..PLAN } },
     more = { Plan { routers: 86, asked: 86, ..PLAN } },
     most = { Plan { routers: 97, asked: 97, ..PLAN } },
-    large = { Plan { routers: 295, asked: 295, rate: 300_000, ..PLAN } },
+    large = { LARGE },
+    large_at_few_routers = { Plan { asked: 20, ..LARGE } },
+    large_with_small_limit = { Plan { rate: 60_000, ..LARGE } },
+    large_under_a_cut = { Plan { cut: true, ..LARGE } },
+    large_herd = { Plan { herd: true, ..LARGE } },
     small_limit = { Plan { rate: 50_000, ..PLAN } },
     little_hot = { Plan { hot_load: 1.5, ..PLAN } },
     busy_before = { Plan { load: 0.95, ..PLAN } },
@@ -229,8 +251,8 @@
     few = { Plan { routers: 9, asked: 9, ..PLAN } },
     at_five_routers = { Plan { asked: 5, ..PLAN } },
     at_one_router = { Plan { asked: 1, ..PLAN } },
-    large = { Plan { routers: 295, asked: 295, rate: 300_000, ..PLAN } },
-    large_with_small_limit = { Plan { routers: 295, asked: 295, rate: 60_000, ..PLAN } },
+    large = { LARGE },
+    large_with_small_limit = { Plan { rate: 60_000, ..LARGE } },
 )]
 fn use_that_grows_within_the_limit_is_hardly_ever_refused(plan: Plan) {
     let fleet = Fleet::run(Plan { hot_load: 0.9, ..plan }, 0);
@@ -240,8 +262,10 @@
 
 #[parameterized(
     many = { PLAN },
-    large = { Plan { routers: 295, asked: 295, ..PLAN } },
-    large_with_small_limit = { Plan { routers: 295, asked: 295, rate: 60_000, ..PLAN } },
+    large = { LARGE },
+    large_with_small_limit = { Plan { rate: 60_000, ..LARGE } },
+    many_with_loss = { Plan { loss: 0.3, ..PLAN } },
+    large_with_loss = { Plan { loss: 0.3, ..LARGE } },
 )]
 fn use_of_a_third_of_the_limit_is_hardly_ever_refused(plan: Plan) {
     let fleet = Fleet::run(Plan { load: 0.34, hot_load: 0.34, ..plan }, 0);
