Apply peers' reports to accounts without looking each up by name

Each message of a peer looked up every account's bucket by name and hashed its name: with 295 routers and 40 accounts about a sixth of a router's processor time in a profile (memcmp 7.7%, bucket 6.2%, receive 1.8%). The buckets are made when a configuration arrives and keep the account's tag. No decision changes.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -92,6 +92,8 @@
 
 #[derive(Clone, Debug)]
 struct AccountBucket {
+    // The account's tag in messages.
+    tag: u32,
     size: BucketSize,
     // Negative after a request that was larger than the remaining level.
     level: f64,
@@ -419,6 +421,7 @@
         let size = self.bucket_size(rule);
         let initial_level = if self.settings.restarted { 0.0 } else { size.burst };
         let bucket = self.buckets.entry(rule.name.clone()).or_insert_with(|| AccountBucket {
+            tag: tag_of(rule.name.as_str()),
             size,
             level: initial_level,
             last_filled: now,
@@ -443,7 +446,7 @@
         units: u64,
         peers: &PeerTable,
     ) -> std::result::Result<(), AllowanceRefusal> {
-        if rule.rate == 0 && rule.burst == 0 {
+        if !rule.is_limited() {
             return Ok(());
         }
         self.update_reachable(now, peers);
@@ -480,21 +483,29 @@
         self.needs_immediate_report
     }
 
+    /// Applies the limits of a new configuration.
+    pub fn apply_rules(&mut self, now: ClockTime, rules: &[Arc<AccountRule>], peers: &PeerTable) {
+        self.update_reachable(now, peers);
+        for rule in rules.iter().filter(|rule| rule.is_limited()) {
+            self.bucket(now, rule, peers);
+        }
+    }
+
     /// Applies the usage that a peer reports; `timing` tells when its next message is due.
     pub fn receive(
         &mut self,
         now: ClockTime,
-        rules: &[Arc<AccountRule>],
         peers: &PeerTable,
         message: &GossipMessage,
         timing: PeerTiming,
     ) {
         self.update_reachable(now, peers);
         let slot = self.slots.take(&message.place.vm);
-        for rule in rules.iter().filter(|rule| rule.rate > 0 || rule.burst > 0) {
-            let tag = tag_of(rule.name.as_str());
-            let entry = message.usage.iter().find(|(account, ..)| *account == tag);
-            self.bucket(now, rule, peers).receive(now, slot, message, entry, timing);
+        let fleet_fraction = self.fleet_fraction(peers);
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(now, fleet_fraction);
+            let entry = message.usage.iter().find(|(account, ..)| *account == bucket.tag);
+            bucket.receive(now, slot, message, entry, timing);
         }
     }
 
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -139,6 +139,13 @@
     }
 }
 
+impl AccountRule {
+    /// Returns whether the account has a quota.
+    pub fn is_limited(&self) -> bool {
+        self.rate > 0 || self.burst > 0
+    }
+}
+
 impl ForwardRules {
     /// Returns the route of a request: among the host's routes, the one with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -138,9 +138,7 @@
             self.record_gossip_gap(now, &message);
             self.era.record_peer_version(now, message.version);
             // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
-            if let Some(rules) = &self.rules {
-                self.allowance.receive(now, &rules.accounts, &self.peers, &message, timing);
-            }
+            self.allowance.receive(now, &self.peers, &message, timing);
             let before = self.peers.loads_of(now, &message.place.vm);
             self.loads.replace_peer(before, &message.loads);
             self.receive_reloads(&message.reloaded, actions);
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -555,6 +555,7 @@
         self.origins.set_span(origins::take_up_span(&rules));
         self.deferral_queues.clear();
         self.isolated = IsolatedAccounts::new(&rules.accounts);
+        self.allowance.apply_rules(now, &rules.accounts, &self.peers);
         self.rules = Some(rules);
     }
 
