Count what a restarted peer can't report for its whole gossip period

Cause: what a peer's previous run admitted after its last message was estimated for 200 ms. Peers in other zones get a message once in up to 3.2 s.

--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -64,9 +64,6 @@
 /// router's start, and the units per second that callers ask for, admitted or not.
 pub type UsageEntry = (u32, u64, u32);
 
-/// The usual time between a router's last message and the end of its process.
-const UNREPORTED_SPAN: ClockSpan = ClockSpan::from_ms(200);
-
 /// The usual time of a report on its way.
 const REPORT_TRANSIT: ClockSpan = ClockSpan::from_ms(100);
 
@@ -328,7 +325,7 @@
         } else {
             // The previous run's admissions between its last message and its end are estimated, as nobody reports them.
             let rate = f64::from(previous.asked_rate).min(self.size.rate);
-            total + (rate * seconds(UNREPORTED_SPAN)) as u64
+            total + (rate * seconds(previous.timing.promised)) as u64
         };
         self.level -= used as f64;
     }
