--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -18,9 +18,10 @@
 //!
 //! An unreachable router may be on the other side of a network partition and still admit requests. Once its messages
 //! are overdue, its share of the level and of the inflow since then is reserved, first from the inflow that the full
-//! bucket didn't take; once it counts as unreachable, the share is subtracted and the bucket fills only at the share of the reachable routers. The other side does the same,
-//! so that the shares never exceed the bucket in total. When a router becomes reachable again, its share is added to
-//! the rate and the burst but not to the level, as the other side may have used it.
+//! bucket didn't take; once it counts as unreachable, the share is subtracted and the bucket fills only at the share of
+//! the reachable routers. The other side does the same, so that the shares never exceed the bucket in total. When a
+//! router becomes reachable again, its share is added to the rate and the burst but not to the level, as the other side
+//! may have used it.
 //!
 //! A restarted router begins with an empty bucket, so that a restart of all routers never refills an allowance. The
 //! bucket fills at the full rate, which normal use stays below, so a restart causes hardly any refusals.
