One budget for everything that callers make a process hold

Cause: the body budget counted only bodies above 64 KiB. Connections, small bodies, chunks (whose entries take a multiple of a small chunk), requests behind an open one and answers that wait for their readers were not counted, and nothing limited connections.

Change: CallerBudget bounds connections, bodies and unread answers together (65% of Limits.MemoryMb, large bodies 60% as before; connections by Limits.MaxFds). When it is short, connections without progress for 2 s are closed, the longest stalled first; what doesn't fit gets 503 with Retry-After. A connection gives the HTTP service 16 KiB at a time, and while a request is open only as its body is read. Kernel buffers of callers' connections are 64 KiB each way. Large bodies get one buffer of their largest size; answers are passed to the service in parts.

--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -13,9 +13,9 @@
 };
 use tokio::time::Instant;
 
-use super::body::BodyShare;
 use super::events::check_first_event;
 use crate::{
+    caller_budget::HeldPart,
     client::{Result, SendError, TargetExchange},
     core::SharedCore,
     platform::{AnswerMetadata, PlatformAdapter},
@@ -31,8 +31,8 @@
     pub(super) body: Bytes,
     /// Whether the caller can read an answer in chunks.
     pub(super) reads_chunks: bool,
-    /// What the body takes of the memory for bodies.
-    pub(super) share: BodyShare,
+    /// What the body takes of the budget for callers.
+    pub(super) held: Option<HeldPart>,
 }
 
 /// The head of a valid answer, with its body unread.
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -1,15 +1,14 @@
 //! Reads a caller's request, runs its attempts and produces the answer.
 
-use std::{convert::Infallible, rc::Rc};
+use std::rc::Rc;
 
 use actix_web::{
     HttpRequest, HttpResponse,
-    body::{BodyStream, MessageBody},
+    body::MessageBody,
     http::{StatusCode, Version},
     web,
 };
 use bytes::Bytes;
-use futures_util::stream;
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::{
     AnswerPhase, AttemptOutcome, CallerLimits, ForwardArrival, ForwardRefusal, ForwardRequest,
@@ -23,14 +22,16 @@
 
 use super::{
     attempt::{ActiveAttempt, CallerPayload, is_stream},
-    body::{BodyShare, read_body},
+    body::read_body,
     errors::{error_response, refusal_response},
     handover::open_attempt,
+    held::HeldAnswer,
     stream::{CallerStream, StreamBody},
 };
 use crate::{
+    caller_budget::HeldKind,
     caller_stream::mark_end_by_close,
-    client::{BodyFraming, TargetExchange},
+    client::{BodyFraming, BufferedBody, TargetExchange},
     core::SharedCore,
     platform::PlatformAdapter,
 };
@@ -65,8 +66,8 @@
     let request_parts = match read_head(&core, &request, &limits) {
         Ok((mut arrival, mut payload)) => {
             let declared = declared_length(&request);
-            read_body(body, declared, &limits, &core.body_budget).await.map(|(body, share)| {
-                (payload.body, payload.share) = (body, share);
+            read_body(body, declared, &limits, &core.caller_budget).await.map(|(body, held)| {
+                (payload.body, payload.held) = (body, held);
                 arrival.digest = payload.digest(&arrival.host);
                 (arrival, payload)
             })
@@ -148,8 +149,8 @@
     let method = method.map_err(|error| invalid(error.to_string()))?;
     let uri: Uri = target.parse().map_err(|error| invalid(format!("path: {error}")))?;
     let reads_chunks = request.version() > Version::HTTP_10;
-    let (body, share) = (Bytes::new(), BodyShare::default());
-    Ok((arrival, CallerPayload { method, uri, headers, body, reads_chunks, share }))
+    let (body, held) = (Bytes::new(), None);
+    Ok((arrival, CallerPayload { method, uri, headers, body, reads_chunks, held }))
 }
 
 // Removes the hop-by-hop headers and the framing headers, which are set again for each connection.
@@ -190,7 +191,9 @@
     loop {
         let plan = match core.choose_target(&mut request) {
             Ok(plan) => plan,
-            Err(refusal) => return final_response(core, &request, earlier_answer, refusal),
+            Err(refusal) => {
+                return final_response(core, &request, earlier_answer, refusal).await;
+            }
         };
         let attempt = ActiveAttempt::new(core.clone(), request, plan);
         let resume = attempt.request().arrival.last_event;
@@ -208,7 +211,7 @@
                         continue;
                     }
                     Err((returned, step)) => {
-                        return response_after(core, &returned, earlier_answer, step);
+                        return response_after(core, &returned, earlier_answer, step).await;
                     }
                 }
             }
@@ -225,11 +228,11 @@
         request = returned;
         if let (NextStep::Deliver, Some((head, body))) = (step, &answer) {
             log_answer(core, &request, head);
-            return deliver_buffered(core, head, body.clone());
+            return deliver_buffered(core, &request, head, body.clone()).await;
         }
         earlier_answer = answer.or(earlier_answer);
         if step != NextStep::Again {
-            return response_after(core, &request, earlier_answer, step);
+            return response_after(core, &request, earlier_answer, step).await;
         }
     }
 }
@@ -273,7 +276,7 @@
     }
 }
 
-type BufferedAnswer = Option<(AnswerHead, Bytes)>;
+type BufferedAnswer = Option<(AnswerHead, BufferedBody)>;
 
 async fn read_answer<P: PlatformAdapter>(
     core: &SharedCore<P>,
@@ -349,20 +352,23 @@
     response
 }
 
-// Delivers an answer that was read to its end.
-fn deliver_buffered<P: PlatformAdapter>(
+// Delivers an answer that was read to its end, if the budget for callers has room for it until the caller has read it.
+async fn deliver_buffered<P: PlatformAdapter>(
     core: &SharedCore<P>,
+    request: &ForwardRequest,
     head: &AnswerHead,
-    body: Bytes,
+    body: BufferedBody,
 ) -> HttpResponse {
-    if head.framing != BodyFraming::Connection {
-        return deliver(core, head, body);
-    }
-    let body = stream::iter([Ok::<Bytes, Infallible>(body)]);
-    deliver(core, head, BodyStream::new(body))
+    let Some(held) = core.caller_budget.take(HeldKind::Other, body.bytes.len()).await else {
+        core.caller_budget.report_refusal("answers_over_budget");
+        let reason = godwitroad_forward::RefusalReason::TargetFailed;
+        return refuse_request(core, &request.arrival.id, "", ForwardRefusal::new(reason));
+    };
+    let is_unframed = head.framing == BodyFraming::Connection;
+    deliver(core, head, HeldAnswer::new(body.bytes, held, is_unframed))
 }
 
-fn response_after<P: PlatformAdapter>(
+async fn response_after<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
     earlier_answer: BufferedAnswer,
@@ -373,10 +379,10 @@
         NextStep::End(refusal) => refusal,
         NextStep::Again | NextStep::Deliver => ForwardRefusal::new(reason),
     };
-    final_response(core, request, earlier_answer, refusal)
+    final_response(core, request, earlier_answer, refusal).await
 }
 
-fn final_response<P: PlatformAdapter>(
+async fn final_response<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
     earlier_answer: BufferedAnswer,
@@ -384,7 +390,7 @@
 ) -> HttpResponse {
     if let Some((head, body)) = earlier_answer {
         log_answer(core, request, &head);
-        return deliver_buffered(core, &head, body);
+        return deliver_buffered(core, request, &head, body).await;
     }
     let context = format!(
         " route={} service={} account={} units={} offers={} elapsed_ms={}",
--- a/crates/proxy/src/answer/mod.rs
+++ b/crates/proxy/src/answer/mod.rs
@@ -6,7 +6,7 @@
 mod errors;
 mod events;
 mod handover;
+mod held;
 mod stream;
 
-pub(crate) use body::BodyBudget;
 pub(crate) use caller::answer;
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -5,18 +5,21 @@
 //! reason the time limit for the head of the first request is applied here, where nothing else can be read: the service
 //! would look at its timer before it reads.
 //!
+//! The HTTP service gets at most [`TURN_BYTES`] at a time. While a request is open it gets further bytes only as the request's
+//! body is read, so that requests behind an open one wait in the kernel's buffer.
+//!
 //! An answer with neither a length nor chunks is complete for its caller when the connection ends in order. The kernel ends
 //! the connections of a killed process in order, too, so a connection with such an answer is set to be reset at its end, until
 //! all of the answer was written.
 
 use std::{
     cell::{Cell, RefCell},
-    future::Future,
+    future::{Future, pending},
     io,
     mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
+    task::{Context, Poll, Waker, ready},
     time::{Duration, SystemTime},
 };
 
@@ -35,6 +38,11 @@
     time::{Instant, Sleep, sleep, sleep_until},
 };
 
+use crate::{
+    caller_budget::{CallerProgress, HeldConnection},
+    client::watched_stream::is_established,
+};
+
 /// The longest time until a lowered time limit applies to a connection that is already idle.
 const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -44,6 +52,13 @@
 /// The interval at which a connection that is to be closed is checked for bytes that are unread.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The bytes that the HTTP service gets before it must have parsed them. It also keeps what it has parsed of small chunks, each
+/// with a multiple of its size.
+const TURN_BYTES: usize = 16 << 10;
+
+/// The interval at which a caller with unread bytes is checked for the end of its connection.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 task_local! {
     /// The activity of the connection that the current task serves.
     static CURRENT_ACTIVITY: Rc<ConnectionActivity>;
@@ -63,6 +78,12 @@
     last: Cell<Instant>,
     // Whether an orderly end of the connection marks the end of an answer.
     marks_end: Cell<bool>,
+    // The bytes that may be read of the body of an open request.
+    credit: Cell<usize>,
+    // Wakes the HTTP service when it may read again.
+    reader: RefCell<Option<Waker>>,
+    // What the connection takes of the budget; none for those of operators.
+    held: Option<HeldConnection>,
 }
 
 impl ConnectionActivity {
@@ -72,6 +93,24 @@
         SockRef::from(&*stream).set_linger(resets.then_some(Duration::ZERO))
     }
 
+    fn progress(&self, report: impl FnOnce(&CallerProgress)) {
+        if let Some(held) = &self.held {
+            report(&held.progress);
+        }
+    }
+
+    fn allow_reading(&self, credit: usize) {
+        self.credit.set(credit);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    // Returns whether the caller has ended the connection, also behind bytes that are unread.
+    fn is_ended(&self) -> bool {
+        !is_established(&self.stream.borrow())
+    }
+
     fn record(&self, is_receiving: bool) {
         self.is_receiving.set(is_receiving);
         self.last.set(Instant::now());
@@ -119,6 +158,7 @@
         let activity = CURRENT_ACTIVITY.with(Rc::clone);
         activity.has_request.set(true);
         activity.open_requests.update(|requests| requests + 1);
+        activity.credit.set(0);
         open.update(|requests| requests + 1);
         ConnectionRequest { activity, open }
     }
@@ -134,9 +174,23 @@
         self.activity.open_requests.update(|requests| requests - 1);
         self.open.update(|requests| requests - 1);
         self.activity.record(false);
+        self.activity.progress(CallerProgress::wait_for_caller);
+        if self.activity.open_requests.get() == 0 {
+            self.activity.allow_reading(0);
+        }
     }
 }
 
+/// Lets the HTTP service read more of the body of the current task's request, as all of it so far was used.
+pub(crate) fn read_more() {
+    CURRENT_ACTIVITY.with(|activity| activity.allow_reading(TURN_BYTES));
+}
+
+/// Declares that the body of the current task's request has arrived, so that the router is due.
+pub(crate) fn end_request_body() {
+    CURRENT_ACTIVITY.with(|activity| activity.progress(CallerProgress::wait_for_router));
+}
+
 /// The body of an answer to a [`ConnectionRequest`].
 #[derive(Debug)]
 pub(crate) struct HeldBody<B> {
@@ -167,11 +221,19 @@
     head_end: Pin<Box<Sleep>>,
     // Whether bytes were read since nothing more could be read; the HTTP service may not have parsed them.
     has_new_bytes: bool,
+    // Whether the HTTP service must parse what it got before it gets more.
+    is_turn_over: bool,
+    end_check: Pin<Box<Sleep>>,
 }
 
 impl CallerStream {
     /// Wraps a connection that was just accepted, with the time limit for the head of its first request.
-    pub(crate) fn new(stream: TcpStream, head_timeout: ClockSpan) -> CallerStream {
+    /// `held` is what it takes of the budget for callers.
+    pub(crate) fn new(
+        stream: TcpStream,
+        head_timeout: ClockSpan,
+        held: Option<HeldConnection>,
+    ) -> CallerStream {
         let stream = Rc::new(RefCell::new(stream));
         let activity = Rc::new(ConnectionActivity {
             stream: stream.clone(),
@@ -180,16 +242,54 @@
             is_receiving: Cell::new(true),
             last: Cell::new(Instant::now()),
             marks_end: Cell::new(false),
+            credit: Cell::new(0),
+            reader: RefCell::default(),
+            held,
         });
         let head_end = Box::pin(sleep(Duration::from_millis(head_timeout.as_ms())));
-        CallerStream { stream, activity, head_end, has_new_bytes: false }
+        CallerStream {
+            stream,
+            activity,
+            head_end,
+            has_new_bytes: false,
+            is_turn_over: false,
+            end_check: Box::pin(sleep(Duration::ZERO)),
+        }
     }
 
-    /// Serves the connection with the future that `serve` returns. In that call, [`idle_end`] and [`read_end`] refer to
-    /// this connection.
-    pub(crate) async fn serve<F: Future>(self, serve: impl FnOnce(CallerStream) -> F) -> F::Output {
+    /// Serves the connection with the future that `serve` returns, until it completes or the budget requires that the
+    /// connection is closed. In that call, [`idle_end`] and [`read_end`] refer to this connection.
+    pub(crate) async fn serve<F: Future>(self, serve: impl FnOnce(CallerStream) -> F) {
         let activity = self.activity.clone();
-        CURRENT_ACTIVITY.scope(activity, async move { serve(self).await }).await
+        let progress = activity.held.as_ref().map(|held| held.progress.clone());
+        let served = CURRENT_ACTIVITY.scope(activity.clone(), async move { serve(self).await });
+        let closed = async move {
+            match progress {
+                Some(progress) => progress.closed().await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            _ = served => {}
+            // What is unsent is dropped with the connection, and an answer that isn't complete must not look so. A failure means
+            // that the connection has ended.
+            () = closed => drop(activity.set_reset_at_close(true)),
+        }
+    }
+
+    // Reads nothing, but completes at the end of the connection.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.reader.replace(Some(context.waker().clone()));
+        let mut byte = [0];
+        let peeked = self.stream.borrow().poll_peek(context, &mut ReadBuf::new(&mut byte));
+        if ready!(peeked)? == 0 || self.activity.is_ended() {
+            return Poll::Ready(Ok(()));
+        }
+        // Unread bytes hide the end, so that nothing wakes this task then.
+        self.end_check.as_mut().reset(Instant::now() + END_CHECK_INTERVAL);
+        ready!(self.end_check.as_mut().poll(context));
+        context.waker().wake_by_ref();
+        Poll::Pending
     }
 
     // Completes with an answer and the end of the stream when the head of the first request is late. Nothing can be read at
@@ -280,12 +380,32 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer);
+        if std::mem::take(&mut self.is_turn_over) {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let is_open = self.activity.open_requests.get() > 0;
+        let limit = if is_open { self.activity.credit.get() } else { TURN_BYTES };
+        if limit == 0 {
+            return self.poll_end(context);
+        }
+        let size = limit.min(buffer.remaining());
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, &mut part);
+        let length = part.filled().len();
         if result.is_pending() {
+            self.activity.reader.replace(Some(context.waker().clone()));
             return self.poll_head_end(context);
         }
+        buffer.advance(length);
         self.has_new_bytes = true;
         self.activity.record(true);
+        self.activity.progress(|progress| progress.transfer(length));
+        if is_open {
+            self.activity.credit.update(|credit| credit - length);
+        } else {
+            self.is_turn_over = length > 0;
+        }
         result
     }
 }
@@ -296,7 +416,15 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes));
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes);
+        if result.is_pending() {
+            self.activity.progress(CallerProgress::block_write);
+        }
+        let result = ready!(result);
+        if self.activity.open_requests.get() > 0 {
+            // A socket is writable again only when a third of its send buffer is free, so that each write is progress.
+            self.activity.progress(CallerProgress::wait_for_router);
+        }
         self.activity.record(self.activity.is_receiving.get());
         Poll::Ready(result)
     }
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,6 +9,7 @@
 //! only if it can't be an earlier one: by the id in it, if no request with that id was sent to the address before, or
 //! because its request is the first on its connection. Bytes that arrive on an idle connection close it.
 
+mod buffered;
 mod connection;
 mod pool;
 mod queue_watch;
@@ -38,6 +39,8 @@
     time::{Instant, timeout_at},
 };
 
+use buffered::BufferedBytes;
+pub use buffered::{BufferedBody, MAX_BUFFERED_BODY_BYTES};
 pub(crate) use connection::TargetConnection;
 use pool::ConnectionPool;
 use sent::SentRequests;
@@ -127,12 +130,6 @@
     buffered: Rc<Cell<usize>>,
 }
 
-/// Counts the bytes of one answer among those that are being buffered, until it is dropped.
-struct BufferedBytes {
-    total: Rc<Cell<usize>>,
-    own: usize,
-}
-
 /// The time limit for establishing a connection. The longest round trip between zones takes a few milliseconds; a target
 /// that takes much longer is down or unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -140,16 +137,9 @@
 /// The time after which a request that ends unanswered leaves its path in doubt.
 const UNANSWERED_TIME: Duration = Duration::from_millis(500);
 
-/// The size limit of an answer body that is buffered completely.
-pub const MAX_BUFFERED_BODY_BYTES: usize = 4 << 20;
-
 /// The limit of informational answers before an answer.
 const MAX_INFORMATIONAL_ANSWERS: usize = 16;
 
-/// The size limit of all answer bodies that are being buffered at one time, so that many targets whose bodies don't end
-/// can't exhaust the memory of the process.
-const MAX_BUFFERED_TOTAL_BYTES: usize = 12 << 20;
-
 impl TargetClient {
     /// Sends a request and returns the head of the answer.
     ///
@@ -426,21 +416,6 @@
     }
 }
 
-impl BufferedBytes {
-    // Counts further bytes; returns whether they are within the limits.
-    fn add(&mut self, bytes: usize) -> bool {
-        self.own += bytes;
-        self.total.set(self.total.get() + bytes);
-        self.own <= MAX_BUFFERED_BODY_BYTES && self.total.get() <= MAX_BUFFERED_TOTAL_BYTES
-    }
-}
-
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.own);
-    }
-}
-
 impl TargetExchange {
     /// Returns the next bytes of the body, or `None` at its end.
     ///
@@ -493,7 +468,7 @@
 
     // Returns the answer with its remaining body.
     async fn read_answer(&mut self, deadline: Instant) -> Result<Response<Bytes>> {
-        let mut answer = Response::new(self.read_to_end(deadline).await?);
+        let mut answer = Response::new(self.read_to_end(deadline).await?.bytes);
         *answer.status_mut() = self.status;
         *answer.headers_mut() = self.headers.clone();
         Ok(answer)
@@ -505,15 +480,17 @@
     ///
     /// Returns an error if the body ends early, is larger than [`MAX_BUFFERED_BODY_BYTES`], too many bytes of other
     /// answers are being buffered, or the deadline passes.
-    pub async fn read_to_end(&mut self, deadline: Instant) -> Result<Bytes> {
-        let mut counted = BufferedBytes { total: self.buffered.clone(), own: 0 };
-        let mut body = BytesMut::new();
+    pub async fn read_to_end(&mut self, deadline: Instant) -> Result<BufferedBody> {
+        let mut counted = BufferedBytes::new(self.buffered.clone());
+        let declared = self.body.size_hint().exact().unwrap_or(0);
+        // A declared length may be wrong, so that it only avoids the copies of a growing buffer.
+        let mut body = BytesMut::with_capacity((declared as usize).min(MAX_BUFFERED_BODY_BYTES));
         while let Some(bytes) = self.next(deadline).await? {
             if !counted.add(bytes.len()) {
                 return Err(SendError::Failed);
             }
             body.extend_from_slice(&bytes);
         }
-        Ok(body.freeze())
+        Ok(BufferedBody::new(body.freeze(), counted))
     }
 }
--- a/crates/proxy/src/client/watched_stream.rs
+++ b/crates/proxy/src/client/watched_stream.rs
@@ -130,6 +130,13 @@
     }
 }
 
+/// Returns whether neither side has ended a connection. A connection whose state isn't reported counts as established.
+pub(crate) fn is_established(stream: &TcpStream) -> bool {
+    // The number of the state in Linux (`TCP_ESTABLISHED`).
+    const ESTABLISHED: u8 = 1;
+    getsockopt(stream, TcpInfo).map_or(true, |info| info.tcpi_state == ESTABLISHED)
+}
+
 fn queue_state(stream: &TcpStream) -> Option<QueueState> {
     let info = getsockopt(stream, TcpInfo).ok()?;
     Some(QueueState {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    answer::BodyBudget,
+    caller_budget::CallerBudget,
     caller_stream::OpenCount,
     client::TargetClient,
     order_lease, orders,
@@ -38,7 +38,7 @@
     pub(crate) settings: RefCell<ProxySettings>,
     pub(crate) client: TargetClient,
     pub(crate) log: NodeLog,
-    pub(crate) metrics: NodeMetrics,
+    pub(crate) metrics: Rc<NodeMetrics>,
     /// Wakes the gossip sender before its next regular round.
     pub(crate) send_gossip: Notify,
     /// Wakes the store task from an idle pause.
@@ -47,8 +47,8 @@
     pub(crate) write_entry: Notify,
     /// The requests of callers that have begun to arrive and whose answers aren't complete.
     pub(crate) open_requests: OpenCount,
-    /// The memory for large bodies of callers' requests.
-    pub(crate) body_budget: BodyBudget,
+    /// The budget for what callers make the process hold.
+    pub(crate) caller_budget: CallerBudget,
     /// The connections to targets that are relayed for other routers.
     pub(crate) open_relays: Cell<usize>,
     /// Set to `true` to make callers' connections close as soon as they are idle.
@@ -67,18 +67,23 @@
     pub(crate) fn new(platform: P, settings: ProxySettings, log: NodeLog) -> SharedCore<P> {
         let clock = NodeClock::start();
         let state = ForwardState::new(settings.forward.clone());
-        let body_budget = BodyBudget::new(settings.body_budget);
+        let metrics = Rc::new(NodeMetrics::default());
+        let (reporter, report_log) = (metrics.clone(), log.clone());
+        let caller_budget = CallerBudget::new(settings.caller_bounds, move |name, detail| {
+            reporter.count(&format!("callers.{name}"), 1);
+            report_log.warn(name, &detail);
+        });
         Rc::new(ProxyCore {
             platform,
             settings: RefCell::new(settings),
             client: TargetClient::default(),
             log,
-            metrics: NodeMetrics::default(),
+            metrics,
             send_gossip: Notify::new(),
             check_store: Notify::new(),
             write_entry: Notify::new(),
             open_requests: OpenCount::default(),
-            body_budget,
+            caller_budget,
             open_relays: Cell::new(0),
             closing: watch::Sender::new(false),
             answer_due: watch::Sender::new(false),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform's headers, keys and calls and the types used here.
 
 mod answer;
+mod caller_budget;
 mod caller_stream;
 pub mod client;
 mod core;
@@ -23,5 +24,6 @@
 mod supervision;
 pub mod telemetry;
 
+pub use caller_budget::CallerBounds;
 pub use run::run;
 pub use settings::ProxySettings;
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -52,7 +52,7 @@
     settings: ProxySettings,
     log: NodeLog,
 ) -> Result<()> {
-    let callers = serve::bind(settings.callers).await?;
+    let callers = serve::bind_callers(settings.callers)?;
     let ready = serve::bind(settings.ready).await?;
     let metrics = serve::bind(settings.metrics).await?;
     let gossip_socket = gossip::open(settings.peers).await;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -11,13 +11,15 @@
 use actix_web::{App, HttpRequest, HttpResponse, dev::AppConfig, web};
 use anyhow::{Context as _, Result};
 use godwitroad_forward::CallerLimits;
+use socket2::SockRef;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
 };
 
 use crate::{
     answer,
+    caller_budget::HeldConnection,
     caller_stream::{CallerStream, ConnectionRequest, OpenCount, idle_end, read_end},
     core::SharedCore,
     platform::PlatformAdapter,
@@ -33,7 +35,18 @@
 /// end too early by as much.
 const SERVICE_CLOCK_LAG: Duration = Duration::from_millis(500);
 
-type ConnectionService = Rc<dyn Fn(TcpStream, SocketAddr)>;
+/// The size that is asked for the kernel's receive and send buffers of a caller's connection; Linux takes twice as much. On the
+/// platform, these buffers count towards the VM's memory. Within a region, where round trips take a few milliseconds, a connection
+/// still carries the 10 Mbit/s of the smallest VM.
+const KERNEL_BUFFER_BYTES: u32 = 32 << 10;
+
+/// The connections that the kernel accepts before the process does.
+const BACKLOG: u32 = 1_024;
+
+/// The answer to a connection that the budget has no room for. It is sent before anything is read, so that nothing has run.
+const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.000\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+type ConnectionService = Rc<dyn Fn(TcpStream, SocketAddr, Option<HeldConnection>)>;
 
 /// Opens a TCP listener.
 ///
@@ -44,6 +57,23 @@
     TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))
 }
 
+/// Opens the TCP listener for callers, whose connections have small buffers in the kernel.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub(crate) fn bind_callers(address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(KERNEL_BUFFER_BYTES)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().with_context(|| format!("can't listen on {address}"))
+}
+
 /// Serves callers for as long as the process runs.
 pub(crate) async fn serve_callers<P: PlatformAdapter>(core: SharedCore<P>, listener: TcpListener) {
     let (handler_core, limits_core) = (core.clone(), core.clone());
@@ -54,7 +84,17 @@
     let limits = move || limits_in_force(&limits_core);
     let open = core.open_requests.clone();
     let service = connection_service(&core, app, limits, open).await;
-    accept_all(core, listener, service).await;
+    loop {
+        let Some((stream, peer)) = accept(&core, &listener).await else { continue };
+        match core.caller_budget.connect().await {
+            Some(held) => service(stream, peer, Some(held)),
+            None => {
+                core.caller_budget.report_refusal("connection_refused_for_budget");
+                // The answer fits into the empty send buffer. A caller that has gone needs none.
+                let _ = SockRef::from(&stream).send(BUSY_ANSWER);
+            }
+        }
+    }
 }
 
 fn limits_in_force<P: PlatformAdapter>(core: &SharedCore<P>) -> CallerLimits {
@@ -101,7 +141,7 @@
 ) {
     loop {
         if let Some((stream, peer)) = accept(&core, &listener).await {
-            service(stream, peer);
+            service(stream, peer, None);
         }
     }
 }
@@ -170,12 +210,12 @@
         .h1(map_config(app, |()| AppConfig::default()));
     let service = factory.new_service(()).await;
     let service = Rc::new(service.expect("the application has no state that could fail to start"));
-    Rc::new(move |stream, peer| {
+    Rc::new(move |stream, peer, held| {
         let (service, head_timeout) = (service.clone(), stream_limits().head_timeout);
         spawn(async move {
             // A broken connection affects only its own caller.
-            let stream = CallerStream::new(stream, head_timeout);
-            let _ = stream.serve(|stream| service.call((stream, Some(peer)))).await;
+            let stream = CallerStream::new(stream, head_timeout, held);
+            stream.serve(|stream| service.call((stream, Some(peer)))).await;
         });
     })
 }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -5,6 +5,8 @@
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::ForwardSettings;
 
+use crate::caller_budget::CallerBounds;
+
 /// The settings of a proxy process, in the form in which operators see them printed.
 #[derive(Clone, Debug)]
 pub struct ProxySettings {
@@ -22,8 +24,8 @@
     pub grace: ClockSpan,
     /// The time after which this router's entry in the store expires unless it is renewed.
     pub entry_lease: ClockSpan,
-    /// The bytes that the large bodies of callers' requests may take together. Changes need a restart.
-    pub body_budget: usize,
+    /// The limits of what callers may make the process hold. Changes need a restart.
+    pub caller_bounds: CallerBounds,
     /// The settings of the decision state.
     pub forward: ForwardSettings,
 }
@@ -39,7 +41,7 @@
             seeds: Vec::new(),
             grace: ClockSpan::from_secs(8),
             entry_lease: ClockSpan::from_secs(600),
-            body_budget: 64 << 20,
+            caller_bounds: CallerBounds::default(),
             forward: ForwardSettings::default(),
         }
     }
--- /dev/null
+++ b/crates/proxy/tests/unit/caller_budget.rs
@@ -0,0 +1,65 @@
+//! Tests of the budget for callers.
+
+use std::{cell::RefCell, rc::Rc};
+
+use tokio::time::Duration;
+
+use super::{CallerBounds, CallerBudget, CallerProgress, HeldKind};
+
+fn budget(stall: Duration) -> (CallerBudget, Rc<RefCell<Vec<&'static str>>>) {
+    let bounds = CallerBounds { bytes: 200_000, body_bytes: 100_000, connections: 3, stall };
+    let reports = Rc::new(RefCell::new(Vec::new()));
+    let names = reports.clone();
+    (CallerBudget::new(bounds, move |name, _| names.borrow_mut().push(name)), reports)
+}
+
+/// Guards against parts that stay taken after their connection or body is gone.
+#[actix_rt::test]
+async fn parts_are_free_again_when_dropped() {
+    let (budget, reports) = budget(Duration::from_secs(60));
+    let body = budget.take(HeldKind::Body, 90_000).await;
+    assert!(body.is_some());
+    assert!(budget.take(HeldKind::Body, 20_000).await.is_none());
+    assert!(budget.take(HeldKind::Other, 20_000).await.is_some());
+    drop(body);
+    assert!(budget.take(HeldKind::Body, 100_000).await.is_some());
+    assert!(reports.borrow().is_empty());
+    assert_eq!((budget.state.used.get(), budget.state.body_used.get()), (0, 0));
+}
+
+/// Guards against closing callers that wait for the router, and against closing another than the longest stalled one.
+#[actix_rt::test]
+async fn the_longest_stalled_connection_is_closed_and_no_other() {
+    let (budget, reports) = budget(Duration::from_millis(20));
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        held.push(budget.connect().await.expect("there is room"));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    held[0].progress.wait_for_router();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    held[2].progress.wait_for_caller();
+    assert!(budget.close_stalled());
+    let closed = |held: &Vec<super::HeldConnection>| -> Vec<bool> {
+        held.iter().map(|held| held.progress.is_closed.get()).collect()
+    };
+    assert_eq!(closed(&held), [false, true, false]);
+    assert!(!budget.close_stalled());
+    assert_eq!(*reports.borrow(), ["connection_closed_for_budget"]);
+    held.remove(1);
+    assert!(budget.connect().await.is_some());
+}
+
+/// Guards against callers that keep a connection open with single bytes.
+#[actix_rt::test]
+async fn single_bytes_are_no_progress() {
+    let (budget, _) = budget(Duration::from_millis(20));
+    let held = budget.connect().await.expect("there is room");
+    let since = |progress: &CallerProgress| progress.waits_since.get();
+    let first = since(&held.progress);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    held.progress.transfer(1);
+    assert_eq!(since(&held.progress), first);
+    held.progress.transfer(super::PROGRESS_BYTES);
+    assert!(since(&held.progress) > first);
+}
