Cost model: active for all services under the contract `pressure`

Targets of such deployments don't report a pace, so that the fourth figure of the load report alone doesn't activate the model there. Without the contract nothing changes.

--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -82,9 +82,10 @@
         }
     }
 
-    /// Returns whether the model is active for a service: whether one of its targets has reported its pace.
+    /// Returns whether the model is active for a service: by the settings, or because one of its targets has reported its
+    /// pace.
     pub fn is_learned(&self, service: &ServiceName) -> bool {
-        self.services.contains(service)
+        self.settings.always_active || self.services.contains(service)
     }
 
     /// Activates the model for a service, as one of its targets has reported its pace to this router or a peer. Returns
--- a/crates/cost/src/sheet.rs
+++ b/crates/cost/src/sheet.rs
@@ -1,8 +1,10 @@
 //! The estimate according to the targets' data sheets, before anything is learned of a target.
 
-/// The constants of the data sheets.
+/// The settings of the model: when it is active, and the constants of the data sheets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostSettings {
+    /// Whether the model is active for all services, whether or not their targets report a pace.
+    pub always_active: bool,
     /// Prompt tokens that an engine processes in a millisecond.
     pub read_per_ms: f64,
     /// Prompt tokens that an engine processes between two decoding steps.
@@ -73,6 +75,7 @@
 impl Default for CostSettings {
     fn default() -> CostSettings {
         CostSettings {
+            always_active: false,
             read_per_ms: 43.0,
             chunk_tokens: 2_048,
             step_ms: 4.9,
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -105,6 +105,8 @@
     pub version_span: ClockSpan,
     /// The cost weights for the choice of targets.
     pub choice: ChoiceSettings,
+    /// The settings of the cost model.
+    pub cost: CostSettings,
     /// The settings of the probation of failing targets.
     pub health: HealthSettings,
     /// When targets that reject requests are avoided.
@@ -352,6 +354,7 @@
             weights: WeightSettings::default(),
             version_span: ClockSpan::from_secs(10),
             choice: ChoiceSettings::default(),
+            cost: CostSettings::default(),
             health: HealthSettings {
                 failures: 2,
                 probation: ClockSpan::from_ms(400),
@@ -388,7 +391,7 @@
             retry_budgets: BTreeMap::new(),
             cached_segments: BTreeMap::new(),
             loads: LoadTable::default(),
-            cost: CostModel::new(CostSettings::default(), settings.seed),
+            cost: CostModel::new(settings.cost, settings.seed),
             health: HealthTable::new(settings.health),
             reach: ReachTable::new(settings.reach),
             quarantine: SharedQuarantine::new("part", settings.quarantine),
