--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -103,11 +103,14 @@
     ) -> CostEstimate {
         let sheet = self.settings.estimate(work, request);
         let Some(record) = self.records.get(&tag_of(target)) else { return sheet };
-        let pace = (record.factor(now) + record.current_deviation(now)).exp();
+        let factor = record.factor(now);
+        // The pace changes while the request waits.
+        let pace = (factor + record.mean_deviation(now, sheet.first_ms * factor.exp())).exp();
         let silent_ms = (record.silence(now).as_ms() as f64).min(MAX_SILENCE_MS);
         CostEstimate {
             first_ms: sheet.first_ms * pace + silent_ms,
             pause_ms: sheet.pause_ms * pace,
+            read_pause_ms: sheet.read_pause_ms * pace,
             run_ms: sheet.run_ms * pace,
             pace,
             silent_ms,
--- a/crates/cost/src/record.rs
+++ b/crates/cost/src/record.rs
@@ -140,6 +140,12 @@
         self.deviation * (-age / PACE_MEMORY_MS).exp()
     }
 
+    /// Returns the mean of that over the coming `span_ms`, in which the pace returns to the long-term factor.
+    pub(crate) fn mean_deviation(&self, now: ClockTime, span_ms: f64) -> f64 {
+        let spans = span_ms.max(1.0) / PACE_MEMORY_MS;
+        self.current_deviation(now) * (1.0 - (-spans).exp()) / spans
+    }
+
     pub(crate) fn last_deviation(&self) -> f64 {
         self.deviation
     }
--- a/crates/cost/src/sheet.rs
+++ b/crates/cost/src/sheet.rs
@@ -60,6 +60,8 @@
     /// The longest pause of a stream at the target while this request's prompt and those before it are processed, in ms;
     /// 0 without an engine.
     pub pause_ms: f64,
+    /// The part of a pause that follows from this request's prompt alone, in ms; 0 if there is none to process.
+    pub read_pause_ms: f64,
     /// The time from the first event to the end, in ms.
     pub run_ms: f64,
     /// The factor by which work at the target takes longer than its data sheet says.
@@ -85,11 +87,16 @@
 impl CostSettings {
     /// Returns the estimate for a target that works exactly as its data sheet says.
     pub(crate) fn estimate(&self, work: &TargetWork, request: &RequestSize) -> CostEstimate {
-        let (first_ms, pause_ms, run_ms) = match &request.engine {
+        let mut estimate = match &request.engine {
             Some(engine) => self.engine_times(work, engine, request.is_streaming),
-            None => (self.plain_ms * (1.0 + queue_share(work)), 0.0, 0.0),
+            None => CostEstimate {
+                first_ms: self.plain_ms * (1.0 + queue_share(work)),
+                ..CostEstimate::default()
+            },
         };
-        CostEstimate { first_ms, pause_ms, run_ms, pace: 1.0, silent_ms: 0.0, sheet_ms: first_ms }
+        estimate.pace = 1.0;
+        estimate.sheet_ms = estimate.first_ms;
+        estimate
     }
 
     fn engine_times(
@@ -97,7 +104,7 @@
         work: &TargetWork,
         engine: &EngineSize,
         is_streaming: bool,
-    ) -> (f64, f64, f64) {
+    ) -> CostEstimate {
         let running = work.requests.min(work.slots.into());
         let step = self.step_ms + self.step_request_ms * running as f64;
         let tokens = work.pending_prefill + engine.prefill;
@@ -109,10 +116,13 @@
         let committed = (work.memory + engine.input + engine.output) as f64;
         let shortage = (committed / memory - 1.0).max(0.0);
         let first = prefill + run * queue_share(work).max(shortage);
-        let chunk = tokens.min(self.chunk_tokens) as f64 / self.read_per_ms;
         let steps = u64::from(work.stride.max(1));
-        let pause = steps as f64 * step + steps.min(chunks) as f64 * chunk;
-        if is_streaming { (first, pause, run) } else { (first + run, pause, 0.0) }
+        // Between two events of a stream, the engine processes at most one chunk for each of the steps.
+        let read_ms = |tokens: u64| tokens.min(steps * self.chunk_tokens) as f64 / self.read_per_ms;
+        let pause_ms = steps as f64 * step + read_ms(tokens);
+        let read_pause_ms = read_ms(engine.prefill);
+        let (first_ms, run_ms) = if is_streaming { (first, run) } else { (first + run, 0.0) };
+        CostEstimate { first_ms, pause_ms, read_pause_ms, run_ms, ..CostEstimate::default() }
     }
 }
 
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -52,6 +52,9 @@
     /// The advantage of the affinity target of a prompt that is cached nowhere, in ms. With it, routers that don't know
     /// of each other's requests choose the same target.
     pub home_ms: f64,
+    /// The weight of a stream that becomes late because of a pause, in ms. It is far below that of a late first event, as
+    /// not each request there is a stream with a limit, and not each of those was in time before.
+    pub pause_ms: f64,
     /// The random fraction that is added to the cost, so that routers with the same view don't all choose one target.
     pub noise: f64,
 }
@@ -69,6 +72,7 @@
             plain_ms: 30.0,
             old_ms: 600.0,
             home_ms: 90.0,
+            pause_ms: 30.0,
             noise: 0.02,
         }
     }
@@ -132,6 +136,8 @@
     pub now: ClockTime,
     /// Whether the answer is a stream.
     pub is_streaming: bool,
+    /// The strictest limit of pauses among the streams of the service, in ms; `None` if none has a limit.
+    pub gap_ms: Option<f64>,
 }
 
 /// The result of choosing a target.
@@ -266,9 +272,26 @@
     if !candidate.is_affinity_target {
         cost += settings.home_ms;
     }
+    if let (Some(learned), Some(estimate)) = (learned, &estimate) {
+        cost += pause_cost(settings, candidate, learned, estimate);
+    }
     CandidateCost { cost, wait, source, prefill_tokens, estimate }
 }
 
+// Returns the weight of the pauses by which reading this prompt makes the streams at the target late.
+fn pause_cost(
+    settings: &ChoiceSettings,
+    candidate: &TargetCandidate,
+    learned: &LearnedCost<'_>,
+    estimate: &CostEstimate,
+) -> f64 {
+    let Some(gap) = learned.gap_ms.filter(|_| estimate.read_pause_ms > 0.0) else { return 0.0 };
+    // The part of the streams that become late grows with the pause, as the estimate is uncertain.
+    let share = ((estimate.pause_ms - gap) / gap).clamp(0.0, 1.0);
+    let caused = estimate.read_pause_ms / estimate.pause_ms.max(1.0);
+    candidate.work.requests as f64 * share * caused * settings.pause_ms
+}
+
 // Returns the wait for an engine that follows from the constants alone, with `fetch` ms for a transfer.
 fn sheet_wait(
     settings: &ChoiceSettings,
--- a/crates/forward/src/rules.rs
+++ b/crates/forward/src/rules.rs
@@ -170,6 +170,14 @@
         !self.accounts.is_empty()
     }
 
+    /// Returns the strictest limit of pauses among the streaming routes to a service.
+    pub fn strictest_gap(&self, service: &ServiceName) -> Option<ClockSpan> {
+        let leads_there = |route: &&Arc<RouteRule>| {
+            route.streaming && route.split.iter().any(|(name, _)| name == service)
+        };
+        self.routes.iter().filter(leads_there).filter_map(|route| route.gap_target).min()
+    }
+
     /// Returns the shared cache store, if a service is one.
     pub fn cache_store(&self) -> Option<&SharedCacheStore> {
         self.services.values().find_map(|service| service.cache_store.as_ref())
--- a/crates/forward/src/state/cost.rs
+++ b/crates/forward/src/state/cost.rs
@@ -1,6 +1,6 @@
 //! Feeds the cost model with what this router observes and what its peers report.
 
-use godwitroad_base::{ClockTime, TargetName};
+use godwitroad_base::{ClockSpan, ClockTime, TargetName};
 use godwitroad_cost::{CostModel, EstimateError, PaceEntry};
 
 use super::{ForwardAction, ForwardState, gossip_schedule::UrgentScope};
@@ -94,7 +94,9 @@
     model: &'a CostModel,
     now: ClockTime,
     request: &ForwardRequest,
+    gap: Option<ClockSpan>,
 ) -> Option<LearnedCost<'a>> {
     let is_streaming = request.route.streaming;
-    model.is_learned(&request.service).then_some(LearnedCost { model, now, is_streaming })
+    let gap_ms = gap.map(|gap| gap.as_ms() as f64);
+    model.is_learned(&request.service).then_some(LearnedCost { model, now, is_streaming, gap_ms })
 }
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -201,7 +201,7 @@
             records.iter().map(|record| self.candidate(now, record)).collect();
         let max_wait = max_wait_ms(now, request);
         let settings = &self.settings.choice;
-        let learned = learned_cost(&self.cost, now, request);
+        let learned = learned_cost(&self.cost, now, request, None);
         let learned = learned.as_ref();
         let choice =
             choose_candidate(settings, &candidates, None, learned, max_wait, &mut self.random);
@@ -245,7 +245,8 @@
         let demand = PromptDemand { input, output, cached_anywhere, engine };
         let max_wait = max_wait_ms(now, request);
         let settings = &self.settings.choice;
-        let learned = learned_cost(&self.cost, now, request);
+        let gap = rules.strictest_gap(&request.service);
+        let learned = learned_cost(&self.cost, now, request, gap);
         let (learned, demand) = (learned.as_ref(), Some(&demand));
         let choice =
             choose_candidate(settings, &candidates, demand, learned, max_wait, &mut self.random);
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use godwitroad_base::ClockTime;
 use godwitroad_forward::{
-    AnswerPhase, AttemptOutcome, ForwardRequest, NextStep, RequestDigest, SendPlan,
+    AnswerPhase, AttemptOutcome, CostEstimate, ForwardRequest, NextStep, RequestDigest, SendPlan,
 };
 use http::{
     HeaderMap, Method, Request, StatusCode, Uri,
@@ -288,6 +288,11 @@
         metadata.request_id.as_deref() == Some(id.as_ref()) && !metadata.is_mismatch
     }
 
+    /// Returns the estimate with which the target was chosen, if the cost model is active for the service.
+    pub(super) fn cost_estimate(&self) -> Option<CostEstimate> {
+        self.plan.sent.map(|sent| sent.estimate)
+    }
+
     /// Records that the caller gets the first events of this answer.
     pub(super) fn record_stream_begin(&mut self) {
         let core = self.core.clone();
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -9,7 +9,7 @@
 use actix_web::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use godwitroad_base::ClockTime;
+use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_forward::{AttemptOutcome, ForwardRequest, NextStep};
 
 use super::{
@@ -50,6 +50,10 @@
     // When the last complete event arrived, or the current attempt began. Bytes that complete no event don't count, as a
     // stalled target may send some now and then.
     last_event_at: ClockTime,
+    // When the last events were passed to the caller, over all targets, and the longest time between two of these times.
+    // Events are read only when the caller takes them, so that a caller that reads slowly lengthens the pauses.
+    forwarded_at: Option<ClockTime>,
+    longest_pause: ClockSpan,
 }
 
 impl<P: PlatformAdapter> CallerStream<P> {
@@ -72,6 +76,8 @@
             has_begun: false,
             is_relocation_declined: false,
             failure: None,
+            forwarded_at: None,
+            longest_pause: ClockSpan::ZERO,
         }
     }
 
@@ -175,6 +181,9 @@
     fn record_events(&mut self) {
         let now = self.core.now();
         self.last_event_at = now;
+        if let Some(before) = self.forwarded_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.since(before));
+        }
         if !std::mem::replace(&mut self.has_begun, true)
             && let Some((attempt, _)) = &mut self.attempt
         {
@@ -213,11 +222,25 @@
         let status = exchange.status.as_u16();
         let ending = self.describe_end(&exchange);
         self.core.client.release(exchange);
+        self.record_pause(&attempt);
         let (request, _) = attempt.finish(AttemptOutcome::Complete { status });
-        log_stream_end(&self.core, &request, &format!("complete {ending}"));
+        log_stream_end(&self.core, &request, self.longest_pause, &format!("complete {ending}"));
         self.splitter.take_remaining()
     }
 
+    fn record_pause(&self, attempt: &ActiveAttempt<P>) {
+        let (metrics, pause_ms) = (&self.core.metrics, self.longest_pause.as_ms());
+        metrics.record("streams.longest_pause_ms", pause_ms);
+        let limit = attempt.request().route.gap_target;
+        if limit.is_some_and(|limit| self.longest_pause > limit) {
+            metrics.count("streams.late_by_pause", 1);
+        }
+        if let Some(estimate) = attempt.cost_estimate().filter(|estimate| estimate.pause_ms > 0.0) {
+            let percent = pause_ms as f64 / estimate.pause_ms * 100.0;
+            metrics.record("cost.pause_ratio", percent as u64);
+        }
+    }
+
     // Ends the broken attempt and resumes on another target after the last complete event.
     async fn resume_on_another_target(
         &mut self,
@@ -333,11 +356,16 @@
 fn log_stream_end<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
+    longest_pause: ClockSpan,
     outcome: &str,
 ) {
     let elapsed = core.now().since(request.arrived).as_ms();
     core.metrics.record("requests.total_ms", elapsed);
-    let detail = format!("outcome={outcome} attempts={} elapsed_ms={elapsed}", request.attempts);
+    let detail = format!(
+        "outcome={outcome} attempts={} elapsed_ms={elapsed} longest_pause_ms={}",
+        request.attempts,
+        longest_pause.as_ms(),
+    );
     core.log.request("stream_ended", &request.arrival.id, &detail);
 }
 
@@ -365,7 +393,12 @@
         }
         if let Some((request, step)) = stream.take_failure() {
             stream.core.metrics.count("streams.broken", 1);
-            log_stream_end(&stream.core, &request, &format!("broken next={step:?}"));
+            log_stream_end(
+                &stream.core,
+                &request,
+                stream.longest_pause,
+                &format!("broken next={step:?}"),
+            );
         }
         let end = stream.take_broken_end().map(Some).ok_or(BrokenStream);
         (stream, end)
