--- a/crates/cost/src/lib.rs
+++ b/crates/cost/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod entry;
 mod error;
+mod lengths;
 mod model;
 mod record;
 mod sheet;
--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -2,13 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use godwitroad_base::{ClockSpan, ClockTime, SeededRandom, ServiceName, TargetName};
+use godwitroad_base::{
+    AccountName, ClockSpan, ClockTime, RouteName, SeededRandom, ServiceName, TargetName,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     CostEstimate, CostSettings, EstimateError, PaceEntry, RequestSize, TargetWork,
     entry::{decode_factor, encode_age, encode_factor, encode_silence},
     error::ErrorWindow,
+    lengths::LengthTable,
     record::{MIN_SILENCE, PaceRecord, WaitingRequest},
 };
 
@@ -28,6 +31,7 @@
     services: BTreeSet<ServiceName>,
     records: BTreeMap<u32, PaceRecord>,
     errors: ErrorWindow,
+    lengths: LengthTable,
     next_id: u64,
     random: SeededRandom,
 }
@@ -77,6 +81,7 @@
             services: BTreeSet::new(),
             records: BTreeMap::new(),
             errors: ErrorWindow::default(),
+            lengths: LengthTable::default(),
             next_id: 0,
             random: SeededRandom::new(seed),
         }
@@ -176,6 +181,27 @@
         }
     }
 
+    /// Records the number of tokens of a complete answer, of which the request declared a maximum.
+    pub fn record_length(
+        &mut self,
+        route: &RouteName,
+        account: Option<&AccountName>,
+        declared: u64,
+        actual: u64,
+    ) {
+        self.lengths.record((route.clone(), account.cloned()), declared, actual);
+    }
+
+    /// Returns the expected number of tokens of an answer.
+    pub fn expected_length(
+        &self,
+        route: &RouteName,
+        account: Option<&AccountName>,
+        declared: u64,
+    ) -> u64 {
+        self.lengths.expected(&(route.clone(), account.cloned()), declared)
+    }
+
     /// Returns the targets that have begun to look stuck to this router, and that no peer has told of, by tag.
     pub fn newly_silent(&mut self, now: ClockTime) -> Vec<u32> {
         let records = self.records.iter_mut();
--- a/crates/cost/tests/model.rs
+++ b/crates/cost/tests/model.rs
@@ -108,3 +108,17 @@
     assert!(estimate(&peer, 810).first_ms < first);
     assert!(own.entries(at(3_000)).is_empty(), "old responses are no news");
 }
+
+// Guards against memory and run time that are set aside for declared maxima which answers don't reach.
+#[test]
+fn expected_lengths_are_learned_by_route_and_account() {
+    let mut model = model(1);
+    let (route, account) = ("r".into(), "one".into());
+    for _ in 0..100 {
+        model.record_length(&route, Some(&account), 400, 100);
+    }
+    assert!((100..120).contains(&model.expected_length(&route, Some(&account), 400)));
+    assert_eq!(model.expected_length(&route, None, 400), 400, "another account");
+    model.record_length(&route, None, 0, 100);
+    assert_eq!(model.expected_length(&route, None, 0), 0);
+}
--- a/crates/forward/src/state/cost.rs
+++ b/crates/forward/src/state/cost.rs
@@ -83,6 +83,27 @@
         }
     }
 
+    /// Records the length of a complete stream in events, if the cost model is active for the service.
+    pub fn record_stream_length(&mut self, request: &ForwardRequest, events: u64) {
+        let rules = self.rules.as_ref().filter(|_| self.cost.is_learned(&request.service));
+        let service = rules.and_then(|rules| rules.services.get(&request.service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        if let (Some(engine), Some((_, declared))) = (engine, request.arrival.tokens) {
+            let tokens = events.saturating_mul(engine.stride.into());
+            let account = request.account.as_ref().map(|account| &account.name);
+            self.cost.record_length(&request.route.name, account, declared, tokens);
+        }
+    }
+
+    /// Returns the expected number of tokens of an answer: the declared one unless the cost model is active.
+    pub(super) fn expected_output(&self, request: &ForwardRequest, declared: u64) -> u64 {
+        if !self.cost.is_learned(&request.service) {
+            return declared;
+        }
+        let account = request.account.as_ref().map(|account| &account.name);
+        self.cost.expected_length(&request.route.name, account, declared)
+    }
+
     /// Returns how well the latest estimates of the cost model agreed with the actual times.
     pub fn cost_error(&self) -> EstimateError {
         self.cost.error_summary()
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -219,7 +219,8 @@
         engine: &EngineRule,
         records: &[Arc<TargetRecord>],
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
-        let (input, output) = request.arrival.tokens.unwrap_or((0, 0));
+        let (input, declared) = request.arrival.tokens.unwrap_or((0, 0));
+        let output = self.expected_output(request, declared);
         let prompts = self.prompts_by_version(now, request, rules, records);
         let prompt_of = |record: &TargetRecord| {
             let version = version_of(request, record);
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -223,6 +223,10 @@
         let ending = self.describe_end(&exchange);
         self.core.client.release(exchange);
         self.record_pause(&attempt);
+        // The events of a stream are numbered, also those that another target sent.
+        if let Some(events) = self.splitter.last_id() {
+            self.core.update(|state| state.record_stream_length(attempt.request(), events));
+        }
         let (request, _) = attempt.finish(AttemptOutcome::Complete { status });
         log_stream_end(&self.core, &request, self.longest_pause, &format!("complete {ending}"));
         self.splitter.take_remaining()
