--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -201,7 +201,7 @@
             records.iter().map(|record| self.candidate(now, record)).collect();
         let max_wait = max_wait_ms(now, request);
         let settings = &self.settings.choice;
-        let learned = learned_cost(&self.cost, now, request);
+        let learned = learned_cost(&self.cost, now, request, None);
         let learned = learned.as_ref();
         let choice =
             choose_candidate(settings, &candidates, None, learned, max_wait, &mut self.random);
@@ -219,7 +219,8 @@
         engine: &EngineRule,
         records: &[Arc<TargetRecord>],
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
-        let (input, output) = request.arrival.tokens.unwrap_or((0, 0));
+        let (input, declared) = request.arrival.tokens.unwrap_or((0, 0));
+        let output = self.expected_output(request, declared);
         let prompts = self.prompts_by_version(now, request, rules, records);
         let prompt_of = |record: &TargetRecord| {
             let version = version_of(request, record);
@@ -245,7 +246,8 @@
         let demand = PromptDemand { input, output, cached_anywhere, engine };
         let max_wait = max_wait_ms(now, request);
         let settings = &self.settings.choice;
-        let learned = learned_cost(&self.cost, now, request);
+        let gap = rules.strictest_gap(&request.service);
+        let learned = learned_cost(&self.cost, now, request, gap);
         let (learned, demand) = (learned.as_ref(), Some(&demand));
         let choice =
             choose_candidate(settings, &candidates, demand, learned, max_wait, &mut self.random);
