Answers that end before their upload, and statuses that are not final, fail the attempt

Cause: an answer without a length that a target ended while the request was still being written was passed on as complete, with status 200 and an orderly end; statuses 101 and 600 to 999 reached callers.

Change: the client records whether a request was written completely. An answer that only the end of its connection delimits fails (may have run) if it wasn't. Statuses outside 200 to 599 fail the attempt likewise.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -18,7 +18,11 @@
     time::{Instant, timeout_at},
 };
 
-use super::{Result, SendError, watched_stream::WatchedStream};
+use super::{
+    Result, SendError,
+    upload::{RecordedStream, UploadRecord},
+    watched_stream::WatchedStream,
+};
 
 /// The limit of bytes that a connection buffers, and thereby of an answer's head. A head without end fails the call.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
@@ -30,6 +34,7 @@
     task: AbortHandle,
     has_requests: bool,
     is_relayed: bool,
+    upload: UploadRecord,
 }
 
 impl TargetConnection {
@@ -53,6 +58,8 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
+        let upload = UploadRecord::default();
+        let stream = RecordedStream::new(stream, upload.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
@@ -60,7 +67,7 @@
         let (sender, connection) = handshake.map_err(|_| SendError::NotSent)?;
         // The result is dropped because an error also reaches the task that waits for an answer on the connection.
         let task = actix_rt::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(TargetConnection { sender, task, has_requests: false, is_relayed })
+        Ok(TargetConnection { sender, task, has_requests: false, is_relayed, upload })
     }
 
     /// Returns whether the connection leads through a peer.
@@ -70,9 +77,15 @@
 
     /// Records that a request follows, and returns whether it is the first on this connection.
     pub(super) fn begin_request(&mut self) -> bool {
+        self.upload.begin();
         !std::mem::replace(&mut self.has_requests, true)
     }
 
+    /// Returns whether all of the latest request was written.
+    pub(super) fn is_request_written(&self) -> bool {
+        self.upload.is_written()
+    }
+
     /// Sends a request and returns the answer with an unread body. The error contains the request if it wasn't sent.
     pub(super) async fn send(
         &mut self,
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -14,11 +14,13 @@
 mod pool;
 mod queue_watch;
 mod sent;
+mod upload;
 pub(crate) mod watched_stream;
 
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    ops::RangeInclusive,
     rc::Rc,
     sync::{
         Arc,
@@ -42,7 +44,7 @@
 use buffered::BufferedBytes;
 pub use buffered::{BufferedBody, MAX_BUFFERED_BODY_BYTES};
 pub(crate) use connection::TargetConnection;
-use pool::ConnectionPool;
+use pool::{ConnectionPool, UnansweredRequest};
 use sent::SentRequests;
 
 /// Opens the new connections for the requests to one target.
@@ -134,8 +136,9 @@
 /// that takes much longer is down or unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// The time after which a request that ends unanswered leaves its path in doubt.
-const UNANSWERED_TIME: Duration = Duration::from_millis(500);
+/// The statuses that end a request. Others have no meaning that a caller could act on, so that the request has failed and may
+/// have run.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// The limit of informational answers before an answer.
 const MAX_INFORMATIONAL_ANSWERS: usize = 16;
@@ -229,9 +232,12 @@
         };
         match timeout_at(deadline, sent).await {
             Ok(Some(Ok(response))) => {
-                unanswered.pool = None;
+                unanswered.end();
                 let (parts, body) = Response::into_parts(response);
                 let (status, headers) = (parts.status, parts.headers);
+                if !FINAL_STATUSES.contains(&status.as_u16()) {
+                    return Err(failed(SendError::Failed));
+                }
                 let framing = BodyFraming::of(&headers, &body);
                 let buffered = self.buffered.clone();
                 let read_ahead = BytesMut::new();
@@ -352,28 +358,6 @@
     }
 }
 
-// A request on a reused connection that has no answer yet. If it ends unanswered after some time, the path may be lost, and
-// the other idle connections to the address are closed so that no further request depends on them.
-struct UnansweredRequest<'a> {
-    pool: Option<&'a RefCell<ConnectionPool>>,
-    address: SocketAddr,
-    sent_at: Instant,
-}
-
-impl<'a> UnansweredRequest<'a> {
-    fn new(pool: &'a RefCell<ConnectionPool>, address: SocketAddr, is_reused: bool) -> Self {
-        UnansweredRequest { pool: is_reused.then_some(pool), address, sent_at: Instant::now() }
-    }
-}
-
-impl Drop for UnansweredRequest<'_> {
-    fn drop(&mut self) {
-        if let Some(pool) = self.pool.filter(|_| self.sent_at.elapsed() >= UNANSWERED_TIME) {
-            pool.borrow_mut().close_idle(self.address);
-        }
-    }
-}
-
 // A failed send; the request is present if no byte of it was written.
 struct FailedSend {
     error: SendError,
@@ -450,10 +434,16 @@
         Ok(true)
     }
 
+    // Returns whether the end of the connection may have come before that of the answer, as the request wasn't written to its end.
+    fn may_be_cut(&self) -> bool {
+        self.framing == BodyFraming::Connection && !self.connection.is_request_written()
+    }
+
     async fn receive(&mut self, deadline: Instant) -> Result<Option<Bytes>> {
         loop {
             match timeout_at(deadline, self.body.frame()).await {
                 Err(_) => return Err(SendError::TimeOver),
+                Ok(None) if self.may_be_cut() => return Err(SendError::Failed),
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(SendError::Failed),
                 Ok(Some(Ok(frame))) => {
--- a/crates/proxy/src/client/pool.rs
+++ b/crates/proxy/src/client/pool.rs
@@ -1,6 +1,6 @@
 //! The pool of idle connections.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, header::CONNECTION};
 use tokio::time::Instant;
@@ -20,6 +20,9 @@
 /// otherwise close it while a request is in transit.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 
+/// The time after which a request that ends unanswered leaves its path in doubt.
+const UNANSWERED_TIME: Duration = Duration::from_millis(500);
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: TargetConnection,
@@ -107,3 +110,35 @@
         None => Some(DEFAULT_IDLE_TIMEOUT),
     }
 }
+
+/// A request on a reused connection that has no answer yet. If it ends unanswered after some time, the path may be lost, and
+/// the other idle connections to the address are closed so that no further request depends on them.
+pub(super) struct UnansweredRequest<'a> {
+    pool: Option<&'a RefCell<ConnectionPool>>,
+    address: SocketAddr,
+    sent_at: Instant,
+}
+
+impl<'a> UnansweredRequest<'a> {
+    /// Begins a request that is sent now.
+    pub(super) fn new(
+        pool: &'a RefCell<ConnectionPool>,
+        address: SocketAddr,
+        is_reused: bool,
+    ) -> Self {
+        UnansweredRequest { pool: is_reused.then_some(pool), address, sent_at: Instant::now() }
+    }
+
+    /// Records that the request is answered.
+    pub(super) fn end(&mut self) {
+        self.pool = None;
+    }
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool.filter(|_| self.sent_at.elapsed() >= UNANSWERED_TIME) {
+            pool.borrow_mut().close_idle(self.address);
+        }
+    }
+}
