Routers carry out rollouts of services under the operator's orders

Orders under op/rollout/ move a service's requests to targets of a new version. Each router restricts the targets of such a service to one version, counts responses as evidence, and gossips it after the existing fields; the order leader writes status/rollout/ under its entry, the order and the status before. A rollout order makes routers elect the order leader.

The histories (a fleet under kills, partitions, store outages and deaths of the leader) found a leader that died in the shift too late for another to complete the rollout; the shift begins a second earlier now.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,6 +41,9 @@
     AnswerPhase, CrashReport, PartKey, QuarantineNotes, QuarantineSettings, RequestDigest,
     WithheldPart,
 };
+pub use godwitroad_rollout::{
+    RolloutNote, RolloutOrder, RolloutPhase, RolloutSettings, RolloutStatus, StatusKind, StatusStep,
+};
 pub use godwitroad_throttle::{
     BrittleNotice, BrittleReport, BrittleStatement, DeferralNotice, LimitNotice, LimitReport,
     LimitStatement, RejectionBound, RequestRate, RoomStatement,
@@ -54,7 +57,7 @@
 pub use reach::{DirectOutcome, ReachChange, ReachNotes, ReachSettings};
 pub use request::{
     AttemptOutcome, ForwardArrival, ForwardRefusal, ForwardRequest, NextStep, RefusalReason,
-    SendPlan,
+    SendPlan, StreamProgress,
 };
 pub use roster::{EXPIRY_GRACE, RosterChange, TargetRecord, TargetRoster};
 pub use rules::{
--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BrittleReport, LeavingNotice, LimitReport, OriginNotes, QuarantineNotes, ReachNotes,
-    allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
+    RolloutNote, allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
 };
 
 /// The name and location of a router, from its entry in the store or from its gossip messages.
@@ -101,6 +101,9 @@
     /// Whether peers may read the store's changes from the sender; encoded after the path to the store.
     #[serde(skip)]
     pub shares_changes: bool,
+    /// What the sender knows of rollouts of services, encoded after whether it shares changes.
+    #[serde(skip)]
+    pub rollouts: Vec<RolloutNote>,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
@@ -177,7 +180,8 @@
                 || self.deferrals.pop().is_some()
                 || self.limits.pop().is_some()
                 || self.brittle.pop().is_some()
-                || self.leaving.pop().is_some();
+                || self.leaving.pop().is_some()
+                || self.rollouts.iter_mut().any(RolloutNote::drop_least_important);
         }
         true
     }
--- a/crates/forward/src/request.rs
+++ b/crates/forward/src/request.rs
@@ -236,6 +236,27 @@
     pub cached_anywhere: u64,
     /// Prompt tokens that the target has to compute, for the log.
     pub prefill_tokens: u64,
+    /// When the target was chosen.
+    pub chosen_at: ClockTime,
+    /// The events of the stream so far.
+    pub progress: StreamProgress,
+}
+
+/// How far the stream of an attempt has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamProgress {
+    /// When the first event arrived, and the latest.
+    pub span: Option<(ClockTime, ClockTime)>,
+    /// The number of events.
+    pub events: u64,
+}
+
+impl StreamProgress {
+    /// Records that events arrived.
+    pub fn record(&mut self, now: ClockTime, events: u64) {
+        self.span = Some((self.span.map_or(now, |(first, _)| first), now));
+        self.events += events;
+    }
 }
 
 /// How an attempt ended.
--- a/crates/forward/src/roster.rs
+++ b/crates/forward/src/roster.rs
@@ -40,6 +40,8 @@
     pub versions: BTreeMap<ModelName, u64>,
     /// When the target started, in Unix milliseconds; it tells two runs under one name apart.
     pub started_ms: u64,
+    /// How much longer the target was slow after its start when its entry was written, in milliseconds.
+    pub cold_ms: u64,
 }
 
 /// How a target's entry changed, in terms of what the rest of the router must react to.
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -137,6 +137,7 @@
             || self.allowance.needs_immediate_report()
             || self.quarantine.has_news()
             || self.repeats.has_news()
+            || self.rollouts.news().is_some()
             || self.origins.has_news() && self.other_zone_rounds() == 1
     }
 
--- a/crates/forward/src/state/deferral.rs
+++ b/crates/forward/src/state/deferral.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    fn is_deferring(&self, now: ClockTime, record: &TargetRecord) -> bool {
+    pub(super) fn is_deferring(&self, now: ClockTime, record: &TargetRecord) -> bool {
         let in_progress = self.loads.own_requests(&record.name);
         !self.deferrals.admits(now, tag_of(record.name.as_str()), in_progress)
     }
--- a/crates/forward/src/state/era.rs
+++ b/crates/forward/src/state/era.rs
@@ -78,6 +78,11 @@
         self.is_listing && self.removed_peers.unexpired(now, MEMORY_SPAN).contains(vm)
     }
 
+    /// Returns the era of the store's newest answer, or the first era before the first answer.
+    pub(super) fn current_era(&self) -> StoreEra {
+        self.current.unwrap_or_default()
+    }
+
     /// Ends the first listing of an era.
     pub(super) fn end_listing(&mut self) {
         self.is_listing = false;
@@ -108,6 +113,7 @@
         }
         // Revisions of an earlier era mean nothing in this one.
         self.weight_records = WeightRecords::default();
+        self.rollouts.begin_era();
         self.era.began_at = Some(now);
         self.era.is_listing = true;
         // Entries that are missing with their leases are kept as after an outage, until they are written anew.
--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -42,6 +42,7 @@
         let usage = self.allowance.report(now, MAX_ENTRIES, kept_period);
         let origins = self.origin_notes(now);
         let brittle = self.brittle_reports(now);
+        let rollouts = self.rollout_notes(now);
         let loads = self.loads.own_work().map(|(target, work)| {
             let clamp = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
             let requests = u16::try_from(work.requests).unwrap_or(u16::MAX);
@@ -85,6 +86,7 @@
             brittle,
             reaches_store: self.store_path.is_direct(),
             shares_changes: !self.stop.is_stopping(),
+            rollouts,
             known_peers: if include_known_peers {
                 known_peers.take(MAX_KNOWN_PEERS).collect()
             } else {
@@ -149,6 +151,7 @@
             self.receive_leaving(now, &message, actions);
             self.receive_rejections(now, &message);
             self.receive_brittle(now, &message);
+            self.receive_rollouts(now, &message);
         }
         let (revision, urgent) = self.store_progress.revisions();
         if message.urgent_revision > urgent.max(revision) {
--- a/crates/forward/src/state/gossip_schedule.rs
+++ b/crates/forward/src/state/gossip_schedule.rs
@@ -121,7 +121,7 @@
         } else {
             UrgentScope::Zone
         });
-        let scope = news.max(self.gossip_schedule.pending)?;
+        let scope = news.max(self.rollouts.news()).max(self.gossip_schedule.pending)?;
         Some(if self.stop.is_stopping() { scope.max(UrgentScope::Region) } else { scope })
     }
 
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod quarantine;
 mod reach;
+mod service_rollout;
 mod store_path;
 mod store_watch;
 mod targets;
@@ -43,6 +44,7 @@
 
 use godwitroad_origins::OriginTable;
 use godwitroad_quarantine::QuarantineSettings;
+use godwitroad_rollout::{RolloutOrder, RolloutSettings, RolloutStatus, StatusStep};
 use godwitroad_throttle::{DeferralTable, ReturnQueue, ThrottleTable};
 
 use crate::{
@@ -62,6 +64,7 @@
 use health::HealthTable;
 use quarantine::SharedQuarantine;
 pub use reach::{ConnectPlan, RelayPeer};
+use service_rollout::RolloutTable;
 use store_path::StorePath;
 pub use store_path::StoreRoute;
 use store_watch::StoreProgress;
@@ -115,6 +118,8 @@
     pub origins: OriginSettings,
     /// When targets count as out of reach, and how connections to them are opened.
     pub reach: ReachSettings,
+    /// The bounds of rollouts of services; `None` if the fleet carries out no such orders.
+    pub rollout: Option<RolloutSettings>,
 }
 
 /// An input to the decision state.
@@ -182,6 +187,24 @@
         /// Whether it was named within the time after which replaced weights must no longer serve requests.
         is_recent: bool,
     },
+    /// The store shows an order to move a service to a version of its targets' software.
+    RolloutOrder {
+        /// The order.
+        order: RolloutOrder,
+        /// The number of the revision of its entry.
+        revision: u64,
+    },
+    /// The store shows an order that can't be read.
+    RolloutUnreadable {
+        /// The service that the entry's key names.
+        service: ServiceName,
+        /// The field that can't be read, and why.
+        reason: String,
+        /// The number of the revision of its entry.
+        revision: u64,
+    },
+    /// The store shows the status of a service's rollout.
+    RolloutStatus(RolloutStatus),
     /// The store shows which router holds the order lease.
     TermHolder(Option<LeaderEntry>),
     /// The store shows which holder of the order lease may have sent orders.
@@ -245,6 +268,13 @@
         /// How long the last version still counts as recent; zero if it no longer does.
         recent_for: ClockSpan,
     },
+    /// Write the status of a service's rollout to the store.
+    RecordRollout {
+        /// The revision of the leader entry, which must not have changed.
+        fence: StoreRevision,
+        /// The status, and the revisions of the entries that must not have changed.
+        step: StatusStep,
+    },
     /// The next round of gossip may be due sooner; see [`ForwardState::next_gossip`].
     SendGossip,
     /// Call [`ForwardState::next_store_step`] again, as its result may have changed.
@@ -300,6 +330,7 @@
     weight_announcements: BTreeMap<ModelName, AnnouncementList>,
     // What the store tells of that.
     weight_records: WeightRecords,
+    rollouts: RolloutTable,
     has_listed: bool,
     // The time until which another router's order makes a target count as about to load weights, by target tag.
     loading_until: BTreeMap<u32, ClockTime>,
@@ -360,6 +391,7 @@
             repeats: QuarantineSettings::for_requests(),
             origins: OriginSettings::default(),
             reach: ReachSettings::default(),
+            rollout: None,
         }
     }
 }
@@ -402,6 +434,7 @@
             may_order: false,
             weight_announcements: BTreeMap::new(),
             weight_records: WeightRecords::default(),
+            rollouts: RolloutTable::default(),
             has_listed: false,
             loading_until: BTreeMap::new(),
             announced_loading: BTreeSet::new(),
@@ -519,6 +552,13 @@
             ForwardEvent::FeedEnded(source) => {
                 self.cached_segments.remove(&source);
             }
+            ForwardEvent::RolloutOrder { order, revision } => {
+                self.apply_rollout_order(now, order, revision, actions);
+            }
+            ForwardEvent::RolloutUnreadable { service, reason, revision } => {
+                self.apply_unreadable_rollout(&service, &reason, revision, actions);
+            }
+            ForwardEvent::RolloutStatus(status) => self.apply_rollout_status(now, status, actions),
             ForwardEvent::Origins(notes) => self.origins.receive(now, &notes),
             ForwardEvent::Stop { grace } => self.stop.begin(now, grace),
             ForwardEvent::Drained => self.stop = StopPhase::Closed,
@@ -593,6 +633,7 @@
         self.loading_until.retain(|_, until| now < *until);
         self.reach.expire(now);
         self.observe_builds(now);
+        self.check_rollouts(now);
         self.end_deferrals(now, actions);
         self.loads.set_peers(self.peers.reachable(now).map(|(message, _)| message));
         if let Some(detail) = self.gossip_gaps.take_summary(now) {
--- a/crates/forward/src/state/orders.rs
+++ b/crates/forward/src/state/orders.rs
@@ -158,6 +158,7 @@
             actions.push(ForwardAction::Term(action));
         }
         actions.extend(self.next_weight_record(now));
+        self.lead_rollouts(now, actions);
         let fence = self.term.fence(now);
         let may_order = fence.is_some();
         let due = match fence {
@@ -203,11 +204,12 @@
     }
 
     fn next_term(&mut self, now: ClockTime, has_work: bool) -> Option<TermAction> {
-        // Without engine services there is nothing to order. While this router stops or the store fails, only a lease
+        // Without engine services and rollouts there is nothing to order. While this router stops or the store fails, only a lease
         // that it already holds needs calls.
         let rules = self.rules.as_ref()?;
         let has_models = rules.services.values().any(|service| service.engine.is_some());
-        if !has_models || self.stop.is_stopping() && !self.term.is_leader(now) {
+        let has_orders = has_models || self.rollouts.need_leader();
+        if !has_orders || self.stop.is_stopping() && !self.term.is_leader(now) {
             return None;
         }
         if self.store_failing_since.is_some() && !self.term.is_leader(now) {
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -64,6 +64,7 @@
     ) -> NextStep {
         self.loads.remove_work(&plan.target, plan.work);
         self.settle_trial(request, plan, outcome);
+        self.record_rollout_end(now, request, plan, outcome);
         match outcome {
             AttemptOutcome::Complete { status } => self.finish_complete(now, request, status),
             AttemptOutcome::Rejected { .. } => self.finish_rejected(now, request, plan),
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -11,8 +11,8 @@
 use super::{FeedSource, ForwardState, admission::stopping_refusal};
 use crate::{
     EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, PromptDemand, RefusalReason,
-    SegmentKey, SegmentSource, SendPlan, TargetCandidate, TargetRecord, WorkSum, ZoneDistance,
-    choose_candidate, isolation::IsolatedAccounts, tag_of,
+    SegmentKey, SegmentSource, SendPlan, StreamProgress, TargetCandidate, TargetRecord, WorkSum,
+    ZoneDistance, choose_candidate, isolation::IsolatedAccounts, tag_of,
 };
 
 /// The retry-after time if no target is usable; a target's restart or loading of weights takes about this long.
@@ -90,24 +90,18 @@
         if let Err(refusal) = self.resolve_origin(now, request) {
             return Err(self.settle_refusal(request, refusal));
         }
-        let engine = rules.services.get(&request.service).and_then(|rule| rule.engine.as_ref());
         let records = self.usable_targets(now, request);
-        if records.is_empty() {
-            let refusal = self.no_target_refusal(request);
-            return Err(self.settle_refusal(request, refusal));
+        let is_canary = self.is_canary(now, request, &records);
+        let mut placed = self.place_among(now, request, &rules, &records);
+        if is_canary && placed.is_err() {
+            // A request isn't refused because of the few targets of a new version.
+            let records = self.usable_old_targets(now, request);
+            if !records.is_empty() {
+                placed = self.place_among(now, request, &rules, &records);
+            }
         }
-        // The limits come first, so that no trial of a withheld request is spent on one that isn't sent.
-        let within_limits = self.targets_within_limits(now, request, &records);
-        let screened = within_limits.and_then(|allowed| {
-            self.screen_request(now, request, &records)?;
-            Ok(allowed)
-        });
-        let records = screened.map_err(|refusal| self.settle_refusal(request, refusal))?;
-        let plan = self.choose_accepting(now, request, &records, |state, records| match engine {
-            Some(engine) => state.choose_engine_target(now, request, &rules, engine, records),
-            None => state.choose_plain_target(now, request, records),
-        });
-        let plan = plan.map_err(|refusal| self.settle_refusal(request, refusal))?;
+        let plan = placed.map_err(|refusal| self.settle_refusal(request, refusal))?;
+        self.record_rollout_sent(request, &plan);
         request.tried.push(plan.target.clone());
         request.attempts += 1;
         self.loads.add_work(&plan.target, plan.work);
@@ -116,12 +110,57 @@
         Ok(plan)
     }
 
+    // Chooses one of the usable targets.
+    fn place_among(
+        &mut self,
+        now: ClockTime,
+        request: &mut ForwardRequest,
+        rules: &ForwardRules,
+        records: &[Arc<TargetRecord>],
+    ) -> std::result::Result<SendPlan, ForwardRefusal> {
+        if records.is_empty() {
+            return Err(self.no_target_refusal(request));
+        }
+        let engine = rules.services.get(&request.service).and_then(|rule| rule.engine.as_ref());
+        // The limits come first, so that no trial of a withheld request is spent on one that isn't sent.
+        let allowed = self.targets_within_limits(now, request, records)?;
+        self.screen_request(now, request, records)?;
+        self.choose_accepting(now, request, &allowed, |state, records| match engine {
+            Some(engine) => state.choose_engine_target(now, request, rules, engine, records),
+            None => state.choose_plain_target(now, request, records),
+        })
+    }
+
     // Returns the targets that can take the request; unhealthy ones only if there are no others.
     pub(super) fn usable_targets(
         &mut self,
         now: ClockTime,
         request: &ForwardRequest,
     ) -> Vec<Arc<TargetRecord>> {
+        let records = self.listed_targets(now, request);
+        if let Some(canaries) = self.canary_targets(now, request, &records) {
+            let open = canaries.into_iter().filter(|record| !self.is_deferring(now, record));
+            let (open, _) = self.split_healthy(now, open.collect());
+            if !open.is_empty() {
+                return open;
+            }
+        }
+        let records = self.permitted_targets(now, request, records);
+        self.admitted_targets(now, request, records)
+    }
+
+    // Returns the targets that can take the request if none of a new version is tried.
+    fn usable_old_targets(
+        &mut self,
+        now: ClockTime,
+        request: &ForwardRequest,
+    ) -> Vec<Arc<TargetRecord>> {
+        let records = self.listed_targets(now, request);
+        let records = self.permitted_targets(now, request, records);
+        self.admitted_targets(now, request, records)
+    }
+
+    fn listed_targets(&self, now: ClockTime, request: &ForwardRequest) -> Vec<Arc<TargetRecord>> {
         let listed = self.roster.iter().filter(|record| {
             record.service == request.service
                 && !record.draining
@@ -129,8 +168,15 @@
                 && !request.tried.contains(&record.name)
         });
         let current = listed.filter(|record| !self.is_outdated(now, request, record));
-        let mut records: Vec<Arc<TargetRecord>> =
-            current.filter(|record| !self.is_changing(&record.name)).cloned().collect();
+        current.filter(|record| !self.is_changing(&record.name)).cloned().collect()
+    }
+
+    fn admitted_targets(
+        &mut self,
+        now: ClockTime,
+        request: &ForwardRequest,
+        mut records: Vec<Arc<TargetRecord>>,
+    ) -> Vec<Arc<TargetRecord>> {
         let serves_begun =
             |record: &Arc<TargetRecord>| version_of(request, record) == request.begun_version;
         if request.begun_version.is_some() && records.iter().any(serves_begun) {
@@ -138,13 +184,23 @@
         }
         let mut records = self.without_deferring(now, records);
         self.prefer_settled_builds(now, request, &mut records);
+        let (healthy, records) = self.split_healthy(now, records);
+        if healthy.is_empty() { records } else { healthy }
+    }
+
+    // Returns the healthy targets, and all of them.
+    fn split_healthy(
+        &mut self,
+        now: ClockTime,
+        records: Vec<Arc<TargetRecord>>,
+    ) -> (Vec<Arc<TargetRecord>>, Vec<Arc<TargetRecord>>) {
         let mut healthy = Vec::new();
         for record in &records {
             if self.health.admits(now, &record.name, &mut self.random) {
                 healthy.push(record.clone());
             }
         }
-        if healthy.is_empty() { records } else { healthy }
+        (healthy, records)
     }
 
     // Returns whether a target is loading weights or about to, so that it gets no requests.
@@ -451,6 +507,8 @@
             cached_tokens: 0,
             cached_anywhere: 0,
             prefill_tokens: 0,
+            chosen_at: now,
+            progress: StreamProgress::default(),
         }
     }
 
--- a/crates/forward/src/state/targets.rs
+++ b/crates/forward/src/state/targets.rs
@@ -78,6 +78,8 @@
         );
         let (service, build) = (ServiceTag::new(&record.service), BuildTag::new(&record.build));
         self.origins.observe(now, service, build);
+        let record = record.clone();
+        self.observe_rollout_target(now, &record);
         match change {
             RosterChange::Same => {}
             RosterChange::Started => {
@@ -189,6 +191,7 @@
         self.reach.forget(name);
         self.throttle.remove(tag_of(name.as_str()));
         self.forget_brittle(name);
+        self.rollouts.forget_target(name);
         self.forget_rejections(now, name);
     }
 
--- a/crates/forward/tests/support/mod.rs
+++ b/crates/forward/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod crash_fleet;
 pub(crate) mod leaving_fleet;
+pub(crate) mod rollout_fleet;
 pub(crate) mod turning_fleet;
 
 use std::{collections::BTreeMap, net::Ipv4Addr, sync::Arc};
@@ -137,6 +138,7 @@
         draining: false,
         versions,
         started_ms: 1,
+        cold_ms: 0,
     }
 }
 
--- a/crates/proxy/src/answer/attempt.rs
+++ b/crates/proxy/src/answer/attempt.rs
@@ -283,6 +283,12 @@
         metadata.request_id.as_deref() == Some(id.as_ref()) && !metadata.is_mismatch
     }
 
+    /// Records that events of a stream arrived.
+    pub(super) fn record_events(&mut self, events: &[u8]) {
+        let count = events.windows(2).filter(|pair| *pair == b"\n\n").count();
+        self.plan.progress.record(self.core.now(), count as u64);
+    }
+
     /// Records that the caller gets the first events of this answer.
     pub(super) fn record_stream_begin(&mut self) {
         let core = self.core.clone();
--- a/crates/proxy/src/answer/stream.rs
+++ b/crates/proxy/src/answer/stream.rs
@@ -87,7 +87,7 @@
             let is_end_unknown = is_end_unknown(&self.head, exchange.framing);
             match self.read_or_hand_over().await {
                 Some(Ok(StreamRead::Events(events))) => {
-                    self.record_events();
+                    self.record_events(&events);
                     return Ok(Some(events));
                 }
                 Some(Ok(StreamRead::End)) if is_end_unknown => return Err(self.abandon()),
@@ -172,9 +172,12 @@
         self.last_event_at = self.core.now();
     }
 
-    fn record_events(&mut self) {
+    fn record_events(&mut self, events: &[u8]) {
         let now = self.core.now();
         self.last_event_at = now;
+        if let Some((attempt, _)) = &mut self.attempt {
+            attempt.record_events(events);
+        }
         if !std::mem::replace(&mut self.has_begun, true)
             && let Some((attempt, _)) = &mut self.attempt
         {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -114,6 +114,9 @@
                 ForwardAction::RecordWeights { fence, record, recent_for } => {
                     spawn(order_lease::record_weights(self.clone(), fence, record, recent_for));
                 }
+                ForwardAction::RecordRollout { fence, step } => {
+                    spawn(order_lease::record_rollout(self.clone(), fence, step));
+                }
                 ForwardAction::Weight { action, fence } => {
                     spawn(orders::execute(self.clone(), action, fence));
                 }
--- a/crates/proxy/src/gossip.rs
+++ b/crates/proxy/src/gossip.rs
@@ -152,6 +152,7 @@
         (message.brittle.is_empty(), encode_section(&message.brittle)?),
         (!message.reaches_store, encode_section(&message.reaches_store)?),
         (!message.shares_changes, encode_section(&message.shares_changes)?),
+        (message.rollouts.is_empty(), encode_section(&message.rollouts)?),
     ];
     let last = sections.iter().rposition(|(is_empty, _)| !is_empty);
     let used = last.map_or(&[][..], |last| &sections[..=last]);
@@ -179,6 +180,7 @@
     message.brittle = decode_section(&mut rest)?;
     message.reaches_store = decode_section(&mut rest)?;
     message.shares_changes = decode_section(&mut rest)?;
+    message.rollouts = decode_section(&mut rest)?;
     Some(message)
 }
 
--- a/crates/proxy/src/order_lease.rs
+++ b/crates/proxy/src/order_lease.rs
@@ -2,7 +2,7 @@
 //! targets.
 
 use godwitroad_base::{ClockSpan, ClockTime, StoreRevision};
-use godwitroad_forward::{ForwardEvent, WeightRecord};
+use godwitroad_forward::{ForwardEvent, RolloutStatus, StatusStep, WeightRecord};
 use godwitroad_orders::{TermAction, TermAnswer, TermRevisions};
 
 use crate::{
@@ -125,6 +125,19 @@
     }
 }
 
+/// Writes the status of a service's rollout. Without an answer, the decision state repeats it.
+pub(crate) async fn record_rollout<P: PlatformAdapter>(
+    core: SharedCore<P>,
+    fence: StoreRevision,
+    step: StatusStep,
+) {
+    let call = StoreCall::RecordRollout { fence, step: step.clone() };
+    if let Ok(StoreAnswer::Written { revision }) = store::call(&core, &call).await {
+        let status = RolloutStatus { revision, ..step.status };
+        core.handle(ForwardEvent::RolloutStatus(status));
+    }
+}
+
 /// Releases the order lease when the process stops, so that another router need not wait until it expires.
 pub(crate) async fn release<P: PlatformAdapter>(core: &SharedCore<P>) {
     let Some(lease) = core.read(|state| state.order_lease(core.now())) else { return };
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -10,10 +10,13 @@
 };
 
 use bytes::Bytes;
-use godwitroad_base::{ClockSpan, ModelName, StoreEra, StoreRevision, TargetName, VmName};
+use godwitroad_base::{
+    ClockSpan, ModelName, ServiceName, StoreEra, StoreRevision, TargetName, VmName,
+};
 use godwitroad_forward::{
     BrittleNotice, CacheEventBatch, DeferralNotice, ForwardArrival, ForwardRules, LimitNotice,
-    LoadReport, OriginNotes, PeerPlace, SendPlan, TargetRecord, WeightRecord,
+    LoadReport, OriginNotes, PeerPlace, RolloutOrder, RolloutStatus, SendPlan, StatusStep,
+    TargetRecord, WeightRecord,
 };
 use godwitroad_orders::{
     ActivityEntry, ActivityMark, LeaderEntry, TermRevisions, WeightAnswer, WeightOrder,
@@ -123,6 +126,14 @@
         /// The last of them if it was named recently, and the lease after which it no longer was.
         recent: Option<(u64, u64)>,
     },
+    /// Write the status of a service's rollout, on the condition that the leader's entry, the status and the order have these
+    /// revisions.
+    RecordRollout {
+        /// The revision of the leader's entry.
+        fence: StoreRevision,
+        /// The status, and the revisions of the two other entries.
+        step: StatusStep,
+    },
     /// Revoke a lease and remove the entries attached to it.
     Revoke {
         /// The id that the store assigned to the lease.
@@ -203,6 +214,24 @@
         /// Whether it was named within the time after which replaced weights must no longer serve requests.
         is_recent: bool,
     },
+    /// An order to move a service to a version of its targets' software.
+    RolloutOrder {
+        /// The order.
+        order: RolloutOrder,
+        /// The revision of the entry.
+        revision: u64,
+    },
+    /// Such an order that can't be decoded. The one before stays in force.
+    RolloutUnreadable {
+        /// The service that the entry's key names.
+        service: ServiceName,
+        /// The field that can't be decoded, with the reason.
+        error: WireError,
+        /// The revision of the entry.
+        revision: u64,
+    },
+    /// The status of a service's rollout.
+    RolloutStatus(RolloutStatus),
     /// An entry that can't be decoded. It is logged, and a target that it names isn't used. Other entries that it
     /// replaces stay in force.
     Unreadable {
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -200,6 +200,17 @@
     has_activity: bool,
 }
 
+impl ListedNames {
+    fn record_recent(&mut self, model: &ModelName, version: u64, is_recent: bool) {
+        let entry = (model.clone(), version);
+        if is_recent {
+            self.recent_weights.insert(entry);
+        } else {
+            self.recent_weights.remove(&entry);
+        }
+    }
+}
+
 /// Reads the store for as long as the process runs.
 pub(crate) async fn run<P: PlatformAdapter>(core: SharedCore<P>) {
     // After a restart of this task, the state knows entries that may have been removed meanwhile.
@@ -407,10 +418,7 @@
             }
             StoreItem::TargetRemoved(name) => {
                 listed.targets.remove(&name);
-                let address = core.read(|state| state.target(&name).map(|record| record.address));
-                if let Some(address) = address {
-                    core.client.close_idle(address);
-                }
+                close_idle(core, &name);
                 ForwardEvent::TargetRemoved(name)
             }
             StoreItem::Peer(place) => {
@@ -436,14 +444,17 @@
             }
             StoreItem::WeightRecord(record) => ForwardEvent::WeightRecord(record),
             StoreItem::RecentWeights { model, version, is_recent } => {
-                let entry = (model.clone(), version);
-                if is_recent {
-                    listed.recent_weights.insert(entry);
-                } else {
-                    listed.recent_weights.remove(&entry);
-                }
+                listed.record_recent(&model, version, is_recent);
                 ForwardEvent::RecentWeights { model, version, is_recent }
             }
+            StoreItem::RolloutOrder { order, revision } => {
+                ForwardEvent::RolloutOrder { order, revision }
+            }
+            StoreItem::RolloutUnreadable { service, error, revision } => {
+                let reason = error.to_string();
+                ForwardEvent::RolloutUnreadable { service, reason, revision }
+            }
+            StoreItem::RolloutStatus(status) => ForwardEvent::RolloutStatus(status),
             StoreItem::Unreadable { key, target, error } => {
                 core.log.warn("store_entry_unreadable", &format!("key={key} error={error}"));
                 let Some(name) = target else { continue };
@@ -456,6 +467,14 @@
     }
 }
 
+// Closes the idle connections to a target that has left.
+fn close_idle<P: PlatformAdapter>(core: &SharedCore<P>, name: &TargetName) {
+    let address = core.read(|state| state.target(name).map(|record| record.address));
+    if let Some(address) = address {
+        core.client.close_idle(address);
+    }
+}
+
 /// The state of the exponential backoff between failed calls.
 #[derive(Default)]
 struct RetryBackoff {
--- a/crates/rollout/src/service.rs
+++ b/crates/rollout/src/service.rs
@@ -32,6 +32,9 @@
 /// The time before the end of the order at which the status is written at the latest.
 const END_MARGIN: ClockSpan = ClockSpan::from_ms(700);
 
+/// The time by which the shift begins earlier, so that another leader can complete the rollout if the first one dies in it.
+const FAILOVER_SPAN: ClockSpan = ClockSpan::from_ms(1_000);
+
 /// The time for which routers have used only the new version before the old targets may be stopped. Notes of all routers
 /// of a region have arrived by then.
 const MIN_SETTLE: ClockSpan = ClockSpan::from_ms(800);
@@ -249,18 +252,19 @@
 
     /// Records that an attempt is sent to a target of a version.
     pub fn record_sent(&mut self, build: &BuildName) {
-        match self.side(build) {
-            VersionSide::New => self.share.record_exposed(),
-            VersionSide::Old => self.open_old += 1,
+        if self.side(build) == VersionSide::New {
+            self.share.record_exposed();
         }
     }
 
-    /// Records that an attempt at a target of a version has ended, and how long it took.
-    pub fn record_end(&mut self, build: &BuildName, took: ClockSpan) {
+    /// Records how long an attempt took.
+    pub fn record_end(&mut self, took: ClockSpan) {
         self.longest = self.longest.max(took);
-        if self.side(build) == VersionSide::Old {
-            self.open_old = self.open_old.saturating_sub(1);
-        }
+    }
+
+    /// Records how many of this router's requests are open at old targets.
+    pub fn set_open_old(&mut self, open: u32) {
+        self.open_old = open;
     }
 
     fn period(&self, now: ClockTime) -> u8 {
@@ -383,7 +387,8 @@
         }
         let left = self.end().since(now);
         let responses: u64 = self.evidence.target_sums().values().map(|(all, _)| *all).sum();
-        if left > self.shift_span() + END_MARGIN || left < MIN_SHIFT || responses < MIN_RESPONSES {
+        let span = self.shift_span() + END_MARGIN + FAILOVER_SPAN;
+        if left > span || left < MIN_SHIFT || responses < MIN_RESPONSES {
             return false;
         }
         self.phase = self.phase.after_shift(now);
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -52,7 +52,7 @@
         let target = format!("{build}-{}", exposed % 2);
         let is_bad = is_bad(&target, if is_new { exposed } else { number });
         rollout.record_sent(&build);
-        rollout.record_end(&build, ClockSpan::from_ms(30));
+        rollout.record_end(ClockSpan::from_ms(30));
         let answer = AnswerRecord {
             route: 1,
             target_tag: (exposed % 2) as u32,
