--- a/crates/forward/src/peers.rs
+++ b/crates/forward/src/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BrittleReport, LeavingNotice, LimitReport, OriginNotes, PaceEntry, QuarantineNotes, ReachNotes,
-    allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
+    RolloutNote, allowance::UsageEntry, load::LoadEntry, segments::SentPromptEntry,
 };
 
 /// The name and location of a router, from its entry in the store or from its gossip messages.
@@ -104,6 +104,9 @@
     /// What the sender has observed of how long work takes at targets; encoded after the changes.
     #[serde(skip)]
     pub paces: Vec<PaceEntry>,
+    /// What the sender knows of rollouts of services, encoded after the paces.
+    #[serde(skip)]
+    pub rollouts: Vec<RolloutNote>,
 }
 
 /// A target that rejects requests: its tag, the percentage of them that it accepts, the time since the last rejection, and for
@@ -181,7 +184,8 @@
                 || self.deferrals.pop().is_some()
                 || self.limits.pop().is_some()
                 || self.brittle.pop().is_some()
-                || self.leaving.pop().is_some();
+                || self.leaving.pop().is_some()
+                || self.rollouts.iter_mut().any(RolloutNote::drop_least_important);
         }
         true
     }
--- a/crates/forward/src/state/outcome.rs
+++ b/crates/forward/src/state/outcome.rs
@@ -66,6 +66,7 @@
         self.loads.remove_work(&plan.target, plan.work);
         self.record_cost_end(now, plan, outcome);
         self.settle_trial(request, plan, outcome);
+        self.record_rollout_end(now, request, plan, outcome);
         match outcome {
             AttemptOutcome::Complete { status } => self.finish_complete(now, request, status),
             AttemptOutcome::Rejected { .. } => self.finish_rejected(now, request, plan),
