A single faulty target of a new version no longer stops its rollout

The histories found a good version stopped 0.4 s after its order: one target had given seven bad responses while the others had one response together, which did not count as several targets. The comparison without the worst target now holds as soon as a second target has responded.

--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -21,8 +21,8 @@
 /// Responses count as slow from this many classes above the old version's median: twice to four times as long.
 const SLOW_CLASSES: usize = 2;
 
-/// The fewest responses of a target for it to count among those that have responded.
-const MIN_TARGET_RESPONSES: u64 = 3;
+/// The fewest responses of the only target that has responded. Before, another one may just not have got a request yet.
+const MIN_ONLY_RESPONSES: u64 = 12;
 
 /// The fewest measured responses of the old version that tell its median.
 const MIN_MEDIAN_RESPONSES: u64 = 8;
@@ -141,10 +141,9 @@
 // Returns whether the new version's bad responses come from more than one target, where several have responded.
 fn is_fault_of_several(evidence: &EvidenceTable, old: (u64, u64)) -> bool {
     let targets: Vec<(u64, u64)> = evidence.target_sums().values().copied().collect();
-    let responded = targets.iter().filter(|(all, _)| *all >= MIN_TARGET_RESPONSES).count();
-    if responded < 2 {
+    if let [(all, _)] = targets[..] {
         // With one target, its faults can't be told from those of its version.
-        return true;
+        return all >= MIN_ONLY_RESPONSES;
     }
     let worst = targets.iter().max_by_key(|(_, bad)| *bad).copied().unwrap_or_default();
     let sum = |part: fn(&(u64, u64)) -> u64| targets.iter().map(part).sum::<u64>();
