--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{FeedSource, ForwardAction, ForwardState};
-use crate::{GossipMessage, PeerPlace, SegmentKey, SentPromptEntry, tag_of};
+use crate::{GossipMessage, PeerPlace, PeerTiming, SegmentKey, SentPromptEntry, tag_of};
 
 /// How long a target counts as about to load weights at least after a message said so; the holder of the order lease
 /// repeats it until the load has ended.
@@ -138,22 +138,7 @@
             actions.push(ForwardAction::CloseRelays);
         }
         if self.peers.is_newer(&message) {
-            self.record_gossip_gap(now, &message);
-            self.era.record_peer_version(now, message.version);
-            // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
-            self.allowance.receive(now, &self.peers, &message, timing);
-            let before = self.peers.loads_of(now, &message.place.vm);
-            self.loads.replace_peer(before, &message.loads);
-            self.receive_reloads(&message.reloaded, actions);
-            self.receive_sent_prompts(now, &message.sent_prompts);
-            self.receive_quarantine(now, &message.quarantine, &message.repeats);
-            self.receive_limits(now, &message);
-            self.origins.receive(now, &message.origins);
-            self.receive_leaving(now, &message, actions);
-            self.receive_rejections(now, &message);
-            self.receive_brittle(now, &message);
-            self.receive_paces(now, &message.paces);
-            self.receive_rollouts(now, &message);
+            self.apply_peer_state(now, &message, timing, actions);
         }
         let (revision, urgent) = self.store_progress.revisions();
         if message.urgent_revision > urgent.max(revision) {
@@ -178,6 +163,32 @@
         }
     }
 
+    // Applies what a message that is newer than the sender's last one says.
+    fn apply_peer_state(
+        &mut self,
+        now: ClockTime,
+        message: &GossipMessage,
+        timing: PeerTiming,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        self.record_gossip_gap(now, message);
+        self.era.record_peer_version(now, message.version);
+        // This must run before the peer counts as reachable again, as a returning peer adds nothing to the level.
+        self.allowance.receive(now, &self.peers, message, timing);
+        let before = self.peers.loads_of(now, &message.place.vm);
+        self.loads.replace_peer(before, &message.loads);
+        self.receive_reloads(&message.reloaded, actions);
+        self.receive_sent_prompts(now, &message.sent_prompts);
+        self.receive_quarantine(now, &message.quarantine, &message.repeats);
+        self.receive_limits(now, message);
+        self.origins.receive(now, &message.origins);
+        self.receive_leaving(now, message, actions);
+        self.receive_rejections(now, message);
+        self.receive_brittle(now, message);
+        self.receive_paces(now, &message.paces);
+        self.receive_rollouts(now, message);
+    }
+
     fn receive_sent_prompts(&mut self, now: ClockTime, entries: &[SentPromptEntry]) {
         for (tag, segments) in entries {
             let tagged = self.roster.find_by_tag(*tag);
