Load tests of admission: targets report waiting requests as the platform's do

A slot is taken by a request whose prompt isn't read yet, so only requests without a slot or memory count as waiting.

--- a/crates/admission/src/sim/engine.rs
+++ b/crates/admission/src/sim/engine.rs
@@ -17,8 +17,6 @@
     pub(super) unread: f64,
     pub(super) output: u32,
     pub(super) memory: u64,
-    /// Whether reading of its prompt has begun.
-    pub(super) has_begun: bool,
     /// Whether it has emitted a token.
     pub(super) has_emitted: bool,
 }
@@ -58,10 +56,9 @@
         }
     }
 
-    /// Returns the number of running requests, and of those whose prompt has not begun to be read.
+    /// Returns the numbers of running and waiting requests, as targets report them.
     pub(super) fn load(&self) -> (usize, usize) {
-        let unread = self.running.iter().filter(|job| !job.has_begun).count();
-        (self.running.len() - unread, self.waiting.len() + unread)
+        (self.running.len(), self.waiting.len())
     }
 
     pub(super) fn unread_tokens(&self) -> f64 {
@@ -123,7 +120,6 @@
             } else if room > 0.0 {
                 let read = job.unread.min(room);
                 job.unread -= read;
-                job.has_begun = true;
                 room -= read;
             }
         }
--- a/crates/admission/src/sim/fleet.rs
+++ b/crates/admission/src/sim/fleet.rs
@@ -344,7 +344,6 @@
             unread: f64::from(kind.input),
             output: kind.output,
             memory: memory.into(),
-            has_begun: false,
             has_emitted: false,
         };
         let was_busy = self.engines[target].is_busy;
