Placement by admission where targets report their pace

check_wait refuses by one factor of the objective whatever the priority and account, and every router chooses the best of all targets from late figures.

Where the cost model is active, a request is now placed at one of a few random candidates if its backlog is within the limit of godwitroad-admission, and refused with a spread time to return otherwise (log admission_refused, counter admission.refused.PRIORITY, settings Admission.*). Other services, streams that have begun and requests that may have run keep the earlier rule.

--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -18,7 +18,7 @@
 /// A setting outside its range.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
-    /// The name of the setting.
+    /// The name of the setting in settings files.
     pub name: &'static str,
     /// The range of valid values.
     pub range: &'static str,
@@ -43,10 +43,10 @@
     /// Returns the first setting that isn't.
     pub fn validate(&self) -> std::result::Result<(), SettingsError> {
         let checks = [
-            ((0.1..=10.0).contains(&self.objective_factor), "objective_factor", "0.1 to 10"),
-            ((0.0..=10.0).contains(&self.urgent_fraction), "urgent_fraction", "0 to 10"),
-            ((0.0..=1.0).contains(&self.exempt_fraction), "exempt_fraction", "0 to 1"),
-            ((0.0..=1.0).contains(&self.min_account_factor), "min_account_factor", "0 to 1"),
+            ((0.1..=10.0).contains(&self.objective_factor), "ObjectiveFactor", "0.1 to 10"),
+            ((0.0..=10.0).contains(&self.urgent_fraction), "UrgentFraction", "0 to 10"),
+            ((0.0..=1.0).contains(&self.exempt_fraction), "ExemptFraction", "0 to 1"),
+            ((0.0..=1.0).contains(&self.min_account_factor), "MinAccountFactor", "0 to 1"),
         ];
         match checks.into_iter().find(|(is_valid, ..)| !is_valid) {
             Some((_, name, range)) => Err(SettingsError { name, range }),
--- a/crates/admission/tests/decision.rs
+++ b/crates/admission/tests/decision.rs
@@ -72,5 +72,5 @@
     let base = AdmissionSettings::default();
     assert!(base.validate().is_ok());
     let invalid = AdmissionSettings { exempt_fraction: f64::NAN, ..base };
-    assert_eq!(invalid.validate().expect_err("invalid").name, "exempt_fraction");
+    assert_eq!(invalid.validate().expect_err("invalid").name, "ExemptFraction");
 }
--- a/crates/forward/src/allowance.rs
+++ b/crates/forward/src/allowance.rs
@@ -264,6 +264,13 @@
         AllowanceShare { free: free.min(level), ..share }
     }
 
+    // Returns the units per second that callers ask for at this router and the reachable peers.
+    fn asked_rate(&self, now: ClockTime) -> f64 {
+        let recent = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
+        let peers: f64 = recent.map(|peer| f64::from(peer.asked_rate)).sum();
+        self.local.reported_rate() + peers
+    }
+
     fn describe(&self, now: ClockTime, share: AllowanceShare, view: FleetView) -> String {
         let ages = self.peers.iter().flatten().filter(|peer| peer.is_reachable(now));
         let oldest = ages.map(|peer| now.since(peer.last_received).as_ms()).max();
@@ -333,6 +340,11 @@
 }
 
 impl AllowanceTable {
+    /// Returns the units per second that an account's callers ask for at all reachable routers, as last reported.
+    pub fn asked_rate(&self, now: ClockTime, account: &AccountName) -> f64 {
+        self.buckets.get(account).map_or(0.0, |bucket| bucket.asked_rate(now))
+    }
+
     /// Returns full buckets at the first start of the fleet, and empty ones otherwise.
     pub fn new(settings: AllowanceSettings) -> AllowanceTable {
         AllowanceTable {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -36,6 +36,7 @@
     ZoneDistance, choose_candidate,
 };
 pub use freshness::{ConfigFreshness, ContactSettings};
+pub use godwitroad_admission::{AdmissionSettings, SettingsError};
 pub use godwitroad_cost::{CostEstimate, CostSettings, EstimateError, PaceEntry, SentRequest};
 pub use godwitroad_origins::{BuildTag, OriginNotes, OriginSettings};
 pub use godwitroad_quarantine::{
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -162,6 +162,13 @@
         sum
     }
 
+    /// Returns the number of requests that a target last reported as waiting, or 0 if the report is too old.
+    pub fn reported_waiting(&self, now: ClockTime, target: &TargetName) -> u32 {
+        let report = self.targets.get(target).and_then(|entry| entry.report);
+        let current = report.filter(|(at, _)| now.since(*at) < REPORT_MAX_AGE);
+        current.map_or(0, |(_, report)| report.waiting)
+    }
+
     /// Returns the number of this router's requests in progress at a target.
     pub fn own_requests(&self, target: &TargetName) -> u64 {
         self.targets.get(target).map_or(0, |entry| entry.own.requests)
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod quarantine;
 mod reach;
+mod scarcity;
 mod store_path;
 mod store_watch;
 mod targets;
@@ -32,6 +33,7 @@
     sync::Arc,
 };
 
+use godwitroad_admission::AdmissionSettings;
 use godwitroad_balance::{AcceptanceSettings, AcceptanceTable, HealthSettings, RetryBudget};
 use godwitroad_base::{
     ClockSpan, ClockTime, ModelName, RegionName, SeededRandom, ServiceName, StoreEra,
@@ -105,6 +107,8 @@
     pub version_span: ClockSpan,
     /// The cost weights for the choice of targets.
     pub choice: ChoiceSettings,
+    /// The limits and thresholds of admission where the cost of requests is learned.
+    pub admission: AdmissionSettings,
     /// The settings of the probation of failing targets.
     pub health: HealthSettings,
     /// When targets that reject requests are avoided.
@@ -279,6 +283,7 @@
     cached_segments: BTreeMap<FeedSource, CachedSegments>,
     loads: LoadTable,
     cost: CostModel,
+    scarcity: scarcity::ScarcityState,
     health: HealthTable,
     reach: ReachTable,
     // Of parts of prompts, and of whole requests that come again.
@@ -352,6 +357,7 @@
             weights: WeightSettings::default(),
             version_span: ClockSpan::from_secs(10),
             choice: ChoiceSettings::default(),
+            admission: AdmissionSettings::default(),
             health: HealthSettings {
                 failures: 2,
                 probation: ClockSpan::from_ms(400),
@@ -389,6 +395,7 @@
             cached_segments: BTreeMap::new(),
             loads: LoadTable::default(),
             cost: CostModel::new(CostSettings::default(), settings.seed),
+            scarcity: scarcity::ScarcityState::new(settings.admission),
             health: HealthTable::new(settings.health),
             reach: ReachTable::new(settings.reach),
             quarantine: SharedQuarantine::new("part", settings.quarantine),
@@ -424,6 +431,7 @@
     /// Replaces the settings after a reload; the retry budgets start over.
     pub fn reload(&mut self, settings: ForwardSettings) {
         self.term.set_settings(settings.term.clone());
+        self.scarcity.control_mut().set_settings(settings.admission);
         self.settings = settings;
         self.retry_budgets.clear();
     }
@@ -564,6 +572,8 @@
         actions.push(ForwardAction::Notice("configuration_in_force", detail));
         self.retry_budgets.retain(|service, _| rules.services.contains_key(service));
         self.return_queues.retain(|service, _| rules.services.contains_key(service));
+        let is_configured = |service: &ServiceName| rules.services.contains_key(service);
+        self.scarcity.control_mut().retain_services(is_configured);
         self.origins.set_span(origins::take_up_span(&rules));
         self.deferral_queues.clear();
         self.isolated = IsolatedAccounts::new(&rules.accounts);
--- a/crates/forward/src/state/placement.rs
+++ b/crates/forward/src/state/placement.rs
@@ -8,11 +8,11 @@
 use godwitroad_origins::BuildTag;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{FeedSource, ForwardState, admission::stopping_refusal, cost::learned_cost};
+use super::{FeedSource, ForwardState, admission::stopping_refusal, scarcity::PlacementLimit};
 use crate::{
     EngineRule, ForwardRefusal, ForwardRequest, ForwardRules, PromptDemand, RefusalReason,
     SegmentKey, SegmentSource, SendPlan, SentRequest, TargetCandidate, TargetChoice, TargetRecord,
-    WorkSum, ZoneDistance, choose_candidate, isolation::IsolatedAccounts, tag_of,
+    WorkSum, ZoneDistance, isolation::IsolatedAccounts, tag_of,
 };
 
 /// The retry-after time if no target is usable; a target's restart or loading of weights takes about this long.
@@ -103,10 +103,18 @@
             Ok(allowed)
         });
         let records = screened.map_err(|refusal| self.settle_refusal(request, refusal))?;
-        let plan = self.choose_accepting(now, request, &records, |state, records| match engine {
-            Some(engine) => state.choose_engine_target(now, request, &rules, engine, records),
-            None => state.choose_plain_target(now, request, records),
+        let mut admission = self.placement_limit(now, request, &records);
+        let plan = self.choose_accepting(now, request, &records, |state, records| {
+            let admission = admission.as_mut();
+            match engine {
+                Some(engine) => {
+                    let engine = (&*rules, engine);
+                    state.choose_engine_target(now, request, engine, records, admission)
+                }
+                None => state.choose_plain_target(now, request, records, admission),
+            }
         });
+        let plan = self.settle_admission(now, request, admission, plan);
         let mut plan = plan.map_err(|refusal| self.settle_refusal(request, refusal))?;
         request.tried.push(plan.target.clone());
         request.attempts += 1;
@@ -196,17 +204,11 @@
         now: ClockTime,
         request: &ForwardRequest,
         records: &[Arc<TargetRecord>],
+        admission: Option<&mut PlacementLimit>,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let candidates: Vec<TargetCandidate> =
             records.iter().map(|record| self.candidate(now, record)).collect();
-        let max_wait = max_wait_ms(now, request);
-        let settings = &self.settings.choice;
-        let learned = learned_cost(&self.cost, now, request, None);
-        let learned = learned.as_ref();
-        let choice =
-            choose_candidate(settings, &candidates, None, learned, max_wait, &mut self.random);
-        let choice = choice.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
-        check_wait(choice.wait_ms, max_wait)?;
+        let choice = self.choose_admitted(now, request, &candidates, None, admission)?;
         let work = WorkSum { requests: 1, memory: 0, pending_prefill: 0 };
         Ok(self.plan(now, request, &records[choice.index], work, &choice))
     }
@@ -215,9 +217,9 @@
         &mut self,
         now: ClockTime,
         request: &ForwardRequest,
-        rules: &ForwardRules,
-        engine: &EngineRule,
+        (rules, engine): (&ForwardRules, &EngineRule),
         records: &[Arc<TargetRecord>],
+        admission: Option<&mut PlacementLimit>,
     ) -> std::result::Result<SendPlan, ForwardRefusal> {
         let (input, output) = request.arrival.tokens.unwrap_or((0, 0));
         let prompts = self.prompts_by_version(now, request, rules, records);
@@ -243,15 +245,7 @@
             candidates.push(candidate);
         }
         let demand = PromptDemand { input, output, cached_anywhere, engine };
-        let max_wait = max_wait_ms(now, request);
-        let settings = &self.settings.choice;
-        let gap = rules.strictest_gap(&request.service);
-        let learned = learned_cost(&self.cost, now, request, gap);
-        let (learned, demand) = (learned.as_ref(), Some(&demand));
-        let choice =
-            choose_candidate(settings, &candidates, demand, learned, max_wait, &mut self.random);
-        let choice = choice.ok_or_else(|| ForwardRefusal::new(RefusalReason::NoTarget))?;
-        check_wait(choice.wait_ms, max_wait)?;
+        let choice = self.choose_admitted(now, request, &candidates, Some(&demand), admission)?;
         let record = &records[choice.index];
         let work =
             WorkSum { requests: 1, memory: input + output, pending_prefill: choice.prefill_tokens };
@@ -485,7 +479,7 @@
 }
 
 // Returns the longest estimated wait with which a request is still sent to a target.
-fn max_wait_ms(now: ClockTime, request: &ForwardRequest) -> f64 {
+pub(super) fn max_wait_ms(now: ClockTime, request: &ForwardRequest) -> f64 {
     // Refusing a request whose stream has begun would break the stream.
     if request.begun_version.is_some() || request.begun_build.is_some() {
         return f64::INFINITY;
@@ -494,7 +488,10 @@
     limit.min(request.time_left(now).as_ms() as f64)
 }
 
-fn check_wait(wait_ms: f64, max_wait_ms: f64) -> std::result::Result<(), ForwardRefusal> {
+pub(super) fn check_wait(
+    wait_ms: f64,
+    max_wait_ms: f64,
+) -> std::result::Result<(), ForwardRefusal> {
     if wait_ms <= max_wait_ms {
         return Ok(());
     }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -13,7 +13,7 @@
 use godwitroad_base::{ClockSpan, ClockTime};
 use godwitroad_forward::{
     AttemptOutcome, ForwardAction, ForwardArrival, ForwardEvent, ForwardRefusal, ForwardRequest,
-    ForwardState, NextStep, SendPlan,
+    ForwardState, NextStep, RefusalReason, SendPlan,
 };
 use godwitroad_frontend::NodeClock;
 use tokio::{
@@ -178,7 +178,11 @@
         if has_urgent_gossip {
             self.send_gossip.notify_one();
         }
-        let plan = plan?;
+        let plan = plan.inspect_err(|refusal| {
+            if refusal.reason == RefusalReason::Overloaded {
+                self.metrics.count(&format!("admission.refused.{}", request.priority()), 1);
+            }
+        })?;
         let estimate = plan.sent.map(|sent| sent.estimate);
         let shared = request.arrival.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
         let detail = format!(
