--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -5,6 +5,8 @@
 /// The limits and thresholds of admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionSettings {
+    /// Whether routers admit requests by these settings.
+    pub active: bool,
     /// The multiple of its latency objective up to which a request's estimated time to the first event may reach.
     pub objective_factor: f64,
     /// The fraction of more urgent requests' latency objective up to which a less urgent request may find a backlog.
@@ -27,6 +29,7 @@
 impl Default for AdmissionSettings {
     fn default() -> AdmissionSettings {
         AdmissionSettings {
+            active: false,
             objective_factor: 1.0,
             urgent_fraction: 0.5,
             exempt_fraction: 0.3,
--- a/crates/forward/src/state/scarcity.rs
+++ b/crates/forward/src/state/scarcity.rs
@@ -55,7 +55,7 @@
 }
 
 impl ForwardState {
-    /// Returns the limit for placing a request, or `None` if the cost model isn't active for its service, or if a refusal would
+    /// Returns the limit for placing a request, or `None` if admission or the cost model isn't active for its service, or if a refusal would
     /// break its stream or be a failure.
     pub(super) fn placement_limit(
         &mut self,
@@ -64,7 +64,8 @@
         records: &[Arc<TargetRecord>],
     ) -> Option<PlacementLimit> {
         let has_begun = request.begun_version.is_some() || request.begun_build.is_some();
-        if has_begun || request.may_have_run || !self.cost.is_learned(&request.service) {
+        let is_active = self.settings.admission.active && self.cost.is_learned(&request.service);
+        if has_begun || request.may_have_run || !is_active {
             return None;
         }
         self.sum_demands(now);
--- a/crates/forward/tests/scarcity.rs
+++ b/crates/forward/tests/scarcity.rs
@@ -6,13 +6,16 @@
 
 use godwitroad_base::ClockSpan;
 use godwitroad_forward::{
-    AttemptOutcome, ForwardAction, ForwardRefusal, LoadReport, PaceNotice, RefusalReason, SendPlan,
+    AdmissionSettings, AttemptOutcome, ForwardAction, ForwardRefusal, ForwardSettings, LoadReport,
+    PaceNotice, RefusalReason, SendPlan,
 };
 use support::{TestRouter, arrival, at, fleet_router, settings, target};
 
 fn fleet(pace: PaceNotice) -> TestRouter {
     let targets = (0..10).map(|number| target(&format!("p-{number}"), "plain", "a", 10 + number));
-    let mut router = fleet_router(0, settings("vm-0", 1), 2, targets);
+    let admission = AdmissionSettings { active: true, ..AdmissionSettings::default() };
+    let settings = ForwardSettings { admission, ..settings("vm-0", 1) };
+    let mut router = fleet_router(0, settings, 2, targets);
     let mut request = admit(&mut router, 10);
     let mut plan = router.state.choose_target(at(10), &mut request).expect("a target");
     let load = LoadReport { running: 1, waiting: 0, slots: 6, pace };
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,15 +9,18 @@
 //! only if it can't be an earlier one: by the id in it, if no request with that id was sent to the address before, or
 //! because its request is the first on its connection. Bytes that arrive on an idle connection close it.
 
+mod buffered;
 mod connection;
 mod pool;
 mod queue_watch;
 mod sent;
+mod upload;
 pub(crate) mod watched_stream;
 
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    ops::RangeInclusive,
     rc::Rc,
     sync::{
         Arc,
@@ -38,8 +41,10 @@
     time::{Instant, timeout_at},
 };
 
+use buffered::BufferedBytes;
+pub use buffered::{BufferedBody, MAX_BUFFERED_BODY_BYTES};
 pub(crate) use connection::TargetConnection;
-use pool::ConnectionPool;
+use pool::{ConnectionPool, UnansweredRequest};
 use sent::SentRequests;
 
 /// Opens the new connections for the requests to one target.
@@ -127,29 +132,17 @@
     buffered: Rc<Cell<usize>>,
 }
 
-/// Counts the bytes of one answer among those that are being buffered, until it is dropped.
-struct BufferedBytes {
-    total: Rc<Cell<usize>>,
-    own: usize,
-}
-
 /// The time limit for establishing a connection. The longest round trip between zones takes a few milliseconds; a target
 /// that takes much longer is down or unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// The time after which a request that ends unanswered leaves its path in doubt.
-const UNANSWERED_TIME: Duration = Duration::from_millis(500);
-
-/// The size limit of an answer body that is buffered completely.
-pub const MAX_BUFFERED_BODY_BYTES: usize = 4 << 20;
+/// The statuses that end a request. Others have no meaning that a caller could act on, so that the request has failed and may
+/// have run.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// The limit of informational answers before an answer.
 const MAX_INFORMATIONAL_ANSWERS: usize = 16;
 
-/// The size limit of all answer bodies that are being buffered at one time, so that many targets whose bodies don't end
-/// can't exhaust the memory of the process.
-const MAX_BUFFERED_TOTAL_BYTES: usize = 12 << 20;
-
 impl TargetClient {
     /// Sends a request and returns the head of the answer.
     ///
@@ -239,9 +232,12 @@
         };
         match timeout_at(deadline, sent).await {
             Ok(Some(Ok(response))) => {
-                unanswered.pool = None;
+                unanswered.end();
                 let (parts, body) = Response::into_parts(response);
                 let (status, headers) = (parts.status, parts.headers);
+                if !FINAL_STATUSES.contains(&status.as_u16()) {
+                    return Err(failed(SendError::Failed));
+                }
                 let framing = BodyFraming::of(&headers, &body);
                 let buffered = self.buffered.clone();
                 let read_ahead = BytesMut::new();
@@ -362,28 +358,6 @@
     }
 }
 
-// A request on a reused connection that has no answer yet. If it ends unanswered after some time, the path may be lost, and
-// the other idle connections to the address are closed so that no further request depends on them.
-struct UnansweredRequest<'a> {
-    pool: Option<&'a RefCell<ConnectionPool>>,
-    address: SocketAddr,
-    sent_at: Instant,
-}
-
-impl<'a> UnansweredRequest<'a> {
-    fn new(pool: &'a RefCell<ConnectionPool>, address: SocketAddr, is_reused: bool) -> Self {
-        UnansweredRequest { pool: is_reused.then_some(pool), address, sent_at: Instant::now() }
-    }
-}
-
-impl Drop for UnansweredRequest<'_> {
-    fn drop(&mut self) {
-        if let Some(pool) = self.pool.filter(|_| self.sent_at.elapsed() >= UNANSWERED_TIME) {
-            pool.borrow_mut().close_idle(self.address);
-        }
-    }
-}
-
 // A failed send; the request is present if no byte of it was written.
 struct FailedSend {
     error: SendError,
@@ -426,21 +400,6 @@
     }
 }
 
-impl BufferedBytes {
-    // Counts further bytes; returns whether they are within the limits.
-    fn add(&mut self, bytes: usize) -> bool {
-        self.own += bytes;
-        self.total.set(self.total.get() + bytes);
-        self.own <= MAX_BUFFERED_BODY_BYTES && self.total.get() <= MAX_BUFFERED_TOTAL_BYTES
-    }
-}
-
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.own);
-    }
-}
-
 impl TargetExchange {
     /// Returns the next bytes of the body, or `None` at its end.
     ///
@@ -475,10 +434,16 @@
         Ok(true)
     }
 
+    // Returns whether the end of the connection may have come before that of the answer, as the request wasn't written to its end.
+    fn may_be_cut(&self) -> bool {
+        self.framing == BodyFraming::Connection && !self.connection.is_request_written()
+    }
+
     async fn receive(&mut self, deadline: Instant) -> Result<Option<Bytes>> {
         loop {
             match timeout_at(deadline, self.body.frame()).await {
                 Err(_) => return Err(SendError::TimeOver),
+                Ok(None) if self.may_be_cut() => return Err(SendError::Failed),
                 Ok(None) => return Ok(None),
                 Ok(Some(Err(_))) => return Err(SendError::Failed),
                 Ok(Some(Ok(frame))) => {
@@ -493,7 +458,7 @@
 
     // Returns the answer with its remaining body.
     async fn read_answer(&mut self, deadline: Instant) -> Result<Response<Bytes>> {
-        let mut answer = Response::new(self.read_to_end(deadline).await?);
+        let mut answer = Response::new(self.read_to_end(deadline).await?.bytes);
         *answer.status_mut() = self.status;
         *answer.headers_mut() = self.headers.clone();
         Ok(answer)
@@ -505,15 +470,17 @@
     ///
     /// Returns an error if the body ends early, is larger than [`MAX_BUFFERED_BODY_BYTES`], too many bytes of other
     /// answers are being buffered, or the deadline passes.
-    pub async fn read_to_end(&mut self, deadline: Instant) -> Result<Bytes> {
-        let mut counted = BufferedBytes { total: self.buffered.clone(), own: 0 };
-        let mut body = BytesMut::new();
+    pub async fn read_to_end(&mut self, deadline: Instant) -> Result<BufferedBody> {
+        let mut counted = BufferedBytes::new(self.buffered.clone());
+        let declared = self.body.size_hint().exact().unwrap_or(0);
+        // A declared length may be wrong, so that it only avoids the copies of a growing buffer.
+        let mut body = BytesMut::with_capacity((declared as usize).min(MAX_BUFFERED_BODY_BYTES));
         while let Some(bytes) = self.next(deadline).await? {
             if !counted.add(bytes.len()) {
                 return Err(SendError::Failed);
             }
             body.extend_from_slice(&bytes);
         }
-        Ok(body.freeze())
+        Ok(BufferedBody::new(body.freeze(), counted))
     }
 }
