--- a/crates/cost/src/model.rs
+++ b/crates/cost/src/model.rs
@@ -93,10 +93,17 @@
         self.settings.always_active || self.services.contains(service)
     }
 
-    /// Activates the model for a service, as one of its targets has reported its pace to this router or a peer. Returns
-    /// whether it wasn't active.
-    pub fn activate(&mut self, service: &ServiceName) -> bool {
-        !self.is_learned(service) && self.services.insert(service.clone())
+    /// Returns whether a service's requests are placed by the learned times: its targets report their pace, or the settings
+    /// say so. What follows from answers alone varies too much with the requests.
+    pub fn places_by_estimate(&self, service: &ServiceName) -> bool {
+        self.settings.places_by_estimate || self.services.contains(service)
+    }
+
+    /// Activates the model for a service, as one of its targets has reported its pace to this router (`is_own`) or a peer.
+    /// Returns whether none had. Where the model is active anyway, a peer's figures don't show that a target reports a pace.
+    pub fn activate(&mut self, service: &ServiceName, is_own: bool) -> bool {
+        let is_proof = is_own || !self.settings.always_active;
+        is_proof && !self.services.contains(service) && self.services.insert(service.clone())
     }
 
     /// Returns the estimated cost of a request at a target.
--- a/crates/cost/src/sheet.rs
+++ b/crates/cost/src/sheet.rs
@@ -5,6 +5,9 @@
 pub struct CostSettings {
     /// Whether the model is active for all services, whether or not their targets report a pace.
     pub always_active: bool,
+    /// Whether placement uses the learned times and pauses of all services, not only of those whose targets report a pace.
+    /// For the others it uses the constants of the choice and adds how long a target has been silent.
+    pub places_by_estimate: bool,
     /// Prompt tokens that an engine processes in a millisecond.
     pub read_per_ms: f64,
     /// Prompt tokens that an engine processes between two decoding steps.
@@ -78,6 +81,7 @@
     fn default() -> CostSettings {
         CostSettings {
             always_active: false,
+            places_by_estimate: false,
             read_per_ms: 43.0,
             chunk_tokens: 2_048,
             step_ms: 4.9,
--- a/crates/forward/src/choice.rs
+++ b/crates/forward/src/choice.rs
@@ -138,6 +138,8 @@
     pub is_streaming: bool,
     /// The strictest limit of pauses among the streams of the service, in ms; `None` if none has a limit.
     pub gap_ms: Option<f64>,
+    /// Whether the learned times count in the choice, rather than only how long a target has been silent.
+    pub places_by_estimate: bool,
 }
 
 /// The result of choosing a target.
@@ -202,33 +204,32 @@
     candidate: &TargetCandidate,
     learned: Option<&LearnedCost<'_>>,
 ) -> CandidateCost {
-    if let Some(learned) = learned {
-        return learned_plain_cost(settings, candidate, learned);
-    }
+    let estimate = learned.map(|learned| {
+        let work = target_work(candidate, None);
+        let request = RequestSize { engine: None, is_streaming: learned.is_streaming };
+        learned.model.estimate(learned.now, &candidate.name, &work, &request)
+    });
     let slots = f64::from(candidate.slots.max(1));
     let ahead = candidate.work.requests as f64;
-    let queued = (ahead + 1.0 - slots).max(0.0);
-    let wait = settings.plain_ms * queued / slots;
-    let crowding = settings.plain_ms * ahead / slots;
+    let (wait, pace) = match &estimate {
+        Some(estimate) if places_by_estimate(learned) => (estimate.first_ms, estimate.pace),
+        _ => {
+            let queued = (ahead + 1.0 - slots).max(0.0);
+            (settings.plain_ms * queued / slots + silence(&estimate), 1.0)
+        }
+    };
+    let crowding = settings.plain_ms * pace * ahead / slots;
     let distance = settings.distance_ms[candidate.distance as usize];
     let cost = 1.0 + wait + crowding + distance;
-    CandidateCost { cost, wait, source: None, prefill_tokens: 0, estimate: None }
+    CandidateCost { cost, wait, source: None, prefill_tokens: 0, estimate }
 }
 
-fn learned_plain_cost(
-    settings: &ChoiceSettings,
-    candidate: &TargetCandidate,
-    learned: &LearnedCost<'_>,
-) -> CandidateCost {
-    let work = target_work(candidate, None);
-    let request = RequestSize { engine: None, is_streaming: learned.is_streaming };
-    let estimate = learned.model.estimate(learned.now, &candidate.name, &work, &request);
-    let share = work.requests as f64 / f64::from(work.slots.max(1));
-    let crowding = settings.plain_ms * estimate.pace * share;
-    let distance = settings.distance_ms[candidate.distance as usize];
-    let cost = 1.0 + estimate.first_ms + crowding + distance;
-    let (wait, estimate) = (estimate.first_ms, Some(estimate));
-    CandidateCost { cost, wait, source: None, prefill_tokens: 0, estimate }
+fn places_by_estimate(learned: Option<&LearnedCost<'_>>) -> bool {
+    learned.is_some_and(|learned| learned.places_by_estimate)
+}
+
+fn silence(estimate: &Option<CostEstimate>) -> f64 {
+    estimate.map_or(0.0, |estimate| estimate.silent_ms)
 }
 
 fn target_work(candidate: &TargetCandidate, engine: Option<&EngineRule>) -> TargetWork {
@@ -262,8 +263,8 @@
         learned.model.estimate(learned.now, &candidate.name, &work, &request)
     });
     let wait = match &estimate {
-        Some(estimate) => estimate.first_ms + fetch,
-        None => sheet_wait(settings, candidate, demand, prefill_tokens, fetch),
+        Some(estimate) if places_by_estimate(learned) => estimate.first_ms + fetch,
+        _ => sheet_wait(settings, candidate, demand, prefill_tokens, fetch) + silence(&estimate),
     };
     let mut cost = 1.0 + wait + settings.distance_ms[candidate.distance as usize];
     cost += recomputed as f64 * settings.again_ms;
@@ -272,7 +273,9 @@
     if !candidate.is_affinity_target {
         cost += settings.home_ms;
     }
-    if let (Some(learned), Some(estimate)) = (learned, &estimate) {
+    if let (Some(learned), Some(estimate)) = (learned, &estimate)
+        && places_by_estimate(Some(learned))
+    {
         cost += pause_cost(settings, candidate, learned, estimate);
     }
     CandidateCost { cost, wait, source, prefill_tokens, estimate }
--- a/crates/forward/src/state/cost.rs
+++ b/crates/forward/src/state/cost.rs
@@ -77,7 +77,7 @@
     // Activates the cost model for the service of a target.
     fn activate_cost(&mut self, target: &TargetName, source: &str) {
         let Some(record) = self.roster.get(target) else { return };
-        if self.cost.activate(&record.service) {
+        if self.cost.activate(&record.service, source == "own") {
             let detail = format!("service={} target={target} source={source}", record.service);
             self.notices.push(ForwardAction::Notice("cost_model_active", detail));
         }
@@ -119,5 +119,12 @@
 ) -> Option<LearnedCost<'a>> {
     let is_streaming = request.route.streaming;
     let gap_ms = gap.map(|gap| gap.as_ms() as f64);
-    model.is_learned(&request.service).then_some(LearnedCost { model, now, is_streaming, gap_ms })
+    let places_by_estimate = model.places_by_estimate(&request.service);
+    model.is_learned(&request.service).then_some(LearnedCost {
+        model,
+        now,
+        is_streaming,
+        gap_ms,
+        places_by_estimate,
+    })
 }
