--- a/review/standin-2/member.rs
+++ b/review/standin-2/member.rs
@@ -118,11 +118,20 @@
         wait_for(limit, || self.ended().is_some()).then(|| start.elapsed())
     }
 
+    /// Returns the memory that the process takes, in KB.
+    pub fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
     /// Returns the largest memory that the process has taken, in KB.
     pub fn peak_memory_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+
+    fn status_kb(&self, name: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
         line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
     }
 
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -9,7 +9,7 @@
 use crate::{
     Outcome, Record,
     client::{Client, request},
-    member::{self, Member},
+    member,
     store::Store,
     worker::Worker,
 };
@@ -17,20 +17,21 @@
 pub fn run(name: &str, record: &Record, has_trouble: bool) -> Outcome {
     let result = match name {
         "planned-stop" => planned_stop(record, has_trouble),
+        "withdrawn-key" => withdrawn_key(record, has_trouble),
         other => Err(format!("no scenario `{other}`")),
     };
     result.unwrap_or_else(Outcome::NotRun)
 }
 
-// Returns a configuration with a service of plain workers.
-fn config(version: u64, timeout_ms: u64) -> String {
+// Returns a configuration with a service of plain workers and one of model workers.
+fn config(version: u64, timeout_ms: u64, second_key: &str) -> String {
     let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"desk.example\",\"Prefix\":\"{prefix}\",\"Kind\":\"{kind}\",\"TimeoutMs\":{timeout_ms},\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"desk\",\"MaxAttempts\":{attempts},\"Public\":false}}"
         )
     };
     format!(
-        "{{\"Version\":{version},\"Routes\":[{},{}],\"Services\":[{{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{{\"Name\":\"one\",\"ApiKeys\":[\"key-one\"],\"Priority\":1,\"Unit\":\"tokens\",\"PlainTokens\":200,\"Isolated\":false,\"RatePerS\":0,\"Burst\":0}}]}}",
+        "{{\"Version\":{version},\"Routes\":[{},{},{{\"Name\":\"draft\",\"Host\":\"desk.example\",\"Prefix\":\"/draft/\",\"Kind\":\"streaming\",\"TimeoutMs\":4000,\"TargetLatencyMs\":500,\"Priority\":1,\"Service\":\"models\",\"MaxAttempts\":2,\"Public\":false,\"Sticky\":true,\"Resumable\":true,\"GapTargetMs\":300}}],\"Services\":[{{\"Name\":\"models\",\"HealthPath\":\"/healthz\",\"MaxConnections\":370,\"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{{\"Slots\":64,\"KvCapacityTokens\":138739,\"KvTokenBytes\":18432,\"LinkMbps\":130000.0,\"Moves\":true,\"Backups\":true,\"Stride\":5,\"MaxInflight\":12,\"PinMs\":4000.0,\"HoldMs\":2000.0,\"handle_s\":5.0,\"Models\":[{{\"Name\":\"m\"}}]}}}},{{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{{\"Name\":\"one\",\"ApiKeys\":[\"key-one\"],\"Priority\":1,\"Unit\":\"tokens\",\"PlainTokens\":200,\"Isolated\":false,\"RatePerS\":0,\"Burst\":0}},{{\"Name\":\"two\",\"ApiKeys\":[\"{second_key}\"],\"Priority\":1,\"Unit\":\"tokens\",\"PlainTokens\":200,\"Isolated\":false,\"RatePerS\":0,\"Burst\":0}}]}}",
         route("look", "/look/", "idempotent", 2),
         route("book", "/book/", "non_idempotent", 1),
     )
@@ -43,7 +44,7 @@
 // One router gets SIGTERM while clients read answers that its worker has sent completely.
 fn planned_stop(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
     let store = Store::start();
-    store.put("op/config", &config(1, 12_000));
+    store.put("op/config", &config(1, 12_000, "key-two"));
     let _worker = Worker::start(&store, "i-1", "desk", "a", |worker, call, stream| {
         let size = call.target.rsplit('/').next().and_then(|size| size.parse().ok()).unwrap_or(800);
         worker.run(call, stream, &vec![b'x'; size])
@@ -111,7 +112,87 @@
     })
 }
 
-#[allow(dead_code)]
-fn all_alive(members: &mut [Member]) -> bool {
-    members.iter_mut().all(|member| member.ended().is_none())
+/// How long the store is away, how old the copy is with which it returns, and when the operator has written its entries again.
+const STORE_AWAY: Duration = Duration::from_millis(300);
+const COPY_AGE: Duration = Duration::from_millis(6_500);
+const OPERATOR_REWRITES: Duration = Duration::from_millis(1_000);
+
+/// `Bounds.RevokeMs`.
+const REVOKE: Duration = Duration::from_millis(5_000);
+
+// The store returns from a copy that is older than the withdrawal of a key, and one router starts again at that moment.
+fn withdrawn_key(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
+    let store = Store::start();
+    store.put("op/config", &config(1, 4_000, "key-two"));
+    let worker = Worker::start(&store, "i-1", "desk", "a", |worker, call, stream| worker.run(call, stream, b"found"));
+    let mut members = member::start(&store, 3, "")?;
+    thread::sleep(Duration::from_millis(3_500));
+    let two = |id: &str| request("GET", "/look/x", id, "X-Deadline-Ms: 4000\r\n", "").replace("key-one", "key-two");
+    let call = |member: usize, id: &str, members: &[member::Member]| {
+        let sent = Instant::now();
+        let answer = Client::connect(members[member].front).and_then(|mut client| {
+            client.send(&two(id))?;
+            client.read(|_| ())
+        });
+        let status = answer.map_or(0, |answer| answer.status);
+        record.line(format!("{id} with key-two to {}: {status}", members[member].name));
+        (id.to_string(), sent, status)
+    };
+    if call(0, "before", &members).2 != 200 {
+        return Err("key-two isn't accepted at the beginning".into());
+    }
+    store.make_copy();
+    let copied = Instant::now();
+    thread::sleep(Duration::from_millis(400));
+    let confirmed = store.put("op/config", &config(2, 4_000, "key-three"));
+    record.line("configuration 2, which takes key-two away, is confirmed");
+    thread::sleep(Duration::from_millis(3_000));
+    for member in 0..3 {
+        if call(member, &format!("after-{member}"), &members).2 != 401 {
+            return Err("key-two is still accepted without any disruption".into());
+        }
+    }
+    thread::sleep((copied + COPY_AGE - STORE_AWAY).saturating_duration_since(Instant::now()));
+    if has_trouble {
+        record.line("the store is away");
+        store.set_silent(true);
+        thread::sleep(STORE_AWAY - Duration::from_millis(50));
+        record.line(format!("{} is killed", members[0].name));
+        members[0].signal("KILL");
+        members[0].wait_end(Duration::from_secs(2));
+        store.restore();
+        store.set_silent(false);
+        record.line(format!("the store is back, from a copy that is {:.1} s old", copied.elapsed().as_secs_f64()));
+        members[0].start_again()?;
+        record.line(format!("{} starts again", members[0].name));
+    }
+    let back = Instant::now();
+    let mut sent = Vec::new();
+    let mut is_rewritten = false;
+    let mut number = 0;
+    while back.elapsed() < Duration::from_secs(6) {
+        if !is_rewritten && back.elapsed() >= OPERATOR_REWRITES {
+            is_rewritten = true;
+            if has_trouble {
+                store.put("op/config", &config(2, 4_000, "key-three"));
+                record.line("the operator has written configuration 2 again");
+            }
+        }
+        for member in 0..3 {
+            number += 1;
+            sent.push(call(member, &format!("late-{number}"), &members));
+        }
+        thread::sleep(Duration::from_millis(60));
+    }
+    let runs: Vec<String> = worker.arrivals().into_iter().map(|arrival| arrival.id).collect();
+    let late: Vec<&str> = sent
+        .iter()
+        .filter(|(id, at, _)| *at > confirmed + REVOKE && runs.contains(id))
+        .map(|(id, ..)| id.as_str())
+        .collect();
+    record.line(format!("{} of {} requests with key-two ran, sent later than RevokeMs after the confirmation", late.len(), sent.len()));
+    Ok(match late.is_empty() {
+        true => Outcome::Held,
+        false => Outcome::Broken(format!("CONFIG: {} requests with a withdrawn key ran", late.len())),
+    })
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -34,6 +34,7 @@
 #[derive(Default)]
 struct State {
     data: Data,
+    copy: Option<Data>,
     era: u64,
     is_silent: bool,
 }
@@ -85,6 +86,21 @@
         })
     }
 
+    /// Makes the copy from which [`restore`](Self::restore) returns.
+    pub fn make_copy(&self) {
+        self.update(|state| state.copy = Some(state.data.clone()));
+    }
+
+    /// Returns from the last copy. What was written since is lost, and its revisions are given out again.
+    pub fn restore(&self) {
+        self.update(|state| {
+            if let Some(copy) = state.copy.clone() {
+                state.data = copy;
+                state.era += 1;
+            }
+        });
+    }
+
     /// Makes the store answer nothing, or answer again. Calls that wait meanwhile stay unanswered and aren't executed.
     pub fn set_silent(&self, is_silent: bool) {
         self.update(|state| state.is_silent = is_silent);
@@ -119,7 +135,12 @@
             let after: u64 = call.query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
             let wait: u64 = call.query("WaitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
             let until = Instant::now() + Duration::from_millis(wait);
-            while state.data.revision <= after && !state.is_silent && Instant::now() < until {
+            let watched = state.era;
+            while state.data.revision <= after
+                && state.era == watched
+                && !state.is_silent
+                && Instant::now() < until
+            {
                 state = changed.wait_timeout(state, Duration::from_millis(20)).unwrap().0;
                 state.data.expire();
             }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -87,9 +87,11 @@
     }
 
     fn entry(&self, sequence: u64) -> String {
+        let is_model = self.service == "models";
+        let models = if is_model { "{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}" } else { "" };
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"{state}\",\"ColdRemainingMs\":0,\"Sequence\":{sequence},\"born\":{}}}",
+            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":64,\"State\":\"{state}\",\"ColdRemainingMs\":0,\"Stage\":\"combined\",\"Models\":[{models}],\"Sequence\":{sequence},\"born\":{}}}",
             self.service, self.address, self.zone, self.born
         )
     }
@@ -106,6 +108,15 @@
                 }
                 continue;
             }
+            if call.target.starts_with("/kv-events") {
+                let wait = call.header("wait-ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+                thread::sleep(Duration::from_millis(wait));
+                let body = format!("{{\"BootEpoch\":{},\"Next\":1,\"Lost\":false,\"Events\":[]}}", self.born);
+                if !self.write(&mut writer, 200, "Content-Type: application/json\r\n", body.as_bytes()) {
+                    return;
+                }
+                continue;
+            }
             if call.header("x-expect-instance").is_some_and(|id| id != self.id) {
                 let id = format!("X-Instance-Id: {}\r\n", self.id);
                 if !self.write(&mut writer, 421, &id, b"") {
