--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -1,6 +1,8 @@
 //! The scenarios of the cases.
 
 use std::{
+    collections::BTreeMap,
+    io::Write,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -17,6 +19,7 @@
 pub fn run(name: &str, record: &Record, has_trouble: bool) -> Outcome {
     let result = match name {
         "planned-stop" => planned_stop(record, has_trouble),
+        "foreign-entry" => foreign_entry(record, has_trouble),
         "withdrawn-key" => withdrawn_key(record, has_trouble),
         other => Err(format!("no scenario `{other}`")),
     };
@@ -196,3 +199,102 @@
         false => Outcome::Broken(format!("CONFIG: {} requests with a withdrawn key ran", late.len())),
     })
 }
+
+/// The rounds of requests, the requests of one, the time before one in which an entry is replaced, and the time to the first token.
+const PROMPT_ROUNDS: usize = 6;
+const ROUND_REQUESTS: usize = 8;
+const REPLACED_BEFORE: Duration = Duration::from_millis(150);
+const FIRST_TOKEN: Duration = Duration::from_millis(100);
+
+/// The parts of a prompt in a worker's cache, by the text of `X-Cache-Salt`, with the tenant whose request made each.
+type PartCache = BTreeMap<(Option<String>, String), String>;
+
+// Another writer replaces the entry of a model worker by one without `Models`, while an isolated tenant and another one send
+// prompts with the same parts.
+fn foreign_entry(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
+    let store = Store::start();
+    store.put("op/version/m", "{\"Model\":\"m\",\"Version\":1}");
+    let config = config(1, 4_000, "key-two");
+    let (first, second) = config.split_at(config.find("\"two\"").ok_or("no tenant two")?);
+    let second = second.replacen("\"Isolated\":false", "\"Isolated\":true", 1);
+    store.put("op/config", &format!("{first}{second}"));
+    let shared = Arc::new(Mutex::new(Vec::new()));
+    let workers: Vec<Worker> = (0..2)
+        .map(|number| {
+            let (record, shared) = (record.clone(), shared.clone());
+            let cache = Mutex::new(PartCache::new());
+            Worker::start(&store, &format!("i-model-{number}"), "models", "a", move |worker, call, stream| {
+                worker.record(call, true);
+                let header = |name: &str| call.header(name).map(str::to_string);
+                let (salt, tenant) = (header("x-cache-salt"), header("x-tenant-id").unwrap_or_default());
+                let id = header("x-request-id").unwrap_or_default();
+                record.line(format!("{id} of {tenant} runs at {} with salt {salt:?}, version {:?}", worker.id, header("x-expect-version")));
+                let prompt = header("x-prefix-hash").unwrap_or_default();
+                let parts: Vec<(Option<String>, String)> = prompt
+                    .split(',')
+                    .map(|part| (salt.clone(), part.split(':').next().unwrap_or_default().to_string()))
+                    .collect();
+                for part in &parts {
+                    let Some(maker) = cache.lock().unwrap().get(part).cloned() else { break };
+                    if maker != tenant {
+                        shared.lock().unwrap().push(format!("{id} of {tenant} uses part {} of {maker}", part.1));
+                    }
+                }
+                // The parts are kept once they are read.
+                thread::sleep(FIRST_TOKEN);
+                for part in parts {
+                    cache.lock().unwrap().entry(part).or_insert_with(|| tenant.clone());
+                }
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}X-Server-Stamp: 3e1b.{}\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    worker.echo(call), worker.id
+                );
+                let events: String = (1..=3)
+                    .map(|id| format!("id: {id}\ndata: token\n\n"))
+                    .map(|event| format!("{:x}\r\n{event}\r\n", event.len()))
+                    .collect();
+                stream.write_all(format!("{head}{events}0\r\n\r\n").as_bytes()).is_ok()
+            })
+        })
+        .collect();
+    let members = member::start(&store, 2, "")?;
+    thread::sleep(Duration::from_millis(3_500));
+    for round in 0..PROMPT_ROUNDS {
+        if has_trouble {
+            for worker in &workers {
+                store.put(&format!("servers/{}", worker.id), &worker.entry_without_models());
+            }
+            record.line("another writer replaces the entries of both workers by ones without Models");
+        }
+        thread::sleep(REPLACED_BEFORE);
+        let clients: Vec<_> = (0..ROUND_REQUESTS)
+            .map(|number| {
+                let (front, record) = (members[number % 2].front, record.clone());
+                thread::spawn(move || {
+                    let key = if number / 2 % 2 == 0 { "key-one" } else { "key-two" };
+                    let id = format!("draft-{round}-{number}");
+                    let prompt = format!("X-Model: m\r\nX-Token-Usage: 1460,80\r\nX-Prefix-Hash: 5c1e:800,91bd:410,{round}{number}:250\r\nX-Deadline-Ms: 4000\r\n");
+                    let text = request("POST", "/draft/x", &id, &prompt, "a prompt");
+                    let answer = Client::connect(front).and_then(|mut client| {
+                        client.send(&text.replace("key-one", key))?;
+                        client.read(|_| ())
+                    });
+                    let status = answer.map(|answer| (answer.status, answer.is_complete));
+                    record.line(format!("{id} answered {status:?}"));
+                })
+            })
+            .collect();
+        for client in clients {
+            client.join().map_err(|_| "a client failed")?;
+        }
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    let shared = shared.lock().unwrap();
+    for line in shared.iter() {
+        record.line(line);
+    }
+    Ok(match shared.first() {
+        None => Outcome::Held,
+        Some(first) => Outcome::Broken(format!("WALL: {} times, first: {first}", shared.len())),
+    })
+}
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -96,6 +96,14 @@
         )
     }
 
+    /// Returns an entry of the worker in which the field `Models` is missing.
+    pub fn entry_without_models(&self) -> String {
+        let entry = self.entry(9_000);
+        let start = entry.find("\"Models\":").expect("a field");
+        let end = entry.find("\"Sequence\":").expect("a field");
+        format!("{}{}", &entry[..start], &entry[end..])
+    }
+
     fn serve(&self, stream: TcpStream, behavior: &Behavior) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
