--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -20,6 +20,7 @@
     let result = match name {
         "planned-stop" => planned_stop(record, has_trouble),
         "foreign-entry" => foreign_entry(record, has_trouble),
+        "leaving-worker" => leaving_worker(record, has_trouble),
         "withdrawn-key" => withdrawn_key(record, has_trouble),
         other => Err(format!("no scenario `{other}`")),
     };
@@ -298,3 +299,99 @@
         Some(first) => Outcome::Broken(format!("WALL: {} times, first: {first}", shared.len())),
     })
 }
+
+/// `Bounds.DrainMs`.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+// Another writer replaces the entry of a worker that is leaving by one without `born`.
+fn leaving_worker(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
+    let store = Store::start();
+    store.put("op/config", &config(1, 4_000, "key-two"));
+    let workers: Vec<Worker> = (1..=2)
+        .map(|number| {
+            Worker::start(&store, &format!("i-{number}"), "desk", "a", |worker, call, stream| {
+                worker.record(call, true);
+                thread::sleep(Duration::from_millis(60));
+                let leaving = if worker.is_leaving() { "Server-Leaving: 1\r\n" } else { "" };
+                let extra = format!("{}X-Server-Stamp: 3e1b.{}\r\n{leaving}", worker.echo(call), worker.id);
+                worker.write(stream, 200, &extra, b"found")
+            })
+        })
+        .collect();
+    let members = member::start(&store, 2, "")?;
+    thread::sleep(Duration::from_millis(3_500));
+    // The requests: the member, when each was sent, and when an answer said that its worker leaves.
+    let sent = Arc::new(Mutex::new(Vec::<(usize, String, Instant, Option<Instant>)>::new()));
+    let mut clients = Vec::new();
+    let start = Instant::now();
+    let (mut is_leaving, mut is_draining, mut replaced) = (false, false, None::<Instant>);
+    for number in 0.. {
+        let at = start.elapsed();
+        if at >= Duration::from_secs(10) {
+            break;
+        }
+        if !is_leaving && at >= Duration::from_millis(1_000) {
+            is_leaving = true;
+            workers[0].leave();
+            record.line("i-1 says in its answers that it is leaving");
+        }
+        if !is_draining && at >= Duration::from_millis(1_100) {
+            is_draining = true;
+            workers[0].drain(&store);
+            record.line("i-1 reports that it is draining");
+        }
+        // Shortly after a heartbeat, so that the next one doesn't follow at once.
+        let is_fresh = workers[0].since_beat().is_some_and(|age| age < Duration::from_millis(100));
+        if replaced.is_none() && at >= Duration::from_millis(5_500) && is_fresh {
+            if has_trouble {
+                store.put("servers/i-1", &workers[0].entry_without_born());
+                record.line("another writer replaces the entry of i-1 by a ready one without born");
+            }
+            replaced = Some(Instant::now());
+            thread::sleep(Duration::from_millis(200));
+        }
+        let member = number % 2;
+        let (front, sent) = (members[member].front, sent.clone());
+        clients.push(thread::spawn(move || {
+            let id = format!("look-{number}");
+            let at = Instant::now();
+            let answer = Client::connect(front).and_then(|mut client| {
+                client.send(&request("GET", "/look/x", &id, "X-Deadline-Ms: 4000\r\n", ""))?;
+                client.read(|_| ())
+            });
+            let is_told = answer.is_some_and(|answer| answer.header("server-leaving") == Some("1"));
+            sent.lock().unwrap().push((member, id, at, is_told.then(Instant::now)));
+        }));
+        // Many come at once after the entry was replaced.
+        let is_crowd = replaced.is_some_and(|at| at.elapsed() < Duration::from_millis(300));
+        thread::sleep(Duration::from_millis(if is_crowd { 2 } else { 20 }));
+    }
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    let sent = sent.lock().unwrap();
+    let arrivals = workers[0].arrivals();
+    let mut late = Vec::new();
+    let mut told_members = 0;
+    for member in 0..members.len() {
+        let told = sent.iter().filter(|(other, ..)| *other == member).filter_map(|row| row.3).min();
+        // A member that passed on no such answer is not bound by it.
+        let Some(told) = told else { continue };
+        told_members += 1;
+        record.line(format!("{} passed on an answer with Server-Leaving", members[member].name));
+        for (_, id, at, _) in sent.iter().filter(|(other, ..)| *other == member) {
+            if *at > told + DRAIN && arrivals.iter().any(|arrival| arrival.id == *id) {
+                let after = at.duration_since(told).as_secs_f64();
+                record.line(format!("{id} reached i-1 through {}, sent {after:.3} s after that", members[member].name));
+                late.push(id.clone());
+            }
+        }
+    }
+    if told_members == 0 {
+        return Err("no answer said that its worker leaves".into());
+    }
+    Ok(match late.is_empty() {
+        true => Outcome::Held,
+        false => Outcome::Broken(format!("DRAIN: {} requests reached a worker that was leaving", late.len())),
+    })
+}
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -39,7 +39,8 @@
     born: u128,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_draining: Arc<AtomicBool>,
-    is_gone: Arc<AtomicBool>,
+    is_leaving: Arc<AtomicBool>,
+    last_beat: Arc<Mutex<Option<Instant>>>,
 }
 
 /// The interval between two entries in the store (`HeartbeatMs`).
@@ -63,7 +64,8 @@
             born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis(),
             arrivals: Arc::default(),
             is_draining: Arc::default(),
-            is_gone: Arc::default(),
+            is_leaving: Arc::default(),
+            last_beat: Arc::default(),
         };
         let behavior: Arc<Behavior> = Arc::new(behavior);
         let served = worker.clone();
@@ -76,10 +78,8 @@
         let (beating, store) = (worker.clone(), store.clone());
         thread::spawn(move || {
             for sequence in 1.. {
-                if beating.is_gone.load(Ordering::SeqCst) {
-                    return;
-                }
                 store.put(&format!("servers/{}", beating.id), &beating.entry(sequence));
+                *beating.last_beat.lock().unwrap() = Some(Instant::now());
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -104,6 +104,26 @@
         format!("{}{}", &entry[..start], &entry[end..])
     }
 
+    /// Returns an entry that says that the worker is ready, in which the field `born` is missing.
+    pub fn entry_without_born(&self) -> String {
+        let entry = self.entry(9_001).replace("draining", "ready");
+        format!("{}}}", &entry[..entry.find(",\"born\"").expect("a field")])
+    }
+
+    /// Returns the time since the worker wrote its entry.
+    pub fn since_beat(&self) -> Option<Duration> {
+        self.last_beat.lock().unwrap().map(|at| at.elapsed())
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::SeqCst)
+    }
+
+    /// Begins to say in all answers that the worker is leaving.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     fn serve(&self, stream: TcpStream, behavior: &Behavior) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
@@ -170,7 +190,7 @@
         format!("X-Request-Id: {}\r\n", call.header("x-request-id").unwrap_or(""))
     }
 
-    /// Says that the worker is leaving.
+    /// Reports in the store that the worker is draining.
     pub fn drain(&self, store: &Store) {
         self.is_draining.store(true, Ordering::SeqCst);
         store.put(&format!("servers/{}", self.id), &self.entry(9_000));
