--- a/review/standin-2/member.rs
+++ b/review/standin-2/member.rs
@@ -60,8 +60,7 @@
         let host = &hosts[index];
         let zone = ["a", "b", "c"][index % 3];
         let name = format!("edge-{zone}-{}", index + 1);
-        let folder = std::env::temp_dir()
-            .join(format!("review-2-{}-{}", std::process::id(), name));
+        let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), name));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let seeds: Vec<String> =
             hosts.iter().take(3).map(|host| format!("{host}:{}", base + 2)).collect();
@@ -118,23 +117,6 @@
         wait_for(limit, || self.ended().is_some()).then(|| start.elapsed())
     }
 
-    /// Returns the memory that the process takes, in KB.
-    pub fn memory_kb(&self) -> u64 {
-        self.status_kb("VmRSS:")
-    }
-
-    /// Returns the largest memory that the process has taken, in KB.
-    pub fn peak_memory_kb(&self) -> u64 {
-        self.status_kb("VmHWM:")
-    }
-
-    fn status_kb(&self, name: &str) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix(name));
-        line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
-    }
-
     /// Starts the process again, as the platform does after it has ended.
     pub fn start_again(&mut self) -> Result<(), String> {
         let path = self.folder.join("local.conf");
@@ -144,11 +126,6 @@
         self.child = spawn(&self.folder)?;
         Ok(())
     }
-
-    /// Returns what the process has written to its standard output.
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
 }
 
 fn spawn(folder: &PathBuf) -> Result<Child, String> {
--- a/review/standin-2/scenarios.rs
+++ b/review/standin-2/scenarios.rs
@@ -66,11 +66,23 @@
             let id = format!("look-{number}");
             let mut client = Client::connect(front)?;
             client.set_receive_buffer(16_384);
-            client.send(&request("GET", "/look/800", &format!("warm-{number}"), "X-Deadline-Ms: 12000\r\n", ""))?;
+            client.send(&request(
+                "GET",
+                "/look/800",
+                &format!("warm-{number}"),
+                "X-Deadline-Ms: 12000\r\n",
+                "",
+            ))?;
             client.read(|_| ())?;
             record.line(format!("{id} sent on a kept channel, for {size} bytes"));
             let sent = Instant::now();
-            client.send(&request("GET", &format!("/look/{size}"), &id, "X-Deadline-Ms: 12000\r\n", ""))?;
+            client.send(&request(
+                "GET",
+                &format!("/look/{size}"),
+                &id,
+                "X-Deadline-Ms: 12000\r\n",
+                "",
+            ))?;
             let mut read = 0;
             let answer = client.read(|bytes| {
                 read += bytes;
@@ -80,11 +92,17 @@
             let text = match &answer {
                 Some(answer) => format!(
                     "status {}, {} of {:?} bytes, complete {}",
-                    answer.status, answer.body.len(), answer.length, answer.is_complete
+                    answer.status,
+                    answer.body.len(),
+                    answer.length,
+                    answer.is_complete
                 ),
                 None => "channel closed without an answer".to_string(),
             };
-            record.line(format!("{id} ended {:.3} s after it was sent: {text}", sent.elapsed().as_secs_f64()));
+            record.line(format!(
+                "{id} ended {:.3} s after it was sent: {text}",
+                sent.elapsed().as_secs_f64()
+            ));
             let is_complete = answer.is_some_and(|answer| answer.is_complete);
             results.lock().unwrap().push((id, is_complete, sent.elapsed()));
             Some(())
@@ -128,10 +146,14 @@
 fn withdrawn_key(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
     let store = Store::start();
     store.put("op/config", &config(1, 4_000, "key-two"));
-    let worker = Worker::start(&store, "i-1", "desk", "a", |worker, call, stream| worker.run(call, stream, b"found"));
+    let worker = Worker::start(&store, "i-1", "desk", "a", |worker, call, stream| {
+        worker.run(call, stream, b"found")
+    });
     let mut members = member::start(&store, 3, "")?;
     thread::sleep(Duration::from_millis(3_500));
-    let two = |id: &str| request("GET", "/look/x", id, "X-Deadline-Ms: 4000\r\n", "").replace("key-one", "key-two");
+    let two = |id: &str| {
+        request("GET", "/look/x", id, "X-Deadline-Ms: 4000\r\n", "").replace("key-one", "key-two")
+    };
     let call = |member: usize, id: &str, members: &[member::Member]| {
         let sent = Instant::now();
         let answer = Client::connect(members[member].front).and_then(|mut client| {
@@ -166,7 +188,10 @@
         members[0].wait_end(Duration::from_secs(2));
         store.restore();
         store.set_silent(false);
-        record.line(format!("the store is back, from a copy that is {:.1} s old", copied.elapsed().as_secs_f64()));
+        record.line(format!(
+            "the store is back, from a copy that is {:.1} s old",
+            copied.elapsed().as_secs_f64()
+        ));
         members[0].start_again()?;
         record.line(format!("{} starts again", members[0].name));
     }
@@ -194,10 +219,16 @@
         .filter(|(id, at, _)| *at > confirmed + REVOKE && runs.contains(id))
         .map(|(id, ..)| id.as_str())
         .collect();
-    record.line(format!("{} of {} requests with key-two ran, sent later than RevokeMs after the confirmation", late.len(), sent.len()));
+    record.line(format!(
+        "{} of {} requests with key-two ran, sent later than RevokeMs after the confirmation",
+        late.len(),
+        sent.len()
+    ));
     Ok(match late.is_empty() {
         true => Outcome::Held,
-        false => Outcome::Broken(format!("CONFIG: {} requests with a withdrawn key ran", late.len())),
+        false => {
+            Outcome::Broken(format!("CONFIG: {} requests with a withdrawn key ran", late.len()))
+        }
     })
 }
 
@@ -225,7 +256,7 @@
             let (record, shared) = (record.clone(), shared.clone());
             let cache = Mutex::new(PartCache::new());
             Worker::start(&store, &format!("i-model-{number}"), "models", "a", move |worker, call, stream| {
-                worker.record(call, true);
+                worker.record(call);
                 let header = |name: &str| call.header(name).map(str::to_string);
                 let (salt, tenant) = (header("x-cache-salt"), header("x-tenant-id").unwrap_or_default());
                 let id = header("x-request-id").unwrap_or_default();
@@ -265,7 +296,8 @@
             for worker in &workers {
                 store.put(&format!("servers/{}", worker.id), &worker.entry_without_models());
             }
-            record.line("another writer replaces the entries of both workers by ones without Models");
+            record
+                .line("another writer replaces the entries of both workers by ones without Models");
         }
         thread::sleep(REPLACED_BEFORE);
         let clients: Vec<_> = (0..ROUND_REQUESTS)
@@ -310,10 +342,11 @@
     let workers: Vec<Worker> = (1..=2)
         .map(|number| {
             Worker::start(&store, &format!("i-{number}"), "desk", "a", |worker, call, stream| {
-                worker.record(call, true);
+                worker.record(call);
                 thread::sleep(Duration::from_millis(60));
                 let leaving = if worker.is_leaving() { "Server-Leaving: 1\r\n" } else { "" };
-                let extra = format!("{}X-Server-Stamp: 3e1b.{}\r\n{leaving}", worker.echo(call), worker.id);
+                let extra =
+                    format!("{}X-Server-Stamp: 3e1b.{}\r\n{leaving}", worker.echo(call), worker.id);
                 worker.write(stream, 200, &extra, b"found")
             })
         })
@@ -382,7 +415,10 @@
         for (_, id, at, _) in sent.iter().filter(|(other, ..)| *other == member) {
             if *at > told + DRAIN && arrivals.iter().any(|arrival| arrival.id == *id) {
                 let after = at.duration_since(told).as_secs_f64();
-                record.line(format!("{id} reached i-1 through {}, sent {after:.3} s after that", members[member].name));
+                record.line(format!(
+                    "{id} reached i-1 through {}, sent {after:.3} s after that",
+                    members[member].name
+                ));
                 late.push(id.clone());
             }
         }
@@ -392,6 +428,9 @@
     }
     Ok(match late.is_empty() {
         true => Outcome::Held,
-        false => Outcome::Broken(format!("DRAIN: {} requests reached a worker that was leaving", late.len())),
+        false => Outcome::Broken(format!(
+            "DRAIN: {} requests reached a worker that was leaving",
+            late.len()
+        )),
     })
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -76,16 +76,6 @@
         Instant::now()
     }
 
-    pub fn remove(&self, key: &str) {
-        self.update(|state| state.data.remove(key));
-    }
-
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        self.update(|state| {
-            state.data.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
-        })
-    }
-
     /// Makes the copy from which [`restore`](Self::restore) returns.
     pub fn make_copy(&self) {
         self.update(|state| state.copy = Some(state.data.clone()));
@@ -180,10 +170,8 @@
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let event = format!(
-                "{{\"Key\":\"{key}\",\"Revision\":{},\"Removed\":true}}",
-                self.revision
-            );
+            let event =
+                format!("{{\"Key\":\"{key}\",\"Revision\":{},\"Removed\":true}}", self.revision);
             self.history.push((self.revision, event));
         }
     }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -20,10 +20,6 @@
 #[derive(Clone)]
 pub struct Arrival {
     pub id: String,
-    pub at: Instant,
-    pub call: Call,
-    /// Whether the worker began to work on it.
-    pub has_run: bool,
 }
 
 /// Answers a request on its channel; returns whether the channel is kept.
@@ -139,8 +135,16 @@
             if call.target.starts_with("/kv-events") {
                 let wait = call.header("wait-ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
                 thread::sleep(Duration::from_millis(wait));
-                let body = format!("{{\"BootEpoch\":{},\"Next\":1,\"Lost\":false,\"Events\":[]}}", self.born);
-                if !self.write(&mut writer, 200, "Content-Type: application/json\r\n", body.as_bytes()) {
+                let body = format!(
+                    "{{\"BootEpoch\":{},\"Next\":1,\"Lost\":false,\"Events\":[]}}",
+                    self.born
+                );
+                if !self.write(
+                    &mut writer,
+                    200,
+                    "Content-Type: application/json\r\n",
+                    body.as_bytes(),
+                ) {
                     return;
                 }
                 continue;
@@ -159,10 +163,9 @@
     }
 
     /// Records a request.
-    pub fn record(&self, call: &Call, has_run: bool) {
+    pub fn record(&self, call: &Call) {
         let id = call.header("x-request-id").unwrap_or("").to_string();
-        let arrival = Arrival { id, at: Instant::now(), call: call.clone(), has_run };
-        self.arrivals.lock().unwrap().push(arrival);
+        self.arrivals.lock().unwrap().push(Arrival { id });
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -180,7 +183,7 @@
 
     /// Runs a request and writes its answer.
     pub fn run(&self, call: &Call, stream: &mut TcpStream, body: &[u8]) -> bool {
-        self.record(call, true);
+        self.record(call);
         let extra = format!("{}X-Server-Stamp: 3e1b.{}\r\n", self.echo(call), self.id);
         self.write(stream, 200, &extra, body)
     }
