Give the HTTP service one request of a connection at a time

What callers saw: a few callers that sent requests ahead without end, whether they read the answers or not, took the process over its memory; it was killed, and all other callers lost their connections.

Cause: the service parses all the bytes that it gets. A turn of 16 KB holds some 60 to 600 small requests, and each parsed request keeps a table of headers of several KB. Answers without a body are encoded into the write buffer without a limit, whether the caller reads or not. Bytes were held back only while a request was open and its body not read, so that a read of a body's end brought the requests behind it.

Change: the ends of heads and bodies are found in the kernel's buffer (`MSG_PEEK`), by the framing that the service itself parsed, and the service gets bytes up to the end of one request. The next head is read when the answer is complete and all of it was written. What a caller sends ahead stays in the kernel's receive buffer, which is bounded for each connection and stops the caller.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -5,8 +5,9 @@
 //! reason the time limit for the head of the first request is applied here, where nothing else can be read: the service
 //! would look at its timer before it reads.
 //!
-//! The HTTP service gets at most [`TURN_BYTES`] at a time. While a request is open it gets further bytes only as the request's
-//! body is read, so that requests behind an open one wait in the kernel's buffer.
+//! The HTTP service gets one request at a time, and at most [`TURN_BYTES`] of it. It would parse and keep all the requests that it
+//! gets, and encode their answers for a caller that doesn't read. Further requests wait in the kernel's buffer until the open one is
+//! answered and its answer is written; a body is read as the handler takes it.
 //!
 //! An answer with neither a length nor chunks is complete for its caller when the connection ends in order. The kernel ends
 //! the connections of a killed process in order, too, so a connection with such an answer is set to be reset at its end, until
@@ -41,6 +42,7 @@
 use crate::{
     caller_budget::{CallerProgress, HeldConnection},
     client::watched_stream::is_established,
+    request_scan::{BodyScanner, RequestPosition},
 };
 
 /// The longest time until a lowered time limit applies to a connection that is already idle.
@@ -52,8 +54,8 @@
 /// The interval at which a connection that is to be closed is checked for bytes that are unread.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The bytes that the HTTP service gets before it must have parsed them. It also keeps what it has parsed of small chunks, each
-/// with a multiple of its size.
+/// The bytes that the HTTP service gets before it must have parsed them. It keeps what it has parsed of small chunks, each with a
+/// multiple of its size.
 const TURN_BYTES: usize = 16 << 10;
 
 /// The interval at which a caller with unread bytes is checked for the end of its connection.
@@ -78,8 +80,12 @@
     last: Cell<Instant>,
     // Whether an orderly end of the connection marks the end of an answer.
     marks_end: Cell<bool>,
+    // Where the next byte belongs.
+    position: RefCell<RequestPosition>,
     // The bytes that may be read of the body of an open request.
     credit: Cell<usize>,
+    // Whether the HTTP service has bytes that the kernel's send buffer had no room for.
+    has_unwritten: Cell<bool>,
     // Wakes the HTTP service when it may read again.
     reader: RefCell<Option<Waker>>,
     // What the connection takes of the budget; none for those of operators.
@@ -99,8 +105,23 @@
         }
     }
 
+    // Returns how many bytes may be read now.
+    fn read_limit(&self) -> usize {
+        let is_open = self.open_requests.get() > 0;
+        match &*self.position.borrow() {
+            RequestPosition::Head(_) if is_open || self.has_unwritten.get() => 0,
+            RequestPosition::Body(_) if is_open => self.credit.get(),
+            // The body of a request that was answered before it is dropped by the service.
+            RequestPosition::Head(_) | RequestPosition::Body(_) => TURN_BYTES,
+        }
+    }
+
     fn allow_reading(&self, credit: usize) {
         self.credit.set(credit);
+        self.wake_reader();
+    }
+
+    fn wake_reader(&self) {
         if let Some(reader) = self.reader.take() {
             reader.wake();
         }
@@ -149,13 +170,14 @@
 }
 
 impl ConnectionRequest {
-    /// Marks a request as open and counts it in `open`.
+    /// Marks a request as open, whose head was read, and counts it in `open`. `body` is what follows the head.
     ///
     /// # Panics
     ///
     /// Panics if the current task doesn't serve a [`CallerStream`].
-    pub(crate) fn open(open: OpenCount) -> ConnectionRequest {
+    pub(crate) fn open(open: OpenCount, body: BodyScanner) -> ConnectionRequest {
         let activity = CURRENT_ACTIVITY.with(Rc::clone);
+        activity.position.replace(RequestPosition::before(body));
         activity.has_request.set(true);
         activity.open_requests.update(|requests| requests + 1);
         activity.credit.set(0);
@@ -242,7 +264,9 @@
             is_receiving: Cell::new(true),
             last: Cell::new(Instant::now()),
             marks_end: Cell::new(false),
+            position: RefCell::default(),
             credit: Cell::new(0),
+            has_unwritten: Cell::new(false),
             reader: RefCell::default(),
             held,
         });
@@ -292,6 +316,33 @@
         Poll::Pending
     }
 
+    // Reads at most `limit` bytes, up to the end of the head or the body that they belong to.
+    fn poll_read_part(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+        limit: usize,
+    ) -> Poll<io::Result<usize>> {
+        let mut stream = self.stream.borrow_mut();
+        let mut position = self.activity.position.borrow_mut();
+        let bytes = buffer.initialize_unfilled_to(limit);
+        let length = match position.known_length(limit) {
+            Some(length) => length,
+            None => {
+                let mut next = ReadBuf::new(bytes);
+                ready!(stream.poll_peek(context, &mut next))?;
+                // At the end of the connection there is nothing to look at.
+                position.clone().take(next.filled()).max(1)
+            }
+        };
+        let mut part = ReadBuf::new(&mut bytes[..length]);
+        ready!(Pin::new(&mut *stream).poll_read(context, &mut part))?;
+        let length = part.filled().len();
+        position.take(part.filled());
+        buffer.advance(length);
+        Poll::Ready(Ok(length))
+    }
+
     // Completes with an answer and the end of the stream when the head of the first request is late. Nothing can be read at
     // the time of the call.
     fn poll_head_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -384,29 +435,25 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let is_open = self.activity.open_requests.get() > 0;
-        let limit = if is_open { self.activity.credit.get() } else { TURN_BYTES };
+        let limit = self.activity.read_limit().min(buffer.remaining());
         if limit == 0 {
             return self.poll_end(context);
         }
-        let size = limit.min(buffer.remaining());
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
-        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, &mut part);
-        let length = part.filled().len();
-        if result.is_pending() {
+        let result = self.poll_read_part(context, buffer, limit);
+        let Poll::Ready(length) = result else {
             self.activity.reader.replace(Some(context.waker().clone()));
             return self.poll_head_end(context);
-        }
-        buffer.advance(length);
+        };
+        let length = length?;
         self.has_new_bytes = true;
         self.activity.record(true);
         self.activity.progress(|progress| progress.transfer(length));
-        if is_open {
+        if self.activity.open_requests.get() > 0 {
             self.activity.credit.update(|credit| credit - length);
         } else {
             self.is_turn_over = length > 0;
         }
-        result
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -418,6 +465,7 @@
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes);
         if result.is_pending() {
+            self.activity.has_unwritten.set(true);
             self.activity.progress(CallerProgress::block_write);
         }
         let result = ready!(result);
@@ -429,7 +477,11 @@
         Poll::Ready(result)
     }
 
+    // The HTTP service calls this after it has written all that it has.
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.activity.has_unwritten.replace(false) {
+            self.activity.wake_reader();
+        }
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod origins;
 pub mod platform;
 mod relay;
+mod request_scan;
 mod run;
 mod serve;
 mod settings;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -23,6 +23,7 @@
     caller_stream::{CallerStream, ConnectionRequest, OpenCount, idle_end, read_end},
     core::SharedCore,
     platform::PlatformAdapter,
+    request_scan::BodyScanner,
 };
 
 /// The time that a closing connection has to flush the remaining part of its answer.
@@ -185,7 +186,8 @@
     let closing = core.closing.subscribe();
     let stream_limits = limits.clone();
     let app = app.wrap_fn(move |request, service| {
-        let (open, answer) = (ConnectionRequest::open(open.clone()), service.call(request));
+        let body = BodyScanner::after(request.head());
+        let (open, answer) = (ConnectionRequest::open(open.clone(), body), service.call(request));
         async move { answer.await.map(|answer| answer.map_body(|_, body| open.hold(body))) }
     });
     let factory = HttpService::build()
