Refuse a head beyond the limit before its end

What callers saw: heads and empty lines without end were kept up to 128 KB a connection (the limit of the HTTP service), and 600 such connections ended a process with 40 MB. A caller that sent more than `MaxHeaderBytes` without an end waited for the time limit and got a 408, which asks it to try again.

Cause: the configured limit was checked when the head was complete only.

Change: a head whose bytes, with the empty lines before it, exceed the limit by more than 1 KB is answered with 431 at once and the connection closed; the service doesn't get its end. What follows is dropped for a short time, as the kernel would reset the connection, and take the answer away, if it were closed with unread bytes.

--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -156,6 +156,13 @@
     part: HeldPart,
 }
 
+impl HeldConnection {
+    /// Reports that a limit was used on this connection.
+    pub(crate) fn report(&self, name: &'static str) {
+        self.part.budget.report_refusal(name);
+    }
+}
+
 impl CallerBudget {
     /// Returns an unused budget. `report` is told of each use of a limit, with its name and the figures.
     pub(crate) fn new(
@@ -235,7 +242,7 @@
         Some(HeldConnection { progress, number, part })
     }
 
-    /// Reports that something was refused because the budget is short.
+    /// Reports that something was refused for a limit.
     pub(crate) fn report_refusal(&self, name: &'static str) {
         (self.state.report)(name, self.describe());
     }
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -58,6 +58,14 @@
 /// multiple of its size.
 const TURN_BYTES: usize = 16 << 10;
 
+/// What a head may take beyond the limit, for what the limit doesn't count: the method, the version, and empty lines before it.
+const HEAD_SLACK_BYTES: usize = 1 << 10;
+
+/// The bytes and the time for which what follows a refused head is dropped. A connection that is closed with unread bytes is
+/// reset, which would take the answer away from a caller that is still sending.
+const DISCARD_BYTES: usize = 128 << 10;
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The interval at which a caller with unread bytes is checked for the end of its connection.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -236,7 +244,6 @@
 }
 
 /// A caller's connection that records what it last did, and ends if the head of its first request is late.
-#[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: Rc<RefCell<TcpStream>>,
     activity: Rc<ConnectionActivity>,
@@ -246,16 +253,36 @@
     // Whether the HTTP service must parse what it got before it gets more.
     is_turn_over: bool,
     end_check: Pin<Box<Sleep>>,
+    limits: Rc<dyn Fn() -> CallerLimits>,
+    // What follows a refused head.
+    discard: Option<DiscardedInput>,
+}
+
+/// What can be read of a connection.
+#[derive(Debug)]
+enum ReadPart {
+    /// This many bytes were read; none at the end of the connection.
+    Bytes(usize),
+    /// Nothing was read, as the bytes belong to a head that exceeds the limit.
+    LargeHead,
+}
+
+/// What is dropped of a connection's input, until its time or its bytes are used up.
+#[derive(Debug)]
+struct DiscardedInput {
+    left: usize,
+    end: Pin<Box<Sleep>>,
 }
 
 impl CallerStream {
-    /// Wraps a connection that was just accepted, with the time limit for the head of its first request.
-    /// `held` is what it takes of the budget for callers.
+    /// Wraps a connection that was just accepted. `limits` returns the limits in force; the time limit for the head of the first
+    /// request is the one at the time of the call. `held` is what the connection takes of the budget for callers.
     pub(crate) fn new(
         stream: TcpStream,
-        head_timeout: ClockSpan,
+        limits: Rc<dyn Fn() -> CallerLimits>,
         held: Option<HeldConnection>,
     ) -> CallerStream {
+        let head_timeout = limits().head_timeout;
         let stream = Rc::new(RefCell::new(stream));
         let activity = Rc::new(ConnectionActivity {
             stream: stream.clone(),
@@ -278,6 +305,8 @@
             has_new_bytes: false,
             is_turn_over: false,
             end_check: Box::pin(sleep(Duration::ZERO)),
+            limits,
+            discard: None,
         }
     }
 
@@ -322,7 +351,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
         limit: usize,
-    ) -> Poll<io::Result<usize>> {
+    ) -> Poll<io::Result<ReadPart>> {
+        let head_limit = self.head_limit();
         let mut stream = self.stream.borrow_mut();
         let mut position = self.activity.position.borrow_mut();
         let bytes = buffer.initialize_unfilled_to(limit);
@@ -331,8 +361,13 @@
             None => {
                 let mut next = ReadBuf::new(bytes);
                 ready!(stream.poll_peek(context, &mut next))?;
+                let mut after = position.clone();
+                let length = after.take(next.filled());
+                if after.head_length() > head_limit {
+                    return Poll::Ready(Ok(ReadPart::LargeHead));
+                }
                 // At the end of the connection there is nothing to look at.
-                position.clone().take(next.filled()).max(1)
+                length.max(1)
             }
         };
         let mut part = ReadBuf::new(&mut bytes[..length]);
@@ -340,7 +375,50 @@
         let length = part.filled().len();
         position.take(part.filled());
         buffer.advance(length);
-        Poll::Ready(Ok(length))
+        Poll::Ready(Ok(ReadPart::Bytes(length)))
+    }
+
+    fn head_limit(&self) -> usize {
+        (self.limits)().head_bytes + HEAD_SLACK_BYTES
+    }
+
+    // Answers a head that is too large, of which the HTTP service doesn't get the end. All earlier answers were written, so that
+    // this one isn't mixed up with them.
+    fn refuse_head(&mut self) {
+        self.send_answer("431 Request Header Fields Too Large");
+        if let Some(held) = &self.activity.held {
+            held.report("head_too_large");
+        }
+        self.discard =
+            Some(DiscardedInput { left: DISCARD_BYTES, end: Box::pin(sleep(DISCARD_TIMEOUT)) });
+    }
+
+    fn send_answer(&self, status: &str) {
+        let answer = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\ndate: {}\r\n\r\n",
+            HttpDate::from(SystemTime::now())
+        );
+        // The send queue is empty, or as good as empty, so that the answer fits into it. A caller that has gone needs none.
+        let _ = SockRef::from(&*self.stream.borrow()).send(answer.as_bytes());
+    }
+
+    // Drops what arrives, and completes with the end of the stream.
+    fn poll_discard(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Some(discard) = &mut self.discard else { return Poll::Ready(Ok(())) };
+        while discard.left > 0 && discard.end.as_mut().poll(context).is_pending() {
+            let mut scratch = ReadBuf::new(buffer.initialize_unfilled());
+            let mut stream = self.stream.borrow_mut();
+            ready!(Pin::new(&mut *stream).poll_read(context, &mut scratch))?;
+            match scratch.filled().len() {
+                0 => break,
+                length => discard.left = discard.left.saturating_sub(length),
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 
     // Completes with an answer and the end of the stream when the head of the first request is late. Nothing can be read at
@@ -355,12 +433,7 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let answer = format!(
-            "HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\ndate: {}\r\n\r\n",
-            HttpDate::from(SystemTime::now())
-        );
-        // Nothing was sent on the connection before, so that the answer fits into the send queue.
-        let _ = SockRef::from(&*self.stream.borrow()).send(answer.as_bytes());
+        self.send_answer("408 Request Timeout");
         Poll::Ready(Ok(()))
     }
 }
@@ -435,16 +508,21 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if self.discard.is_some() {
+            return self.poll_discard(context, buffer);
+        }
         let limit = self.activity.read_limit().min(buffer.remaining());
         if limit == 0 {
             return self.poll_end(context);
         }
-        let result = self.poll_read_part(context, buffer, limit);
-        let Poll::Ready(length) = result else {
+        let Poll::Ready(part) = self.poll_read_part(context, buffer, limit) else {
             self.activity.reader.replace(Some(context.waker().clone()));
             return self.poll_head_end(context);
         };
-        let length = length?;
+        let ReadPart::Bytes(length) = part? else {
+            self.refuse_head();
+            return self.poll_discard(context, buffer);
+        };
         self.has_new_bytes = true;
         self.activity.record(true);
         self.activity.progress(|progress| progress.transfer(length));
--- a/crates/proxy/src/request_scan.rs
+++ b/crates/proxy/src/request_scan.rs
@@ -214,6 +214,14 @@
         taken
     }
 
+    /// Returns the bytes of the current head, and of the empty lines before it, that were taken.
+    pub(crate) fn head_length(&self) -> usize {
+        match self {
+            RequestPosition::Head(head) => head.length,
+            RequestPosition::Body(_) => 0,
+        }
+    }
+
     /// Returns how many of at most `limit` bytes can be read without a look at them before, as they belong to one body.
     pub(crate) fn known_length(&self, limit: usize) -> Option<usize> {
         match self {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -184,7 +184,7 @@
     B: actix_web::body::MessageBody + 'static,
 {
     let closing = core.closing.subscribe();
-    let stream_limits = limits.clone();
+    let stream_limits: Rc<dyn Fn() -> CallerLimits> = Rc::new(limits.clone());
     let app = app.wrap_fn(move |request, service| {
         let body = BodyScanner::after(request.head());
         let (open, answer) = (ConnectionRequest::open(open.clone(), body), service.call(request));
@@ -213,10 +213,10 @@
     let service = factory.new_service(()).await;
     let service = Rc::new(service.expect("the application has no state that could fail to start"));
     Rc::new(move |stream, peer, held| {
-        let (service, head_timeout) = (service.clone(), stream_limits().head_timeout);
+        let (service, limits) = (service.clone(), stream_limits.clone());
         spawn(async move {
             // A broken connection affects only its own caller.
-            let stream = CallerStream::new(stream, head_timeout, held);
+            let stream = CallerStream::new(stream, limits, held);
             stream.serve(|stream| service.call((stream, Some(peer)))).await;
         });
     })
