Count in the callers' budget what their connections really hold

What callers saw: a crowd that doesn't read its answers, or sends bodies and requests behind an open one, took the process over its memory while the budget had room: 52 MB of 40 for 100 connections with answers of 256 KB, 64 MB for 400 that send bodies ahead.

Cause: a connection counted 24 KB whatever it did. The kernel's buffers (64 KB each way), which count towards the memory of the machine, and the write buffer of the HTTP service weren't counted. Answers were counted after they had been read, by then in memory.

Change: a connection takes its receive buffer from the first byte of a request to the end of its answer, and its send and write buffers while the caller doesn't read; idle ones take 24 KB as before. An answer takes its declared length, and what waiting for the caller needs, before it is read; one without a length takes more as it grows. If it doesn't fit, the target isn't blamed.

--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request, runs its attempts and produces the answer.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use actix_web::{
     HttpRequest, HttpResponse,
@@ -29,7 +29,7 @@
     stream::{CallerStream, StreamBody},
 };
 use crate::{
-    caller_budget::HeldKind,
+    caller_budget::HeldPart,
     caller_stream::mark_end_by_close,
     client::{BodyFraming, BufferedBody, TargetExchange},
     core::SharedCore,
@@ -226,11 +226,10 @@
             }
         };
         request = returned;
-        if let (NextStep::Deliver, Some((head, body))) = (step, &answer) {
-            log_answer(core, &request, head);
-            return deliver_buffered(core, &request, head, body.clone()).await;
+        match (step, answer) {
+            (NextStep::Deliver, Some(answer)) => return deliver_buffered(core, &request, answer),
+            (_, answer) => earlier_answer = answer.or(earlier_answer),
         }
-        earlier_answer = answer.or(earlier_answer);
         if step != NextStep::Again {
             return response_after(core, &request, earlier_answer, step).await;
         }
@@ -276,21 +275,37 @@
     }
 }
 
-type BufferedAnswer = Option<(AnswerHead, BufferedBody)>;
+/// An answer that was read to its end, with what it takes of the budget for callers.
+struct BufferedAnswer {
+    head: AnswerHead,
+    body: BufferedBody,
+    held: HeldPart,
+}
 
 async fn read_answer<P: PlatformAdapter>(
     core: &SharedCore<P>,
     attempt: ActiveAttempt<P>,
     mut exchange: TargetExchange,
-) -> (ForwardRequest, NextStep, BufferedAnswer) {
-    let read = exchange.read_to_end(attempt.deadline());
-    match attempt.before_answer_due(read).await {
+) -> (ForwardRequest, NextStep, Option<BufferedAnswer>) {
+    let Some(held) = core.caller_budget.take_answer(exchange.declared_length()).await else {
+        return drop_answer(core, attempt, exchange);
+    };
+    let fits = Cell::new(true);
+    let read = exchange.read_admitted(attempt.deadline(), |length| {
+        fits.set(held.cover(length));
+        fits.get()
+    });
+    let read = attempt.before_answer_due(read).await;
+    if !fits.get() {
+        return drop_answer(core, attempt, exchange);
+    }
+    match read {
         Ok(body) => {
             let head = AnswerHead::from_exchange(&exchange);
             core.client.release(exchange);
             let status = head.status.as_u16();
             let (request, step) = attempt.finish(AttemptOutcome::Complete { status });
-            (request, step, Some((head, body)))
+            (request, step, Some(BufferedAnswer { head, body, held }))
         }
         Err(error) => {
             drop(exchange);
@@ -301,6 +316,20 @@
     }
 }
 
+// Drops an answer that the budget for callers has no room for. Its target isn't at fault, and no other one would help.
+fn drop_answer<P: PlatformAdapter>(
+    core: &SharedCore<P>,
+    attempt: ActiveAttempt<P>,
+    exchange: TargetExchange,
+) -> (ForwardRequest, NextStep, Option<BufferedAnswer>) {
+    core.caller_budget.report_refusal("answers_over_budget");
+    let status = exchange.status.as_u16();
+    drop(exchange);
+    let (request, _) = attempt.finish(AttemptOutcome::Complete { status });
+    let refusal = ForwardRefusal::new(godwitroad_forward::RefusalReason::TargetFailed);
+    (request, NextStep::End(refusal), None)
+}
+
 type StartedStream<P> = (Bytes, CallerStream<P>);
 
 // Waits for the first event, so that a stream that fails before it can still be answered with an error status.
@@ -352,26 +381,22 @@
     response
 }
 
-// Delivers an answer that was read to its end, if the budget for callers has room for it until the caller has read it.
-async fn deliver_buffered<P: PlatformAdapter>(
+// Delivers an answer that was read to its end. It keeps its part of the budget until the caller has read it.
+fn deliver_buffered<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
-    head: &AnswerHead,
-    body: BufferedBody,
+    answer: BufferedAnswer,
 ) -> HttpResponse {
-    let Some(held) = core.caller_budget.take(HeldKind::Other, body.bytes.len()).await else {
-        core.caller_budget.report_refusal("answers_over_budget");
-        let reason = godwitroad_forward::RefusalReason::TargetFailed;
-        return refuse_request(core, &request.arrival.id, "", ForwardRefusal::new(reason));
-    };
+    let BufferedAnswer { head, body, held } = answer;
+    log_answer(core, request, &head);
     let is_unframed = head.framing == BodyFraming::Connection;
-    deliver(core, head, HeldAnswer::new(body.bytes, held, is_unframed))
+    deliver(core, &head, HeldAnswer::new(body.bytes, held, is_unframed))
 }
 
 async fn response_after<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
-    earlier_answer: BufferedAnswer,
+    earlier_answer: Option<BufferedAnswer>,
     step: NextStep,
 ) -> HttpResponse {
     let reason = godwitroad_forward::RefusalReason::TargetFailed;
@@ -385,12 +410,11 @@
 async fn final_response<P: PlatformAdapter>(
     core: &SharedCore<P>,
     request: &ForwardRequest,
-    earlier_answer: BufferedAnswer,
+    earlier_answer: Option<BufferedAnswer>,
     refusal: ForwardRefusal,
 ) -> HttpResponse {
-    if let Some((head, body)) = earlier_answer {
-        log_answer(core, request, &head);
-        return deliver_buffered(core, request, &head, body).await;
+    if let Some(answer) = earlier_answer {
+        return deliver_buffered(core, request, answer);
     }
     let context = format!(
         " route={} service={} account={} units={} offers={} elapsed_ms={}",
--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -1,7 +1,11 @@
 //! The budget for everything that callers make the process hold.
 //!
-//! Each connection takes a part for its buffers, and a further one for the body or the answer that is held for it. When the
-//! budget is short, the connections whose callers have made no progress for the longest time are closed.
+//! Each connection takes a part for its buffers, here and in the kernel, and a further one for the body or the answer that is held
+//! for it, also while it is being read. When the budget is short, the connections whose callers have made no progress for the longest
+//! time are closed.
+//!
+//! What a connection takes grows while it is open: when a request arrives on an idle one, and when its caller doesn't read. That can
+//! exceed the budget. Then new connections and requests are refused, and unread answers end, until the rest is within it again.
 
 use std::{
     cell::{Cell, RefCell},
@@ -15,9 +19,22 @@
     time::{Duration, Instant, sleep},
 };
 
-/// The memory that a connection takes without a body or an answer: its buffers, its task and its socket.
+/// The memory that an idle connection takes: its task, its socket and the smallest buffers.
 const CONNECTION_BYTES: usize = 24 << 10;
 
+/// The size that is asked for the kernel's receive and send buffers of a caller's connection; Linux takes twice as much. On the
+/// platform, these buffers count towards the VM's memory. Within a region, where round trips take a few milliseconds, a connection
+/// still carries the 10 Mbit/s of the smallest VM.
+pub(crate) const KERNEL_BUFFER_BYTES: usize = 32 << 10;
+
+/// What a connection takes in addition from the first byte of a request to the end of its answer: the kernel's receive buffer, which
+/// a caller can fill at any moment.
+const RECEIVING_BYTES: usize = 2 * KERNEL_BUFFER_BYTES;
+
+/// What a connection takes in addition while its caller reads more slowly than the answer comes: the kernel's send buffer, and the
+/// write buffer of the HTTP service with one part of an answer.
+const UNWRITTEN_BYTES: usize = 2 * KERNEL_BUFFER_BYTES + (48 << 10);
+
 /// The transferred bytes that count as progress. Less, such as single bytes now and then, must not keep a connection open.
 const PROGRESS_BYTES: usize = 4 << 10;
 
@@ -54,7 +71,7 @@
     pub fn invalid(&self) -> Option<&'static str> {
         [
             (
-                self.bytes < self.body_bytes + CONNECTION_BYTES,
+                self.bytes < self.body_bytes + CONNECTION_BYTES + RECEIVING_BYTES,
                 "the bytes of all are less than those of bodies",
             ),
             (self.connections == 0, "no connection is allowed"),
@@ -75,12 +92,30 @@
     Other,
 }
 
+/// What a connection does, as far as that decides how much it takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ConnectionUse {
+    /// Whether a request is arriving or isn't answered yet.
+    pub(crate) is_active: bool,
+    /// Whether a part of an answer waits for the caller to read.
+    pub(crate) has_unwritten: bool,
+}
+
+impl ConnectionUse {
+    fn bytes(self) -> usize {
+        let receiving = if self.is_active { RECEIVING_BYTES } else { 0 };
+        let unwritten = if self.has_unwritten { UNWRITTEN_BYTES } else { 0 };
+        CONNECTION_BYTES + receiving + unwritten
+    }
+}
+
 /// The progress of one connection's caller, by which the connection to close is chosen.
 #[derive(Debug)]
 pub(crate) struct CallerProgress {
     // The time of the last step of progress, or `None` while something other than the caller is due.
     waits_since: Cell<Option<Instant>>,
     transferred: Cell<usize>,
+    current_use: Cell<ConnectionUse>,
     closed: Notify,
     is_closed: Cell<bool>,
 }
@@ -145,7 +180,28 @@
 pub(crate) struct HeldPart {
     budget: CallerBudget,
     kind: HeldKind,
-    bytes: usize,
+    bytes: Cell<usize>,
+}
+
+impl HeldPart {
+    /// Grows the part to `bytes` if it is smaller and the budget has room; returns whether the part covers them.
+    pub(crate) fn cover(&self, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes.get());
+        if missing == 0 {
+            return true;
+        }
+        let has_room = !self.budget.is_over_with(missing);
+        if has_room {
+            self.resize(bytes);
+        }
+        has_room
+    }
+
+    // Changes the size of the part, also beyond the budget.
+    fn resize(&self, bytes: usize) {
+        let before = self.bytes.replace(bytes);
+        self.budget.state.used.update(|used| used + bytes - before);
+    }
 }
 
 /// A connection that takes part in the budget until it is dropped.
@@ -157,6 +213,15 @@
 }
 
 impl HeldConnection {
+    /// Records what the connection does from now on.
+    pub(crate) fn set_use(&self, current_use: ConnectionUse) {
+        let before = self.progress.current_use.replace(current_use);
+        self.part.resize(current_use.bytes());
+        if current_use.bytes() > before.bytes() {
+            self.part.budget.make_room(current_use.has_unwritten);
+        }
+    }
+
     /// Reports that a limit was used on this connection.
     pub(crate) fn report(&self, name: &'static str) {
         self.part.budget.report_refusal(name);
@@ -196,9 +261,13 @@
         )
     }
 
+    fn is_over_with(&self, bytes: usize) -> bool {
+        self.state.used.get() + bytes > self.state.bounds.bytes
+    }
+
     fn try_take(&self, kind: HeldKind, bytes: usize) -> Option<HeldPart> {
         let state = &self.state;
-        let is_over = state.used.get() + bytes > state.bounds.bytes
+        let is_over = self.is_over_with(bytes)
             || kind == HeldKind::Body && state.body_used.get() + bytes > state.bounds.body_bytes
             || kind == HeldKind::Connection && state.connections.get() >= state.bounds.connections;
         if is_over {
@@ -210,7 +279,7 @@
             HeldKind::Connection => state.connections.update(|connections| connections + 1),
             HeldKind::Other => {}
         }
-        Some(HeldPart { budget: self.clone(), kind, bytes })
+        Some(HeldPart { budget: self.clone(), kind, bytes: Cell::new(bytes) })
     }
 
     /// Takes a part of the budget. If it is short, connections without progress are closed first. Returns `None` if that
@@ -228,12 +297,22 @@
         self.try_take(kind, bytes)
     }
 
+    /// Takes the part for an answer of `bytes`, like [`take`](Self::take). An answer beyond what the kernel takes at once may have to
+    /// wait for its caller, and needs room for that.
+    pub(crate) async fn take_answer(&self, bytes: usize) -> Option<HeldPart> {
+        let waiting = if bytes > 2 * KERNEL_BUFFER_BYTES { UNWRITTEN_BYTES } else { 0 };
+        self.take(HeldKind::Other, bytes + waiting).await
+    }
+
     /// Takes the part for a new connection, like [`take`](Self::take).
     pub(crate) async fn connect(&self) -> Option<HeldConnection> {
-        let part = self.take(HeldKind::Connection, CONNECTION_BYTES).await?;
+        // A request is due on a new connection.
+        let first_use = ConnectionUse { is_active: true, has_unwritten: false };
+        let part = self.take(HeldKind::Connection, first_use.bytes()).await?;
         let progress = Rc::new(CallerProgress {
             waits_since: Cell::new(Some(Instant::now())),
             transferred: Cell::default(),
+            current_use: Cell::new(first_use),
             closed: Notify::new(),
             is_closed: Cell::default(),
         });
@@ -251,14 +330,50 @@
         self.state.progress.borrow().values().any(|progress| progress.is_closed.get())
     }
 
+    // Closes connections when the parts of others have grown beyond the budget: those without progress for the time limit, and one
+    // more with an unread answer if `is_unread` says that an answer which isn't read takes the budget.
+    fn make_room(&self, is_unread: bool) {
+        while self.is_over_with(0) && self.closing_bytes() < self.excess() {
+            if self.close_stalled() {
+                continue;
+            }
+            if is_unread {
+                let is_unread =
+                    |progress: &CallerProgress| progress.current_use.get().has_unwritten;
+                self.close_longest(Duration::ZERO, is_unread);
+            }
+            break;
+        }
+    }
+
+    fn excess(&self) -> usize {
+        self.state.used.get().saturating_sub(self.state.bounds.bytes)
+    }
+
+    fn closing_bytes(&self) -> usize {
+        let connections = self.state.progress.borrow();
+        let closing = connections.values().filter(|progress| progress.is_closed.get());
+        closing.map(|progress| progress.current_use.get().bytes()).sum()
+    }
+
     // Closes the connection without progress for the longest time; returns whether there is one.
     fn close_stalled(&self) -> bool {
+        self.close_longest(self.state.bounds.stall, |_| true)
+    }
+
+    // Closes the connection without progress for the longest time, and for `limit` at least, of those that `is_eligible` accepts.
+    fn close_longest(
+        &self,
+        limit: Duration,
+        is_eligible: impl Fn(&CallerProgress) -> bool,
+    ) -> bool {
         let connections = self.state.progress.borrow();
         let open = connections.values().filter(|progress| !progress.is_closed.get());
         let longest = open
+            .filter(|progress| is_eligible(progress))
             .filter_map(|progress| Some((progress.waits_since.get()?.elapsed(), progress)))
             .max_by_key(|(stalled, _)| *stalled)
-            .filter(|(stalled, _)| *stalled >= self.state.bounds.stall);
+            .filter(|(stalled, _)| *stalled >= limit);
         let Some((stalled, progress)) = longest else { return false };
         progress.is_closed.set(true);
         progress.closed.notify_one();
@@ -271,9 +386,9 @@
 impl Drop for HeldPart {
     fn drop(&mut self) {
         let state = &self.budget.state;
-        state.used.update(|used| used - self.bytes);
+        state.used.update(|used| used - self.bytes.get());
         match self.kind {
-            HeldKind::Body => state.body_used.update(|used| used - self.bytes),
+            HeldKind::Body => state.body_used.update(|used| used - self.bytes.get()),
             HeldKind::Connection => state.connections.update(|connections| connections - 1),
             HeldKind::Other => {}
         }
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -40,7 +40,7 @@
 };
 
 use crate::{
-    caller_budget::{CallerProgress, HeldConnection},
+    caller_budget::{CallerProgress, ConnectionUse, HeldConnection},
     client::watched_stream::is_established,
     request_scan::{BodyScanner, RequestPosition},
 };
@@ -124,6 +124,25 @@
         }
     }
 
+    fn set_unwritten(&self, has_unwritten: bool) {
+        if self.has_unwritten.replace(has_unwritten) == has_unwritten {
+            return;
+        }
+        self.update_use();
+        if !has_unwritten {
+            // The next request may be read.
+            self.wake_reader();
+        }
+    }
+
+    // Records in the budget what the connection does now.
+    fn update_use(&self) {
+        if let Some(held) = &self.held {
+            let is_active = self.is_receiving.get() || self.open_requests.get() > 0;
+            held.set_use(ConnectionUse { is_active, has_unwritten: self.has_unwritten.get() });
+        }
+    }
+
     fn allow_reading(&self, credit: usize) {
         self.credit.set(credit);
         self.wake_reader();
@@ -141,8 +160,10 @@
     }
 
     fn record(&self, is_receiving: bool) {
-        self.is_receiving.set(is_receiving);
         self.last.set(Instant::now());
+        if self.is_receiving.replace(is_receiving) != is_receiving {
+            self.update_use();
+        }
     }
 
     // Returns whether bytes were received that the HTTP service hasn't read.
@@ -204,6 +225,7 @@
         self.activity.open_requests.update(|requests| requests - 1);
         self.open.update(|requests| requests - 1);
         self.activity.record(false);
+        self.activity.update_use();
         self.activity.progress(CallerProgress::wait_for_caller);
         if self.activity.open_requests.get() == 0 {
             self.activity.allow_reading(0);
@@ -543,8 +565,8 @@
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes);
         if result.is_pending() {
-            self.activity.has_unwritten.set(true);
             self.activity.progress(CallerProgress::block_write);
+            self.activity.set_unwritten(true);
         }
         let result = ready!(result);
         if self.activity.open_requests.get() > 0 {
@@ -557,9 +579,7 @@
 
     // The HTTP service calls this after it has written all that it has.
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.activity.has_unwritten.replace(false) {
-            self.activity.wake_reader();
-        }
+        self.activity.set_unwritten(false);
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -471,12 +471,31 @@
     /// Returns an error if the body ends early, is larger than [`MAX_BUFFERED_BODY_BYTES`], too many bytes of other
     /// answers are being buffered, or the deadline passes.
     pub async fn read_to_end(&mut self, deadline: Instant) -> Result<BufferedBody> {
-        let mut counted = BufferedBytes::new(self.buffered.clone());
+        self.read_admitted(deadline, |_| true).await
+    }
+
+    /// Returns the declared length of the body, which may be wrong, up to [`MAX_BUFFERED_BODY_BYTES`]; 0 if there is none.
+    pub(crate) fn declared_length(&self) -> usize {
         let declared = self.body.size_hint().exact().unwrap_or(0);
-        // A declared length may be wrong, so that it only avoids the copies of a growing buffer.
-        let mut body = BytesMut::with_capacity((declared as usize).min(MAX_BUFFERED_BODY_BYTES));
+        usize::try_from(declared)
+            .map_or(MAX_BUFFERED_BODY_BYTES, |length| length.min(MAX_BUFFERED_BODY_BYTES))
+    }
+
+    /// Like [`read_to_end`](Self::read_to_end), while `admit` accepts the number of bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// The same, and if `admit` returned `false`.
+    pub(crate) async fn read_admitted(
+        &mut self,
+        deadline: Instant,
+        admit: impl Fn(usize) -> bool,
+    ) -> Result<BufferedBody> {
+        let mut counted = BufferedBytes::new(self.buffered.clone());
+        // The declared length only avoids the copies of a growing buffer.
+        let mut body = BytesMut::with_capacity(self.declared_length());
         while let Some(bytes) = self.next(deadline).await? {
-            if !counted.add(bytes.len()) {
+            if !counted.add(bytes.len()) || !admit(body.len() + bytes.len()) {
                 return Err(SendError::Failed);
             }
             body.extend_from_slice(&bytes);
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     answer,
-    caller_budget::HeldConnection,
+    caller_budget::{HeldConnection, KERNEL_BUFFER_BYTES},
     caller_stream::{CallerStream, ConnectionRequest, OpenCount, idle_end, read_end},
     core::SharedCore,
     platform::PlatformAdapter,
@@ -36,11 +36,6 @@
 /// end too early by as much.
 const SERVICE_CLOCK_LAG: Duration = Duration::from_millis(500);
 
-/// The size that is asked for the kernel's receive and send buffers of a caller's connection; Linux takes twice as much. On the
-/// platform, these buffers count towards the VM's memory. Within a region, where round trips take a few milliseconds, a connection
-/// still carries the 10 Mbit/s of the smallest VM.
-const KERNEL_BUFFER_BYTES: u32 = 32 << 10;
-
 /// The connections that the kernel accepts before the process does.
 const BACKLOG: u32 = 1_024;
 
@@ -67,8 +62,8 @@
     let open = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
-        socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES)?;
-        socket.set_send_buffer_size(KERNEL_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES as u32)?;
+        socket.set_send_buffer_size(KERNEL_BUFFER_BYTES as u32)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
