Close callers that stop reading, and no steady slow readers

A caller that stopped reading was kept for ever while the budget wasn't short, and held its answer, or the target's stream, as long.

Cause: a blocked connection made progress only when the kernel took further bytes, which it does when a whole segment of a third of its buffer is acknowledged: at 8 KB a second every few seconds. The limit was a fixed 2 s. The idle time limit didn't apply while a request was open, and at a close the HTTP service waits until all is written.

Change: a caller whose answer waits is judged by the rate at which its machine takes bytes (`tcpi_bytes_acked`), measured over 6 s by default; it may be closed when the budget is short if that is below `Callers.MinReadBytesPerS`. If unread answers exceed the budget, the slowest reader goes. A connection whose machine takes nothing for `Callers.UnreadTimeoutMs` (a minute) is reset, whatever the budget. The part of an answer includes what its waiting takes, which was counted twice, and closed connections for no need.

--- a/crates/proxy/src/answer/held.rs
+++ b/crates/proxy/src/answer/held.rs
@@ -9,24 +9,26 @@
 use actix_web::body::{BodySize, MessageBody};
 use bytes::Bytes;
 
-use crate::caller_budget::HeldPart;
+use crate::{caller_budget::HeldPart, caller_stream::AnswerCover};
 
 /// The bytes that the HTTP service gets at a time. It copies what it gets into its own buffer, which mustn't become as large as
 /// the answer.
 const PART_BYTES: usize = 16 << 10;
 
 /// The body of an answer that was read to its end, with what it takes of the budget for callers.
-#[derive(Debug)]
 pub(super) struct HeldAnswer {
     rest: Bytes,
     is_unframed: bool,
+    // Freed before the connection counts what waits of the answer itself.
     _held: HeldPart,
+    _cover: Option<AnswerCover>,
 }
 
 impl HeldAnswer {
-    /// Returns the body of an answer. `is_unframed` says that it has no declared length.
+    /// Returns the body of an answer to the request of the current task. `is_unframed` says that it has no declared length.
     pub(super) fn new(rest: Bytes, held: HeldPart, is_unframed: bool) -> HeldAnswer {
-        HeldAnswer { rest, is_unframed, _held: held }
+        let cover = held.covers_waiting().then(AnswerCover::begin);
+        HeldAnswer { rest, is_unframed, _held: held, _cover: cover }
     }
 }
 
--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -38,6 +38,10 @@
 /// The transferred bytes that count as progress. Less, such as single bytes now and then, must not keep a connection open.
 const PROGRESS_BYTES: usize = 4 << 10;
 
+/// The bytes that a caller at the lowest rate reads in the time over which its rate is measured, beyond [`CallerBounds::stall`]. Its
+/// machine announces freed space in steps of a few segments.
+const READ_STEP_BYTES: usize = 16 << 10;
+
 /// How often, and at which interval, a part of the budget is asked for again after connections were closed to free it.
 const RETRIES: usize = 20;
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -53,6 +57,11 @@
     pub connections: usize,
     /// The time without progress after which a connection may be closed when the budget is short.
     pub stall: Duration,
+    /// The rate below which a caller that reads its answer more slowly than it comes may be closed when the budget is short, in
+    /// bytes a second.
+    pub min_read_rate: usize,
+    /// The time after which a caller that takes nothing of an answer is closed.
+    pub unread_timeout: Duration,
 }
 
 impl Default for CallerBounds {
@@ -62,6 +71,8 @@
             body_bytes: 64 << 20,
             connections: 10_000,
             stall: Duration::from_secs(2),
+            min_read_rate: 4 << 10,
+            unread_timeout: Duration::from_secs(60),
         }
     }
 }
@@ -75,10 +86,16 @@
                 "the bytes of all are less than those of bodies",
             ),
             (self.connections == 0, "no connection is allowed"),
+            (self.min_read_rate == 0, "callers that don't read are allowed"),
         ]
         .into_iter()
         .find_map(|(is_invalid, reason)| is_invalid.then_some(reason))
     }
+
+    // Returns the time over which the rate of a caller is measured whose answer waits.
+    fn unread_limit(&self) -> Duration {
+        self.stall + Duration::from_secs_f64(READ_STEP_BYTES as f64 / self.min_read_rate as f64)
+    }
 }
 
 /// Which limit a part of the budget counts against, besides the total.
@@ -93,29 +110,53 @@
 }
 
 /// What a connection does, as far as that decides how much it takes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct ConnectionUse {
     /// Whether a request is arriving or isn't answered yet.
     pub(crate) is_active: bool,
     /// Whether a part of an answer waits for the caller to read.
     pub(crate) has_unwritten: bool,
+    /// Whether the part of the answer includes what waiting takes.
+    pub(crate) is_covered: bool,
 }
 
 impl ConnectionUse {
     fn bytes(self) -> usize {
         let receiving = if self.is_active { RECEIVING_BYTES } else { 0 };
-        let unwritten = if self.has_unwritten { UNWRITTEN_BYTES } else { 0 };
+        let unwritten = if self.has_unwritten && !self.is_covered { UNWRITTEN_BYTES } else { 0 };
         CONNECTION_BYTES + receiving + unwritten
     }
 }
 
+/// A span of time in which it is measured how fast a caller reads an answer that was written faster.
+#[derive(Clone, Copy, Debug)]
+struct ReadSpan {
+    since: Instant,
+    // The bytes that the caller's machine had taken before.
+    taken_before: u64,
+}
+
+impl ReadSpan {
+    fn begin(taken: u64) -> ReadSpan {
+        ReadSpan { since: Instant::now(), taken_before: taken }
+    }
+
+    fn bytes_per_s(self, taken: u64) -> f64 {
+        let elapsed = self.since.elapsed().as_secs_f64().max(f64::MIN_POSITIVE);
+        taken.saturating_sub(self.taken_before) as f64 / elapsed
+    }
+}
+
 /// The progress of one connection's caller, by which the connection to close is chosen.
-#[derive(Debug)]
 pub(crate) struct CallerProgress {
     // The time of the last step of progress, or `None` while something other than the caller is due.
     waits_since: Cell<Option<Instant>>,
     transferred: Cell<usize>,
     current_use: Cell<ConnectionUse>,
+    // Returns the bytes that the caller's machine has taken.
+    taken: Box<dyn Fn() -> u64>,
+    // Since a write was blocked, until the answer ends.
+    read_span: Cell<Option<ReadSpan>>,
     closed: Notify,
     is_closed: Cell<bool>,
 }
@@ -140,13 +181,39 @@
         self.waits_since.set(None);
     }
 
+    /// Records that an answer has ended.
+    pub(crate) fn end_answer(&self) {
+        self.read_span.set(None);
+        self.wait_for_caller();
+    }
+
     /// Records that a write to the caller is blocked. It is due from now on.
     pub(crate) fn block_write(&self) {
+        if self.read_span.get().is_none() {
+            self.read_span.set(Some(ReadSpan::begin((self.taken)())));
+        }
         if self.waits_since.get().is_none() {
             self.wait_for_caller();
         }
     }
 
+    // Returns for how long the caller has exceeded the time limit without progress. A caller whose answer waits makes progress if
+    // it reads at the lowest rate at least, however its machine and the kernel divide that into steps.
+    fn overdue(&self, bounds: &CallerBounds) -> Option<Duration> {
+        let waited = self.waits_since.get()?.elapsed();
+        let Some(span) = self.read_span.get().filter(|_| self.current_use.get().has_unwritten)
+        else {
+            return waited.checked_sub(bounds.stall);
+        };
+        let overdue = span.since.elapsed().checked_sub(bounds.unread_limit())?;
+        let taken = (self.taken)();
+        if span.bytes_per_s(taken) < bounds.min_read_rate as f64 {
+            return Some(overdue);
+        }
+        self.read_span.set(Some(ReadSpan::begin(taken)));
+        None
+    }
+
     /// Completes when the connection must be closed to free what it holds.
     pub(crate) async fn closed(&self) {
         self.closed.notified().await;
@@ -184,6 +251,11 @@
 }
 
 impl HeldPart {
+    /// Returns whether the part includes what an answer takes that waits for its caller.
+    pub(crate) fn covers_waiting(&self) -> bool {
+        self.bytes.get() > UNWRITTEN_BYTES
+    }
+
     /// Grows the part to `bytes` if it is smaller and the budget has room; returns whether the part covers them.
     pub(crate) fn cover(&self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes.get());
@@ -205,7 +277,6 @@
 }
 
 /// A connection that takes part in the budget until it is dropped.
-#[derive(Debug)]
 pub(crate) struct HeldConnection {
     pub(crate) progress: Rc<CallerProgress>,
     number: u64,
@@ -222,6 +293,16 @@
         }
     }
 
+    /// Returns the time after which a caller that takes nothing of an answer is closed.
+    pub(crate) fn unread_timeout(&self) -> Duration {
+        self.part.budget.state.bounds.unread_timeout
+    }
+
+    /// Returns the bytes that the caller's machine has taken.
+    pub(crate) fn taken(&self) -> u64 {
+        (self.progress.taken)()
+    }
+
     /// Reports that a limit was used on this connection.
     pub(crate) fn report(&self, name: &'static str) {
         self.part.budget.report_refusal(name);
@@ -304,15 +385,20 @@
         self.take(HeldKind::Other, bytes + waiting).await
     }
 
-    /// Takes the part for a new connection, like [`take`](Self::take).
-    pub(crate) async fn connect(&self) -> Option<HeldConnection> {
+    /// Takes the part for a new connection, like [`take`](Self::take). `taken` returns the bytes that the caller's machine has taken.
+    pub(crate) async fn connect(
+        &self,
+        taken: impl Fn() -> u64 + 'static,
+    ) -> Option<HeldConnection> {
         // A request is due on a new connection.
-        let first_use = ConnectionUse { is_active: true, has_unwritten: false };
+        let first_use = ConnectionUse { is_active: true, ..ConnectionUse::default() };
         let part = self.take(HeldKind::Connection, first_use.bytes()).await?;
         let progress = Rc::new(CallerProgress {
             waits_since: Cell::new(Some(Instant::now())),
             transferred: Cell::default(),
             current_use: Cell::new(first_use),
+            taken: Box::new(taken),
+            read_span: Cell::default(),
             closed: Notify::new(),
             is_closed: Cell::default(),
         });
@@ -330,17 +416,15 @@
         self.state.progress.borrow().values().any(|progress| progress.is_closed.get())
     }
 
-    // Closes connections when the parts of others have grown beyond the budget: those without progress for the time limit, and one
-    // more with an unread answer if `is_unread` says that an answer which isn't read takes the budget.
+    // Closes connections when the parts of others have grown beyond the budget: those without progress for the time limit, and
+    // the slowest reader if `is_unread` says that an answer which isn't read takes the budget.
     fn make_room(&self, is_unread: bool) {
         while self.is_over_with(0) && self.closing_bytes() < self.excess() {
             if self.close_stalled() {
                 continue;
             }
             if is_unread {
-                let is_unread =
-                    |progress: &CallerProgress| progress.current_use.get().has_unwritten;
-                self.close_longest(Duration::ZERO, is_unread);
+                self.close_slowest_reader();
             }
             break;
         }
@@ -356,33 +440,46 @@
         closing.map(|progress| progress.current_use.get().bytes()).sum()
     }
 
-    // Closes the connection without progress for the longest time; returns whether there is one.
+    // Closes the connection that is overdue for the longest time; returns whether there is one.
     fn close_stalled(&self) -> bool {
-        self.close_longest(self.state.bounds.stall, |_| true)
+        let connections = self.state.progress.borrow();
+        let longest = open(&connections)
+            .filter_map(|progress| Some((progress.overdue(&self.state.bounds)?, progress)))
+            .max_by_key(|(overdue, _)| *overdue);
+        longest.inspect(|(_, progress)| self.close(progress)).is_some()
     }
 
-    // Closes the connection without progress for the longest time, and for `limit` at least, of those that `is_eligible` accepts.
-    fn close_longest(
-        &self,
-        limit: Duration,
-        is_eligible: impl Fn(&CallerProgress) -> bool,
-    ) -> bool {
+    // Closes the connection with the unread answer that was read at the lowest rate. Of those that weren't read at all, it is the
+    // oldest.
+    fn close_slowest_reader(&self) {
         let connections = self.state.progress.borrow();
-        let open = connections.values().filter(|progress| !progress.is_closed.get());
-        let longest = open
-            .filter(|progress| is_eligible(progress))
-            .filter_map(|progress| Some((progress.waits_since.get()?.elapsed(), progress)))
-            .max_by_key(|(stalled, _)| *stalled)
-            .filter(|(stalled, _)| *stalled >= limit);
-        let Some((stalled, progress)) = longest else { return false };
+        let slowest = open(&connections)
+            .filter(|progress| progress.current_use.get().has_unwritten)
+            .filter_map(|progress| {
+                let span = progress.read_span.get()?;
+                Some((span.bytes_per_s((progress.taken)()), span.since, progress))
+            })
+            .min_by(|(rate, since, _), (other_rate, other_since, _)| {
+                rate.total_cmp(other_rate).then(since.cmp(other_since))
+            });
+        if let Some((_, _, progress)) = slowest {
+            self.close(progress);
+        }
+    }
+
+    fn close(&self, progress: &CallerProgress) {
         progress.is_closed.set(true);
         progress.closed.notify_one();
+        let stalled = progress.waits_since.get().map_or(Duration::ZERO, |since| since.elapsed());
         let detail = format!("stalled_ms={} {}", stalled.as_millis(), self.describe());
         (self.state.report)("connection_closed_for_budget", detail);
-        true
     }
 }
 
+fn open(connections: &BTreeMap<u64, Rc<CallerProgress>>) -> impl Iterator<Item = &CallerProgress> {
+    connections.values().map(Rc::as_ref).filter(|progress| !progress.is_closed.get())
+}
+
 impl Drop for HeldPart {
     fn drop(&mut self) {
         let state = &self.budget.state;
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -1,4 +1,5 @@
-//! The connections of callers, which are closed when they have been idle for the time limit in force.
+//! The connections of callers, which are closed when they have been idle for the time limit in force, or their callers have stopped
+//! reading.
 //!
 //! The HTTP service drops what it reads after the signal to close a connection, so the signal waits while received bytes
 //! are unread. A busy process may find a request and the reason to close its connection at the same time. For the same
@@ -35,6 +36,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
     task_local,
     time::{Instant, Sleep, sleep, sleep_until},
 };
@@ -74,10 +76,12 @@
     static CURRENT_ACTIVITY: Rc<ConnectionActivity>;
 }
 
+/// The socket of a caller's connection.
+pub(crate) type SharedStream = Rc<RefCell<TcpStream>>;
+
 /// What a connection last did.
-#[derive(Debug)]
 struct ConnectionActivity {
-    stream: Rc<RefCell<TcpStream>>,
+    stream: SharedStream,
     // Whether the head of a request was read.
     has_request: Cell<bool>,
     // The requests whose answers aren't complete.
@@ -94,10 +98,16 @@
     credit: Cell<usize>,
     // Whether the HTTP service has bytes that the kernel's send buffer had no room for.
     has_unwritten: Cell<bool>,
+    // Whether the open request's answer includes in its part of the budget what waiting for the caller takes.
+    is_covered: Cell<bool>,
     // Wakes the HTTP service when it may read again.
     reader: RefCell<Option<Waker>>,
     // What the connection takes of the budget; none for those of operators.
     held: Option<HeldConnection>,
+    // The bytes that the caller's machine had taken when the time limit for reading was last reached.
+    taken: Cell<u64>,
+    // Requires that the connection is closed although it has bytes to write.
+    abort: Notify,
 }
 
 impl ConnectionActivity {
@@ -139,7 +149,11 @@
     fn update_use(&self) {
         if let Some(held) = &self.held {
             let is_active = self.is_receiving.get() || self.open_requests.get() > 0;
-            held.set_use(ConnectionUse { is_active, has_unwritten: self.has_unwritten.get() });
+            held.set_use(ConnectionUse {
+                is_active,
+                has_unwritten: self.has_unwritten.get(),
+                is_covered: self.is_covered.get(),
+            });
         }
     }
 
@@ -159,6 +173,12 @@
         !is_established(&self.stream.borrow())
     }
 
+    // Returns whether the caller's machine has taken bytes since the last call.
+    fn has_taken_more(&self) -> bool {
+        let taken = self.held.as_ref().map_or(0, HeldConnection::taken);
+        self.taken.replace(taken) < taken
+    }
+
     fn record(&self, is_receiving: bool) {
         self.last.set(Instant::now());
         if self.is_receiving.replace(is_receiving) != is_receiving {
@@ -177,7 +197,11 @@
     fn deadline(&self, limits: CallerLimits) -> Instant {
         let duration = |span: ClockSpan| Duration::from_millis(span.as_ms());
         let idle_timeout = duration(limits.idle_timeout);
-        if self.open_requests.get() > 0 {
+        if self.has_unwritten.get() {
+            let unread_timeout =
+                self.held.as_ref().map_or(Duration::ZERO, HeldConnection::unread_timeout);
+            self.last.get() + idle_timeout.max(unread_timeout)
+        } else if self.open_requests.get() > 0 {
             Instant::now() + idle_timeout.max(OPEN_CHECK_INTERVAL)
         } else if self.is_receiving.get() {
             // The head of a request that began to arrive has its own time limit.
@@ -192,7 +216,6 @@
 pub(crate) type OpenCount = Rc<Cell<usize>>;
 
 /// Marks a request as open on the connection of the current task, and counts it, until it is dropped.
-#[derive(Debug)]
 pub(crate) struct ConnectionRequest {
     activity: Rc<ConnectionActivity>,
     open: OpenCount,
@@ -226,13 +249,40 @@
         self.open.update(|requests| requests - 1);
         self.activity.record(false);
         self.activity.update_use();
-        self.activity.progress(CallerProgress::wait_for_caller);
+        self.activity.progress(CallerProgress::end_answer);
         if self.activity.open_requests.get() == 0 {
             self.activity.allow_reading(0);
         }
     }
 }
 
+/// Declares, until it is dropped, that the answer to the current task's request includes in its part of the budget what waiting for
+/// the caller takes.
+pub(crate) struct AnswerCover {
+    activity: Rc<ConnectionActivity>,
+}
+
+impl AnswerCover {
+    /// Declares it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the current task doesn't serve a [`CallerStream`].
+    pub(crate) fn begin() -> AnswerCover {
+        let activity = CURRENT_ACTIVITY.with(Rc::clone);
+        activity.is_covered.set(true);
+        activity.update_use();
+        AnswerCover { activity }
+    }
+}
+
+impl Drop for AnswerCover {
+    fn drop(&mut self) {
+        self.activity.is_covered.set(false);
+        self.activity.update_use();
+    }
+}
+
 /// Lets the HTTP service read more of the body of the current task's request, as all of it so far was used.
 pub(crate) fn read_more() {
     CURRENT_ACTIVITY.with(|activity| activity.allow_reading(TURN_BYTES));
@@ -244,7 +294,6 @@
 }
 
 /// The body of an answer to a [`ConnectionRequest`].
-#[derive(Debug)]
 pub(crate) struct HeldBody<B> {
     body: Pin<Box<B>>,
     _request: ConnectionRequest,
@@ -267,7 +316,7 @@
 
 /// A caller's connection that records what it last did, and ends if the head of its first request is late.
 pub(crate) struct CallerStream {
-    stream: Rc<RefCell<TcpStream>>,
+    stream: SharedStream,
     activity: Rc<ConnectionActivity>,
     head_end: Pin<Box<Sleep>>,
     // Whether bytes were read since nothing more could be read; the HTTP service may not have parsed them.
@@ -300,12 +349,11 @@
     /// Wraps a connection that was just accepted. `limits` returns the limits in force; the time limit for the head of the first
     /// request is the one at the time of the call. `held` is what the connection takes of the budget for callers.
     pub(crate) fn new(
-        stream: TcpStream,
+        stream: SharedStream,
         limits: Rc<dyn Fn() -> CallerLimits>,
         held: Option<HeldConnection>,
     ) -> CallerStream {
         let head_timeout = limits().head_timeout;
-        let stream = Rc::new(RefCell::new(stream));
         let activity = Rc::new(ConnectionActivity {
             stream: stream.clone(),
             has_request: Cell::new(false),
@@ -316,8 +364,11 @@
             position: RefCell::default(),
             credit: Cell::new(0),
             has_unwritten: Cell::new(false),
+            is_covered: Cell::new(false),
             reader: RefCell::default(),
             held,
+            taken: Cell::new(0),
+            abort: Notify::new(),
         });
         let head_end = Box::pin(sleep(Duration::from_millis(head_timeout.as_ms())));
         CallerStream {
@@ -332,8 +383,8 @@
         }
     }
 
-    /// Serves the connection with the future that `serve` returns, until it completes or the budget requires that the
-    /// connection is closed. In that call, [`idle_end`] and [`read_end`] refer to this connection.
+    /// Serves the connection with the future that `serve` returns, until it completes, the budget requires that the connection
+    /// is closed, or the caller has stopped reading. In that call, [`idle_end`] and [`read_end`] refer to this connection.
     pub(crate) async fn serve<F: Future>(self, serve: impl FnOnce(CallerStream) -> F) {
         let activity = self.activity.clone();
         let progress = activity.held.as_ref().map(|held| held.progress.clone());
@@ -349,6 +400,7 @@
             // What is unsent is dropped with the connection, and an answer that isn't complete must not look so. A failure means
             // that the connection has ended.
             () = closed => drop(activity.set_reset_at_close(true)),
+            () = activity.abort.notified() => drop(activity.set_reset_at_close(true)),
         }
     }
 
@@ -489,6 +541,15 @@
             let (now, deadline) = (Instant::now(), activity.deadline(limits()));
             if now < deadline {
                 sleep_until(deadline.min(now + LIMIT_CHECK_INTERVAL)).await;
+            } else if activity.has_unwritten.get() && activity.has_taken_more() {
+                activity.last.set(now);
+            } else if activity.has_unwritten.get() {
+                // The HTTP service would wait until all is written.
+                if let Some(held) = &activity.held {
+                    held.report("connection_closed_unread");
+                }
+                activity.abort.notify_one();
+                return pending().await;
             } else if activity.has_unread_bytes() {
                 sleep(UNREAD_CHECK_INTERVAL).await;
             } else {
--- a/crates/proxy/src/client/watched_stream.rs
+++ b/crates/proxy/src/client/watched_stream.rs
@@ -137,6 +137,11 @@
     getsockopt(stream, TcpInfo).map_or(true, |info| info.tcpi_state == ESTABLISHED)
 }
 
+/// Returns how many sent bytes the other side has acknowledged, as far as that is reported.
+pub(crate) fn acknowledged_bytes(stream: &TcpStream) -> u64 {
+    getsockopt(stream, TcpInfo).map_or(0, |info| info.tcpi_bytes_acked)
+}
+
 fn queue_state(stream: &TcpStream) -> Option<QueueState> {
     let info = getsockopt(stream, TcpInfo).ok()?;
     Some(QueueState {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -3,7 +3,7 @@
 //! Everything runs on one thread because the decision state isn't shared between threads. `HttpServer` would start its
 //! own threads, so this module uses the underlying HTTP service directly, with one task per connection.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, KeepAlive};
 use actix_rt::spawn;
@@ -20,7 +20,8 @@
 use crate::{
     answer,
     caller_budget::{HeldConnection, KERNEL_BUFFER_BYTES},
-    caller_stream::{CallerStream, ConnectionRequest, OpenCount, idle_end, read_end},
+    caller_stream::{CallerStream, ConnectionRequest, OpenCount, SharedStream, idle_end, read_end},
+    client::watched_stream::acknowledged_bytes,
     core::SharedCore,
     platform::PlatformAdapter,
     request_scan::BodyScanner,
@@ -42,7 +43,7 @@
 /// The answer to a connection that the budget has no room for. It is sent before anything is read, so that nothing has run.
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.000\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-type ConnectionService = Rc<dyn Fn(TcpStream, SocketAddr, Option<HeldConnection>)>;
+type ConnectionService = Rc<dyn Fn(SharedStream, SocketAddr, Option<HeldConnection>)>;
 
 /// Opens a TCP listener.
 ///
@@ -82,12 +83,15 @@
     let service = connection_service(&core, app, limits, open).await;
     loop {
         let Some((stream, peer)) = accept(&core, &listener).await else { continue };
-        match core.caller_budget.connect().await {
+        let stream: SharedStream = Rc::new(RefCell::new(stream));
+        let watched = stream.clone();
+        let taken = move || acknowledged_bytes(&watched.borrow());
+        match core.caller_budget.connect(taken).await {
             Some(held) => service(stream, peer, Some(held)),
             None => {
                 core.caller_budget.report_refusal("connection_refused_for_budget");
                 // The answer fits into the empty send buffer. A caller that has gone needs none.
-                let _ = SockRef::from(&stream).send(BUSY_ANSWER);
+                let _ = SockRef::from(&*stream.borrow()).send(BUSY_ANSWER);
             }
         }
     }
@@ -137,7 +141,7 @@
 ) {
     loop {
         if let Some((stream, peer)) = accept(&core, &listener).await {
-            service(stream, peer, None);
+            service(Rc::new(RefCell::new(stream)), peer, None);
         }
     }
 }
--- a/crates/proxy/tests/unit/caller_budget.rs
+++ b/crates/proxy/tests/unit/caller_budget.rs
@@ -1,13 +1,23 @@
 //! Tests of the budget for callers.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use tokio::time::Duration;
+use yare::parameterized;
 
 use super::{CallerBounds, CallerBudget, CallerProgress, ConnectionUse, HeldConnection, HeldKind};
 
 fn budget(stall: Duration) -> (CallerBudget, Rc<RefCell<Vec<&'static str>>>) {
-    let bounds = CallerBounds { bytes: 400_000, body_bytes: 100_000, connections: 3, stall };
+    let bounds = CallerBounds {
+        bytes: 400_000,
+        body_bytes: 100_000,
+        connections: 3,
+        stall,
+        ..CallerBounds::default()
+    };
     let reports = Rc::new(RefCell::new(Vec::new()));
     let names = reports.clone();
     (CallerBudget::new(bounds, move |name, _| names.borrow_mut().push(name)), reports)
@@ -37,7 +47,7 @@
     let (budget, reports) = budget(Duration::from_millis(20));
     let mut held = Vec::new();
     for _ in 0..3 {
-        held.push(budget.connect().await.expect("there is room"));
+        held.push(budget.connect(|| 0).await.expect("there is room"));
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     held[0].progress.wait_for_router();
@@ -48,14 +58,14 @@
     assert!(!budget.close_stalled());
     assert_eq!(*reports.borrow(), ["connection_closed_for_budget"]);
     held.remove(1);
-    assert!(budget.connect().await.is_some());
+    assert!(budget.connect(|| 0).await.is_some());
 }
 
 /// Guards against callers that keep a connection open with single bytes.
 #[actix_rt::test]
 async fn single_bytes_are_no_progress() {
     let (budget, _) = budget(Duration::from_millis(20));
-    let held = budget.connect().await.expect("there is room");
+    let held = budget.connect(|| 0).await.expect("there is room");
     let since = |progress: &CallerProgress| progress.waits_since.get();
     let first = since(&held.progress);
     tokio::time::sleep(Duration::from_millis(5)).await;
@@ -65,14 +75,16 @@
     assert!(since(&held.progress) > first);
 }
 
-const IDLE: ConnectionUse = ConnectionUse { is_active: false, has_unwritten: false };
-const UNREAD: ConnectionUse = ConnectionUse { is_active: true, has_unwritten: true };
+const IDLE: ConnectionUse =
+    ConnectionUse { is_active: false, has_unwritten: false, is_covered: false };
+const UNREAD: ConnectionUse =
+    ConnectionUse { is_active: true, has_unwritten: true, is_covered: false };
 
 /// Guards against counting idle connections like those that a caller fills.
 #[actix_rt::test]
 async fn a_connection_takes_more_while_it_is_used() {
     let (budget, _) = budget(Duration::from_secs(60));
-    let held = budget.connect().await.expect("there is room");
+    let held = budget.connect(|| 0).await.expect("there is room");
     let used = |current_use| {
         held.set_use(current_use);
         budget.state.used.get()
@@ -84,16 +96,16 @@
     assert_eq!(budget.state.used.get(), 0);
 }
 
-/// Guards against unread answers beyond the budget, and against closing another connection for them than the one that has been
-/// without progress for the longest time.
+/// Guards against unread answers beyond the budget, and against closing another connection for them than the one that is read at
+/// the lowest rate.
 #[actix_rt::test]
 async fn an_unread_answer_beyond_the_budget_closes_one_connection() {
     let (budget, reports) = budget(Duration::from_secs(60));
     let mut held = Vec::new();
     for current_use in [IDLE, UNREAD, UNREAD] {
-        let connection = budget.connect().await.expect("there is room");
+        let connection = budget.connect(|| 0).await.expect("there is room");
+        connection.progress.block_write();
         connection.set_use(current_use);
-        connection.progress.wait_for_caller();
         held.push(connection);
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -118,3 +130,26 @@
     drop(part);
     assert_eq!(budget.state.used.get(), 0);
 }
+
+/// Guards against closing a steady reader in place of a caller that reads nothing, whichever began first.
+#[parameterized(first = { 0 }, last = { 1 })]
+fn a_steady_reader_is_not_the_one_that_is_closed(steady: usize) {
+    actix_rt::System::new().block_on(async {
+        let (budget, _) = budget(Duration::from_millis(10));
+        let mut held = Vec::new();
+        for number in 0..2 {
+            let taken = Rc::new(Cell::new(0));
+            let reported = taken.clone();
+            let connection = budget.connect(move || reported.get()).await.expect("there is room");
+            connection.progress.block_write();
+            connection.set_use(ConnectionUse { has_unwritten: true, ..IDLE });
+            taken.set(if number == steady { 100_000_000 } else { 0 });
+            held.push(connection);
+        }
+        budget.close_slowest_reader();
+        let expected = [steady == 1, steady == 0];
+        assert_eq!(closed(&held), expected);
+        tokio::time::sleep(budget.state.bounds.unread_limit()).await;
+        assert!(!budget.close_stalled(), "the other one reads fast enough");
+    });
+}
