--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -28,8 +28,8 @@
 pub(crate) const KERNEL_BUFFER_BYTES: usize = 32 << 10;
 
 /// What a connection takes in addition from the first byte of a request to the end of its answer: the kernel's receive buffer, which
-/// a caller can fill at any moment.
-const RECEIVING_BYTES: usize = 2 * KERNEL_BUFFER_BYTES;
+/// a caller can fill at any moment, and the buffers of a connection to a target.
+const RECEIVING_BYTES: usize = 2 * KERNEL_BUFFER_BYTES + (24 << 10);
 
 /// What a connection takes in addition while its caller reads more slowly than the answer comes: the kernel's send buffer, and the
 /// write buffer of the HTTP service with one part of an answer.
