Bound the connections of operators

What operators could see: whoever reaches the readiness or the metrics address could open connections there until the process had no descriptor left; they took no part of any budget, and nothing closed them before the idle time limit.

Change: these connections have a budget of their own of 4 MB and 32 connections; the stalled ones are closed for new ones, and their buffers in the kernel are as small as those of callers.

--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -78,6 +78,11 @@
 }
 
 impl CallerBounds {
+    /// Returns the bounds for the connections of operators and their tools.
+    pub(crate) fn for_operators() -> CallerBounds {
+        CallerBounds { bytes: 4 << 20, body_bytes: 0, connections: 32, ..CallerBounds::default() }
+    }
+
     /// Returns the first bound that leaves no room for a single request, if any.
     pub fn invalid(&self) -> Option<&'static str> {
         [
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -102,8 +102,8 @@
     is_covered: Cell<bool>,
     // Wakes the HTTP service when it may read again.
     reader: RefCell<Option<Waker>>,
-    // What the connection takes of the budget; none for those of operators.
-    held: Option<HeldConnection>,
+    // What the connection takes of its budget.
+    held: HeldConnection,
     // The bytes that the caller's machine had taken when the time limit for reading was last reached.
     taken: Cell<u64>,
     // Requires that the connection is closed although it has bytes to write.
@@ -117,10 +117,8 @@
         SockRef::from(&*stream).set_linger(resets.then_some(Duration::ZERO))
     }
 
-    fn progress(&self, report: impl FnOnce(&CallerProgress)) {
-        if let Some(held) = &self.held {
-            report(&held.progress);
-        }
+    fn progress(&self) -> &CallerProgress {
+        &self.held.progress
     }
 
     // Returns how many bytes may be read now.
@@ -147,14 +145,12 @@
 
     // Records in the budget what the connection does now.
     fn update_use(&self) {
-        if let Some(held) = &self.held {
-            let is_active = self.is_receiving.get() || self.open_requests.get() > 0;
-            held.set_use(ConnectionUse {
-                is_active,
-                has_unwritten: self.has_unwritten.get(),
-                is_covered: self.is_covered.get(),
-            });
-        }
+        let is_active = self.is_receiving.get() || self.open_requests.get() > 0;
+        self.held.set_use(ConnectionUse {
+            is_active,
+            has_unwritten: self.has_unwritten.get(),
+            is_covered: self.is_covered.get(),
+        });
     }
 
     fn allow_reading(&self, credit: usize) {
@@ -175,7 +171,7 @@
 
     // Returns whether the caller's machine has taken bytes since the last call.
     fn has_taken_more(&self) -> bool {
-        let taken = self.held.as_ref().map_or(0, HeldConnection::taken);
+        let taken = self.held.taken();
         self.taken.replace(taken) < taken
     }
 
@@ -198,9 +194,7 @@
         let duration = |span: ClockSpan| Duration::from_millis(span.as_ms());
         let idle_timeout = duration(limits.idle_timeout);
         if self.has_unwritten.get() {
-            let unread_timeout =
-                self.held.as_ref().map_or(Duration::ZERO, HeldConnection::unread_timeout);
-            self.last.get() + idle_timeout.max(unread_timeout)
+            self.last.get() + idle_timeout.max(self.held.unread_timeout())
         } else if self.open_requests.get() > 0 {
             Instant::now() + idle_timeout.max(OPEN_CHECK_INTERVAL)
         } else if self.is_receiving.get() {
@@ -249,7 +243,7 @@
         self.open.update(|requests| requests - 1);
         self.activity.record(false);
         self.activity.update_use();
-        self.activity.progress(CallerProgress::end_answer);
+        self.activity.progress().end_answer();
         if self.activity.open_requests.get() == 0 {
             self.activity.allow_reading(0);
         }
@@ -290,7 +284,7 @@
 
 /// Declares that the body of the current task's request has arrived, so that the router is due.
 pub(crate) fn end_request_body() {
-    CURRENT_ACTIVITY.with(|activity| activity.progress(CallerProgress::wait_for_router));
+    CURRENT_ACTIVITY.with(|activity| activity.progress().wait_for_router());
 }
 
 /// The body of an answer to a [`ConnectionRequest`].
@@ -347,11 +341,11 @@
 
 impl CallerStream {
     /// Wraps a connection that was just accepted. `limits` returns the limits in force; the time limit for the head of the first
-    /// request is the one at the time of the call. `held` is what the connection takes of the budget for callers.
+    /// request is the one at the time of the call. `held` is what the connection takes of its budget.
     pub(crate) fn new(
         stream: SharedStream,
         limits: Rc<dyn Fn() -> CallerLimits>,
-        held: Option<HeldConnection>,
+        held: HeldConnection,
     ) -> CallerStream {
         let head_timeout = limits().head_timeout;
         let activity = Rc::new(ConnectionActivity {
@@ -387,19 +381,13 @@
     /// is closed, or the caller has stopped reading. In that call, [`idle_end`] and [`read_end`] refer to this connection.
     pub(crate) async fn serve<F: Future>(self, serve: impl FnOnce(CallerStream) -> F) {
         let activity = self.activity.clone();
-        let progress = activity.held.as_ref().map(|held| held.progress.clone());
+        let progress = activity.held.progress.clone();
         let served = CURRENT_ACTIVITY.scope(activity.clone(), async move { serve(self).await });
-        let closed = async move {
-            match progress {
-                Some(progress) => progress.closed().await,
-                None => pending().await,
-            }
-        };
         tokio::select! {
             _ = served => {}
             // What is unsent is dropped with the connection, and an answer that isn't complete must not look so. A failure means
             // that the connection has ended.
-            () = closed => drop(activity.set_reset_at_close(true)),
+            () = progress.closed() => drop(activity.set_reset_at_close(true)),
             () = activity.abort.notified() => drop(activity.set_reset_at_close(true)),
         }
     }
@@ -460,9 +448,7 @@
     // this one isn't mixed up with them.
     fn refuse_head(&mut self) {
         self.send_answer("431 Request Header Fields Too Large");
-        if let Some(held) = &self.activity.held {
-            held.report("head_too_large");
-        }
+        self.activity.held.report("head_too_large");
         self.discard =
             Some(DiscardedInput { left: DISCARD_BYTES, end: Box::pin(sleep(DISCARD_TIMEOUT)) });
     }
@@ -545,9 +531,7 @@
                 activity.last.set(now);
             } else if activity.has_unwritten.get() {
                 // The HTTP service would wait until all is written.
-                if let Some(held) = &activity.held {
-                    held.report("connection_closed_unread");
-                }
+                activity.held.report("connection_closed_unread");
                 activity.abort.notify_one();
                 return pending().await;
             } else if activity.has_unread_bytes() {
@@ -608,7 +592,7 @@
         };
         self.has_new_bytes = true;
         self.activity.record(true);
-        self.activity.progress(|progress| progress.transfer(length));
+        self.activity.progress().transfer(length);
         if self.activity.open_requests.get() > 0 {
             self.activity.credit.update(|credit| credit - length);
         } else {
@@ -626,13 +610,13 @@
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, bytes);
         if result.is_pending() {
-            self.activity.progress(CallerProgress::block_write);
+            self.activity.progress().block_write();
             self.activity.set_unwritten(true);
         }
         let result = ready!(result);
         if self.activity.open_requests.get() > 0 {
             // A socket is writable again only when a third of its send buffer is free, so that each write is progress.
-            self.activity.progress(CallerProgress::wait_for_router);
+            self.activity.progress().wait_for_router();
         }
         self.activity.record(self.activity.is_receiving.get());
         Poll::Ready(result)
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    caller_budget::CallerBudget,
+    caller_budget::{CallerBounds, CallerBudget},
     caller_stream::OpenCount,
     client::TargetClient,
     order_lease, orders,
@@ -49,6 +49,8 @@
     pub(crate) open_requests: OpenCount,
     /// The budget for what callers make the process hold.
     pub(crate) caller_budget: CallerBudget,
+    /// The budget for the connections of operators and their tools.
+    pub(crate) operator_budget: CallerBudget,
     /// The connections to targets that are relayed for other routers.
     pub(crate) open_relays: Cell<usize>,
     /// Set to `true` to make callers' connections close as soon as they are idle.
@@ -68,11 +70,15 @@
         let clock = NodeClock::start();
         let state = ForwardState::new(settings.forward.clone());
         let metrics = Rc::new(NodeMetrics::default());
-        let (reporter, report_log) = (metrics.clone(), log.clone());
-        let caller_budget = CallerBudget::new(settings.caller_bounds, move |name, detail| {
-            reporter.count(&format!("callers.{name}"), 1);
-            report_log.warn(name, &detail);
-        });
+        let budget = |bounds, prefix: &'static str| {
+            let (reporter, log) = (metrics.clone(), log.clone());
+            CallerBudget::new(bounds, move |name, detail| {
+                reporter.count(&format!("{prefix}.{name}"), 1);
+                log.warn(name, &format!("of={prefix} {detail}"));
+            })
+        };
+        let caller_budget = budget(settings.caller_bounds, "callers");
+        let operator_budget = budget(CallerBounds::for_operators(), "operators");
         Rc::new(ProxyCore {
             platform,
             settings: RefCell::new(settings),
@@ -84,6 +90,7 @@
             write_entry: Notify::new(),
             open_requests: OpenCount::default(),
             caller_budget,
+            operator_budget,
             open_relays: Cell::new(0),
             closing: watch::Sender::new(false),
             answer_due: watch::Sender::new(false),
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -53,8 +53,8 @@
     log: NodeLog,
 ) -> Result<()> {
     let callers = serve::bind_callers(settings.callers)?;
-    let ready = serve::bind(settings.ready).await?;
-    let metrics = serve::bind(settings.metrics).await?;
+    let ready = serve::bind_callers(settings.ready)?;
+    let metrics = serve::bind_callers(settings.metrics)?;
     let gossip_socket = gossip::open(settings.peers).await;
     let gossip_socket =
         gossip_socket.with_context(|| format!("can't open {} for gossip", settings.peers))?;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     answer,
-    caller_budget::{HeldConnection, KERNEL_BUFFER_BYTES},
+    caller_budget::{CallerBudget, HeldConnection, KERNEL_BUFFER_BYTES},
     caller_stream::{CallerStream, ConnectionRequest, OpenCount, SharedStream, idle_end, read_end},
     client::watched_stream::acknowledged_bytes,
     core::SharedCore,
@@ -43,7 +43,7 @@
 /// The answer to a connection that the budget has no room for. It is sent before anything is read, so that nothing has run.
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.000\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-type ConnectionService = Rc<dyn Fn(SharedStream, SocketAddr, Option<HeldConnection>)>;
+type ConnectionService = Rc<dyn Fn(SharedStream, SocketAddr, HeldConnection)>;
 
 /// Opens a TCP listener.
 ///
@@ -54,7 +54,7 @@
     TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))
 }
 
-/// Opens the TCP listener for callers, whose connections have small buffers in the kernel.
+/// Opens a TCP listener for callers or operators, whose connections have small buffers in the kernel.
 ///
 /// # Errors
 ///
@@ -81,20 +81,8 @@
     let limits = move || limits_in_force(&limits_core);
     let open = core.open_requests.clone();
     let service = connection_service(&core, app, limits, open).await;
-    loop {
-        let Some((stream, peer)) = accept(&core, &listener).await else { continue };
-        let stream: SharedStream = Rc::new(RefCell::new(stream));
-        let watched = stream.clone();
-        let taken = move || acknowledged_bytes(&watched.borrow());
-        match core.caller_budget.connect(taken).await {
-            Some(held) => service(stream, peer, Some(held)),
-            None => {
-                core.caller_budget.report_refusal("connection_refused_for_budget");
-                // The answer fits into the empty send buffer. A caller that has gone needs none.
-                let _ = SockRef::from(&*stream.borrow()).send(BUSY_ANSWER);
-            }
-        }
-    }
+    let budget = core.caller_budget.clone();
+    accept_all(core, listener, budget, service).await;
 }
 
 fn limits_in_force<P: PlatformAdapter>(core: &SharedCore<P>) -> CallerLimits {
@@ -117,7 +105,8 @@
         }),
     );
     let service = connection_service(&core, app, CallerLimits::default, OpenCount::default()).await;
-    accept_all(core, listener, service).await;
+    let budget = core.operator_budget.clone();
+    accept_all(core, listener, budget, service).await;
 }
 
 /// Serves the metrics for as long as the process runs.
@@ -131,17 +120,29 @@
         }),
     );
     let service = connection_service(&core, app, CallerLimits::default, OpenCount::default()).await;
-    accept_all(core, listener, service).await;
+    let budget = core.operator_budget.clone();
+    accept_all(core, listener, budget, service).await;
 }
 
+// Serves the connections that the budget has room for, as long as the process runs.
 async fn accept_all<P: PlatformAdapter>(
     core: SharedCore<P>,
     listener: TcpListener,
+    budget: CallerBudget,
     service: ConnectionService,
 ) {
     loop {
-        if let Some((stream, peer)) = accept(&core, &listener).await {
-            service(Rc::new(RefCell::new(stream)), peer, None);
+        let Some((stream, peer)) = accept(&core, &listener).await else { continue };
+        let stream: SharedStream = Rc::new(RefCell::new(stream));
+        let watched = stream.clone();
+        let taken = move || acknowledged_bytes(&watched.borrow());
+        match budget.connect(taken).await {
+            Some(held) => service(stream, peer, held),
+            None => {
+                budget.report_refusal("connection_refused_for_budget");
+                // The answer fits into the empty send buffer. A caller that has gone needs none.
+                let _ = SockRef::from(&*stream.borrow()).send(BUSY_ANSWER);
+            }
         }
     }
 }
