Limit the log lines about callers' connections

A crowd that is refused brought about one line for each connection that was refused or closed, so that it filled the log and the queue of lines, from which the lines of other callers' requests are dropped. Now one line of an event is written in a second, with the number of those that were left out before it (`left_out`). The metrics still count all of them.

--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -28,7 +28,7 @@
     order_lease, orders,
     platform::PlatformAdapter,
     settings::ProxySettings,
-    telemetry::{NodeLog, NodeMetrics},
+    telemetry::{LimitedLog, NodeLog, NodeMetrics},
 };
 
 /// A router's decision state and the clients, signals and settings that its tasks share.
@@ -71,7 +71,7 @@
         let state = ForwardState::new(settings.forward.clone());
         let metrics = Rc::new(NodeMetrics::default());
         let budget = |bounds, prefix: &'static str| {
-            let (reporter, log) = (metrics.clone(), log.clone());
+            let (reporter, log) = (metrics.clone(), LimitedLog::new(log.clone()));
             CallerBudget::new(bounds, move |name, detail| {
                 reporter.count(&format!("{prefix}.{name}"), 1);
                 log.warn(name, &format!("of={prefix} {detail}"));
