Judge a reader until all of its answer is written, and from the blocked write on

What callers could see: found by reading the diff. When the body of an answer had ended and up to 48 KB of it waited in the write buffer, a steady slow reader was judged by the 2 s of senders again, and its end broken off when the budget was short. A caller of a stream that was blocked once was later judged by a time in which nothing waited for it. And an answer without a length that grew beyond 64 KB counted as if it had room to wait for its caller.

Change: the span in which the rate is measured begins with a blocked write and ends when all is written, whether the answer has ended or not; the part of an answer grows with what waiting takes.

Evidence: unit tests a_reader_is_judged_from_the_blocked_write_until_all_is_written and the_part_of_an_answer_grows_with_it.

--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -292,7 +292,7 @@
     };
     let fits = Cell::new(true);
     let read = exchange.read_admitted(attempt.deadline(), |length| {
-        fits.set(held.cover(length));
+        fits.set(held.cover_answer(length));
         fits.get()
     });
     let read = attempt.before_answer_due(read).await;
--- a/crates/proxy/src/answer/held.rs
+++ b/crates/proxy/src/answer/held.rs
@@ -9,7 +9,10 @@
 use actix_web::body::{BodySize, MessageBody};
 use bytes::Bytes;
 
-use crate::{caller_budget::HeldPart, caller_stream::AnswerCover};
+use crate::{
+    caller_budget::{HeldPart, covers_waiting},
+    caller_stream::AnswerCover,
+};
 
 /// The bytes that the HTTP service gets at a time. It copies what it gets into its own buffer, which mustn't become as large as
 /// the answer.
@@ -27,7 +30,7 @@
 impl HeldAnswer {
     /// Returns the body of an answer to the request of the current task. `is_unframed` says that it has no declared length.
     pub(super) fn new(rest: Bytes, held: HeldPart, is_unframed: bool) -> HeldAnswer {
-        let cover = held.covers_waiting().then(AnswerCover::begin);
+        let cover = covers_waiting(rest.len()).then(AnswerCover::begin);
         HeldAnswer { rest, is_unframed, _held: held, _cover: cover }
     }
 }
--- a/crates/proxy/src/caller_budget.rs
+++ b/crates/proxy/src/caller_budget.rs
@@ -160,7 +160,7 @@
     current_use: Cell<ConnectionUse>,
     // Returns the bytes that the caller's machine has taken.
     taken: Box<dyn Fn() -> u64>,
-    // Since a write was blocked, until the answer ends.
+    // Since a write was blocked, until all is written.
     read_span: Cell<Option<ReadSpan>>,
     closed: Notify,
     is_closed: Cell<bool>,
@@ -186,12 +186,6 @@
         self.waits_since.set(None);
     }
 
-    /// Records that an answer has ended.
-    pub(crate) fn end_answer(&self) {
-        self.read_span.set(None);
-        self.wait_for_caller();
-    }
-
     /// Records that a write to the caller is blocked. It is due from now on.
     pub(crate) fn block_write(&self) {
         if self.read_span.get().is_none() {
@@ -202,12 +196,16 @@
         }
     }
 
+    /// Records that the kernel has taken all that was to be written.
+    pub(crate) fn unblock_write(&self) {
+        self.read_span.set(None);
+    }
+
     // Returns for how long the caller has exceeded the time limit without progress. A caller whose answer waits makes progress if
     // it reads at the lowest rate at least, however its machine and the kernel divide that into steps.
     fn overdue(&self, bounds: &CallerBounds) -> Option<Duration> {
         let waited = self.waits_since.get()?.elapsed();
-        let Some(span) = self.read_span.get().filter(|_| self.current_use.get().has_unwritten)
-        else {
+        let Some(span) = self.read_span.get() else {
             return waited.checked_sub(bounds.stall);
         };
         let overdue = span.since.elapsed().checked_sub(bounds.unread_limit())?;
@@ -247,6 +245,16 @@
     }
 }
 
+/// Returns whether the part of an answer includes what it takes while it waits for its caller: one beyond what the kernel takes at
+/// once may have to wait.
+pub(crate) fn covers_waiting(bytes: usize) -> bool {
+    bytes > 2 * KERNEL_BUFFER_BYTES
+}
+
+fn answer_bytes(bytes: usize) -> usize {
+    if covers_waiting(bytes) { bytes + UNWRITTEN_BYTES } else { bytes }
+}
+
 /// A part of the budget that is in use until it is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldPart {
@@ -256,20 +264,17 @@
 }
 
 impl HeldPart {
-    /// Returns whether the part includes what an answer takes that waits for its caller.
-    pub(crate) fn covers_waiting(&self) -> bool {
-        self.bytes.get() > UNWRITTEN_BYTES
-    }
-
-    /// Grows the part to `bytes` if it is smaller and the budget has room; returns whether the part covers them.
-    pub(crate) fn cover(&self, bytes: usize) -> bool {
-        let missing = bytes.saturating_sub(self.bytes.get());
+    /// Grows the part of an answer to that of one with `bytes`, if it is smaller and the budget has room. Returns whether it
+    /// suffices.
+    pub(crate) fn cover_answer(&self, bytes: usize) -> bool {
+        let needed = answer_bytes(bytes);
+        let missing = needed.saturating_sub(self.bytes.get());
         if missing == 0 {
             return true;
         }
         let has_room = !self.budget.is_over_with(missing);
         if has_room {
-            self.resize(bytes);
+            self.resize(needed);
         }
         has_room
     }
@@ -383,11 +388,9 @@
         self.try_take(kind, bytes)
     }
 
-    /// Takes the part for an answer of `bytes`, like [`take`](Self::take). An answer beyond what the kernel takes at once may have to
-    /// wait for its caller, and needs room for that.
+    /// Takes the part for an answer of `bytes`, like [`take`](Self::take).
     pub(crate) async fn take_answer(&self, bytes: usize) -> Option<HeldPart> {
-        let waiting = if bytes > 2 * KERNEL_BUFFER_BYTES { UNWRITTEN_BYTES } else { 0 };
-        self.take(HeldKind::Other, bytes + waiting).await
+        self.take(HeldKind::Other, answer_bytes(bytes)).await
     }
 
     /// Takes the part for a new connection, like [`take`](Self::take). `taken` returns the bytes that the caller's machine has taken.
@@ -459,7 +462,6 @@
     fn close_slowest_reader(&self) {
         let connections = self.state.progress.borrow();
         let slowest = open(&connections)
-            .filter(|progress| progress.current_use.get().has_unwritten)
             .filter_map(|progress| {
                 let span = progress.read_span.get()?;
                 Some((span.bytes_per_s((progress.taken)()), span.since, progress))
--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -138,6 +138,7 @@
         }
         self.update_use();
         if !has_unwritten {
+            self.progress().unblock_write();
             // The next request may be read.
             self.wake_reader();
         }
@@ -243,7 +244,7 @@
         self.open.update(|requests| requests - 1);
         self.activity.record(false);
         self.activity.update_use();
-        self.activity.progress().end_answer();
+        self.activity.progress().wait_for_caller();
         if self.activity.open_requests.get() == 0 {
             self.activity.allow_reading(0);
         }
@@ -414,7 +415,6 @@
         buffer: &mut ReadBuf<'_>,
         limit: usize,
     ) -> Poll<io::Result<ReadPart>> {
-        let head_limit = self.head_limit();
         let mut stream = self.stream.borrow_mut();
         let mut position = self.activity.position.borrow_mut();
         let bytes = buffer.initialize_unfilled_to(limit);
@@ -425,7 +425,7 @@
                 ready!(stream.poll_peek(context, &mut next))?;
                 let mut after = position.clone();
                 let length = after.take(next.filled());
-                if after.head_length() > head_limit {
+                if after.head_length() > self.head_limit() {
                     return Poll::Ready(Ok(ReadPart::LargeHead));
                 }
                 // At the end of the connection there is nothing to look at.
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -52,9 +52,9 @@
     settings: ProxySettings,
     log: NodeLog,
 ) -> Result<()> {
-    let callers = serve::bind_callers(settings.callers)?;
-    let ready = serve::bind_callers(settings.ready)?;
-    let metrics = serve::bind_callers(settings.metrics)?;
+    let callers = serve::bind_http(settings.callers)?;
+    let ready = serve::bind_http(settings.ready)?;
+    let metrics = serve::bind_http(settings.metrics)?;
     let gossip_socket = gossip::open(settings.peers).await;
     let gossip_socket =
         gossip_socket.with_context(|| format!("can't open {} for gossip", settings.peers))?;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -59,7 +59,7 @@
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
-pub(crate) fn bind_callers(address: SocketAddr) -> Result<TcpListener> {
+pub(crate) fn bind_http(address: SocketAddr) -> Result<TcpListener> {
     let open = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
--- a/crates/proxy/tests/unit/caller_budget.rs
+++ b/crates/proxy/tests/unit/caller_budget.rs
@@ -104,7 +104,9 @@
     let mut held = Vec::new();
     for current_use in [IDLE, UNREAD, UNREAD] {
         let connection = budget.connect(|| 0).await.expect("there is room");
-        connection.progress.block_write();
+        if current_use.has_unwritten {
+            connection.progress.block_write();
+        }
         connection.set_use(current_use);
         held.push(connection);
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -117,18 +119,42 @@
     assert!(budget.take(HeldKind::Other, 0).await.is_some());
 }
 
-/// Guards against answers of unknown length that grow beyond the budget.
+/// Guards against answers of unknown length that grow beyond the budget, or without room to wait for their callers.
 #[actix_rt::test]
-async fn a_part_covers_no_more_than_the_budget_has() {
+async fn the_part_of_an_answer_grows_with_it() {
     let (budget, _) = budget(Duration::from_secs(60));
-    let part = budget.take(HeldKind::Other, 100_000).await.expect("there is room");
-    assert!(part.cover(60_000));
-    assert_eq!(budget.state.used.get(), 100_000);
-    assert!(part.cover(450_000));
-    assert!(!part.cover(450_001));
-    assert_eq!(budget.state.used.get(), 450_000);
+    let part = budget.take_answer(0).await.expect("there is room");
+    let used = || budget.state.used.get();
+    assert!(part.cover_answer(60_000));
+    assert_eq!(used(), 60_000);
+    assert!(part.cover_answer(100_000));
+    assert_eq!(used(), 100_000 + super::UNWRITTEN_BYTES);
+    assert!(part.cover_answer(80_000), "a part doesn't shrink");
+    assert!(!part.cover_answer(450_000));
+    assert_eq!(used(), 100_000 + super::UNWRITTEN_BYTES);
     drop(part);
-    assert_eq!(budget.state.used.get(), 0);
+    assert_eq!(used(), 0);
+}
+
+/// Guards against judging a caller by a time in which nothing waited for it, and against the time limit for senders at the end of
+/// an answer that is still being written.
+#[actix_rt::test]
+async fn a_reader_is_judged_from_the_blocked_write_until_all_is_written() {
+    let (budget, _) = budget(Duration::from_millis(10));
+    let held = budget.connect(|| 0).await.expect("there is room");
+    let span = Duration::from_millis(50);
+    let is_overdue = || held.progress.overdue(&budget.state.bounds).is_some();
+    held.progress.block_write();
+    held.progress.wait_for_caller();
+    tokio::time::sleep(span).await;
+    assert!(!is_overdue(), "the answer has ended, and a part of it waits");
+    held.progress.unblock_write();
+    tokio::time::sleep(budget.state.bounds.unread_limit()).await;
+    held.progress.wait_for_caller();
+    held.progress.block_write();
+    assert!(!is_overdue(), "the write was blocked just now");
+    tokio::time::sleep(budget.state.bounds.unread_limit()).await;
+    assert!(is_overdue(), "nothing was read since");
 }
 
 /// Guards against closing a steady reader in place of a caller that reads nothing, whichever began first.
