Split what a caller's connection does from its byte stream

The state of a connection, its open requests and the ends of its life are in caller_activity.rs now; the stream has what the HTTP service reads and writes. Nothing else changes.

--- a/crates/proxy/src/answer/body.rs
+++ b/crates/proxy/src/answer/body.rs
@@ -16,8 +16,8 @@
 
 use super::caller::UnreadableRequest;
 use crate::{
+    caller_activity::{end_request_body, read_more},
     caller_budget::{CallerBudget, HeldKind, HeldPart},
-    caller_stream::{end_request_body, read_more},
 };
 
 /// The size up to which a body doesn't count against the limit for large bodies.
--- a/crates/proxy/src/answer/caller.rs
+++ b/crates/proxy/src/answer/caller.rs
@@ -29,8 +29,8 @@
     stream::{CallerStream, StreamBody},
 };
 use crate::{
+    caller_activity::mark_end_by_close,
     caller_budget::HeldPart,
-    caller_stream::mark_end_by_close,
     client::{BodyFraming, BufferedBody, TargetExchange},
     core::SharedCore,
     platform::PlatformAdapter,
--- a/crates/proxy/src/answer/held.rs
+++ b/crates/proxy/src/answer/held.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 
 use crate::{
+    caller_activity::AnswerCover,
     caller_budget::{HeldPart, covers_waiting},
-    caller_stream::AnswerCover,
 };
 
 /// The bytes that the HTTP service gets at a time. It copies what it gets into its own buffer, which mustn't become as large as
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -22,8 +22,8 @@
 };
 
 use crate::{
+    caller_activity::OpenCount,
     caller_budget::{CallerBounds, CallerBudget},
-    caller_stream::OpenCount,
     client::TargetClient,
     order_lease, orders,
     platform::PlatformAdapter,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform's headers, keys and calls and the types used here.
 
 mod answer;
+mod caller_activity;
 mod caller_budget;
 mod caller_stream;
 pub mod client;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -19,8 +19,9 @@
 
 use crate::{
     answer,
+    caller_activity::{ConnectionRequest, OpenCount, SharedStream, idle_end, read_end},
     caller_budget::{CallerBudget, HeldConnection, KERNEL_BUFFER_BYTES},
-    caller_stream::{CallerStream, ConnectionRequest, OpenCount, SharedStream, idle_end, read_end},
+    caller_stream::CallerStream,
     client::watched_stream::acknowledged_bytes,
     core::SharedCore,
     platform::PlatformAdapter,
