Histograms of the lag of configurations and of the age of freshness proofs

An operator couldn't see that a fleet is about to refuse, nor tell a router that hasn't heard of a change from one that has and can't read it. configuration_behind has the moment at which a peer's newer version is first heard, configuration_in_force the time until it is in force; config_lag_ms and proof_age_ms are histograms of both.

--- a/crates/forward/src/state/gossip.rs
+++ b/crates/forward/src/state/gossip.rs
@@ -139,6 +139,7 @@
         }
         if self.peers.is_newer(&message) {
             self.apply_peer_state(now, &message, timing, actions);
+            self.observe_peer_config(now, &message, actions);
         }
         let (revision, urgent) = self.store_progress.revisions();
         if message.urgent_revision > urgent.max(revision) {
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod brittle;
+mod config_sync;
 mod cost;
 mod deferral;
 mod era;
@@ -60,6 +61,7 @@
 };
 
 use brittle::BrittleState;
+use config_sync::ConfigSync;
 use deferral::DeferralQueues;
 use era::EraProgress;
 use gossip_gaps::GossipGaps;
@@ -291,6 +293,8 @@
     CloseRelays,
     /// Write a log line: the name of the event and its details.
     Notice(&'static str, String),
+    /// Add a value to a histogram.
+    Measure(&'static str, u64),
 }
 
 /// The decision state of one forwarding router.
@@ -300,6 +304,7 @@
     rules: Option<Arc<ForwardRules>>,
     isolated: IsolatedAccounts,
     freshness: ConfigFreshness,
+    config_sync: ConfigSync,
     store_failing_since: Option<ClockTime>,
     store_recovered_at: Option<ClockTime>,
     store_path: StorePath,
@@ -415,6 +420,7 @@
             rules: None,
             isolated: IsolatedAccounts::default(),
             freshness: ConfigFreshness::default(),
+            config_sync: ConfigSync::default(),
             store_failing_since: None,
             store_recovered_at: None,
             store_path: StorePath::default(),
@@ -603,9 +609,11 @@
             }
             return;
         }
+        let lag = self.end_config_lag(now, &rules, actions);
         let detail = format!(
-            "version={} before={known} routes={} services={} accounts={} keys={} proof_age={:?}",
+            "version={} before={known} lag_ms={} routes={} services={} accounts={} keys={} proof_age={:?}",
             rules.version,
+            lag.as_ms(),
             rules.routes.len(),
             rules.services.len(),
             rules.accounts.len(),
@@ -654,6 +662,9 @@
         self.end_deferrals(now, actions);
         self.loads.set_peers(self.peers.reachable(now).map(|(message, _)| message));
         self.announce_silence(now, actions);
+        if let Some(age) = self.freshness.age(now) {
+            actions.push(ForwardAction::Measure("proof.age_ms", age.as_ms()));
+        }
         if let Some(detail) = self.gossip_gaps.take_summary(now) {
             actions.push(ForwardAction::Notice("gossip_gaps", detail));
         }
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -139,6 +139,7 @@
                     self.metrics.count(event, 1);
                     self.log.event(event, &detail);
                 }
+                ForwardAction::Measure(name, value) => self.metrics.record(name, value),
             }
         }
     }
