Shorten the pauses until the next change is read from peers

Callers of a leaving target, or of a route that just changed, were handled by the older entry for seconds when changes came in series, on calm routers.

Cause: each read of changes is followed by a pause of 80 ms for each router of the fleet, up to a second, also when they were read from a peer, which costs the store nothing. Watchers pause as long. With the pause before a read, and two peers asked one after the other, the pauses of a change that follows another one add up to 2.2 s at 9 routers, and 3.5 s at 295, with no fault anywhere; the bounds less half a second are 2.0 and 3.5 s.

The pause after a read from a peer is 400 ms at most. A peer that doesn't answer within 100 ms no longer holds up the next one; three are asked. The pauses of watchers, and with them the calls to the store, are unchanged. The pauses are decisions of `forward` now, so that a test adds them up at 9, 97, 295 and 1,000 routers; with the pause as it was it fails with 2,192, 3,504 and 3,520 ms.

--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -27,6 +27,19 @@
 /// The time since the last read after which a router also reads changes that are not urgent.
 const NON_URGENT_READ_DELAY: ClockSpan = ClockSpan::from_ms(3_000);
 
+/// The delay after an answer of the store with changes, for each router of the fleet, so that changes in quick succession
+/// need only one call. Every change wakes every watcher, so the delay grows with the fleet.
+const BATCH_DELAY_PER_MEMBER: ClockSpan = ClockSpan::from_ms(20);
+
+/// The same delay for a router that isn't the first watcher of the store. It reads changes only after that one.
+const SECONDARY_BATCH_DELAY_PER_MEMBER: ClockSpan = ClockSpan::from_ms(80);
+
+/// The longest delay after an answer of the store with changes.
+const MAX_BATCH_DELAY: ClockSpan = ClockSpan::from_ms(1_000);
+
+/// The longest delay after changes were read from a peer, which takes no call to the store.
+const MAX_PEER_BATCH_DELAY: ClockSpan = ClockSpan::from_ms(400);
+
 /// The longest pause before changes are read from peers, for each reachable peer of the zone.
 const CATCH_UP_PAUSE_PER_PEER: ClockSpan = ClockSpan::from_ms(16);
 
@@ -195,6 +208,26 @@
         ClockSpan::from_ms(self.random.below(longest.min(MAX_CATCH_UP_PAUSE.as_ms()) + 1))
     }
 
+    /// Returns how long to wait after an answer of the store with changes before the next call.
+    pub fn batch_delay(&self, now: ClockTime) -> ClockSpan {
+        let per_member = if self.is_first_watcher(now) {
+            BATCH_DELAY_PER_MEMBER
+        } else {
+            SECONDARY_BATCH_DELAY_PER_MEMBER
+        };
+        self.delay_for_members(per_member).min(MAX_BATCH_DELAY)
+    }
+
+    /// Returns how long to wait after changes were read from a peer before more are read. Another change may come right
+    /// after them, and mustn't wait for long.
+    pub fn peer_batch_delay(&self) -> ClockSpan {
+        self.delay_for_members(SECONDARY_BATCH_DELAY_PER_MEMBER).min(MAX_PEER_BATCH_DELAY)
+    }
+
+    fn delay_for_members(&self, per_member: ClockSpan) -> ClockSpan {
+        ClockSpan::from_ms(self.member_count() as u64 * per_member.as_ms())
+    }
+
     /// Keeps an answer of the store for peers.
     pub fn record_changes(&mut self, piece: ChangePiece) {
         self.changes.record(piece);
--- a/crates/forward/tests/store_watch.rs
+++ b/crates/forward/tests/store_watch.rs
@@ -439,3 +439,39 @@
     hear(&mut own, 7, 12);
     assert_eq!(first(&mut own), "vm-07".into(), "the watcher is needed for the next change");
 }
+
+/// Guards against pauses that are each short enough, and together longer than the bound for the next change of a series.
+#[parameterized(
+    nine = { 9, 2_500 },
+    ninety_seven = { 97, 4_000 },
+    large = { 295, 4_000 },
+    thousand = { 1_000, 4_000 },
+)]
+fn the_pauses_until_a_change_is_read_add_up_to_less_than_the_bound(routers: usize, bound_ms: u64) {
+    // A read from a peer that answers in time, and the way of two messages.
+    const READ_MS: u64 = 400;
+    const MESSAGES_MS: u64 = 2 * 60;
+    const MARGIN_MS: u64 = 500;
+    let place = |number: usize| {
+        let address =
+            std::net::Ipv4Addr::new(10, 4, (number / 250) as u8, (number % 250) as u8 + 1);
+        let zone = ["a", "b", "c", "d", "e", "f"][number % 6.min(routers / 3)];
+        let vm = format!("vm-{number:04}").as_str().into();
+        godwitroad_forward::PeerPlace { vm, zone: zone.into(), address: address.into() }
+    };
+    let mut own = TestRouter::new(settings("vm-own", 1));
+    let template = GossipMessage { watches_store: true, ..own.gossip_message(1) };
+    for number in 1..routers {
+        own.receive(2, GossipMessage { place: place(number), ..template.clone() });
+    }
+    let watcher_ms = own.state.batch_delay(at(3)).as_ms();
+    let pause_ms = (0..1_000).map(|_| own.state.catch_up_pause(at(3)).as_ms()).max().unwrap_or(0);
+    // The watcher's urgent message may have to wait for a regular round.
+    let gossip_ms = 200;
+    let reader_ms = own.state.peer_batch_delay().as_ms();
+    let sum = watcher_ms + gossip_ms + reader_ms + pause_ms + READ_MS + MESSAGES_MS;
+    assert!(
+        sum <= bound_ms - MARGIN_MS,
+        "{watcher_ms} + {gossip_ms} + {reader_ms} + {pause_ms} + {READ_MS} + {MESSAGES_MS} = {sum} ms"
+    );
+}
--- a/crates/proxy/src/relay/changes.rs
+++ b/crates/proxy/src/relay/changes.rs
@@ -9,15 +9,12 @@
     time::timeout,
 };
 
-use super::{OpeningAnswer, RelayOpening, dial::send_opening};
+use super::{OpeningAnswer, RelayOpening, dial::send_opening, hedge::ask_peers};
 use crate::{core::SharedCore, platform::PlatformAdapter};
 
 /// The time limit for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The limit of peers that are asked, one after the other.
-const MAX_PEERS: usize = 2;
-
 /// The size limit of encoded changes: their bodies, and the revisions and lengths beside them.
 const MAX_ENCODED_BYTES: usize = MAX_CHANGES_BYTES + 8 * 1024;
 
@@ -48,21 +45,27 @@
     peers: &[RelayPeer],
     after: StoreRevision,
 ) -> Option<Vec<ChangePiece>> {
-    for peer in peers.iter().take(MAX_PEERS) {
-        let asked = timeout(PEER_TIMEOUT, read_from(core, peer, after)).await;
-        match asked.unwrap_or(Err(ChangesError::TimeOver)) {
-            Ok(pieces) => {
-                core.metrics.count("changes.read", 1);
-                return Some(pieces);
-            }
-            Err(error) => {
-                core.metrics.count("changes.failed", 1);
-                let detail = format!("peer={} after={after} error={error}", peer.vm);
-                core.log.event("changes_not_read", &detail);
-            }
+    ask_peers(peers, |peer| ask_peer(core.clone(), peer, after)).await
+}
+
+async fn ask_peer<P: PlatformAdapter>(
+    core: SharedCore<P>,
+    peer: RelayPeer,
+    after: StoreRevision,
+) -> Option<Vec<ChangePiece>> {
+    let asked = timeout(PEER_TIMEOUT, read_from(&core, &peer, after)).await;
+    match asked.unwrap_or(Err(ChangesError::TimeOver)) {
+        Ok(pieces) => {
+            core.metrics.count("changes.read", 1);
+            Some(pieces)
+        }
+        Err(error) => {
+            core.metrics.count("changes.failed", 1);
+            let detail = format!("peer={} after={after} error={error}", peer.vm);
+            core.log.event("changes_not_read", &detail);
+            None
         }
     }
-    None
 }
 
 async fn read_from<P: PlatformAdapter>(
--- a/crates/proxy/src/relay/config.rs
+++ b/crates/proxy/src/relay/config.rs
@@ -2,14 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use actix_rt::spawn;
 use godwitroad_forward::{ConfigRead, ForwardRules, RelayPeer};
 use tokio::{
     io::{AsyncRead, AsyncReadExt},
     time::timeout,
 };
 
-use super::{OpeningAnswer, RelayOpening, dial::send_opening};
+use super::{OpeningAnswer, RelayOpening, dial::send_opening, hedge::ask_peers};
 use crate::{
     core::SharedCore,
     platform::{PlatformAdapter, WireError},
@@ -18,12 +17,6 @@
 /// The time limit for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The time after which the next peer is asked beside one that hasn't answered.
-const HEDGE_DELAY: Duration = Duration::from_millis(100);
-
-/// The limit of peers that are asked in one read.
-const MAX_PEERS: usize = 3;
-
 /// The size limit of a configuration.
 const MAX_DOCUMENT_BYTES: usize = 4 << 20;
 
@@ -52,36 +45,15 @@
     core: &SharedCore<P>,
     read: &ConfigRead,
 ) -> Option<Arc<ForwardRules>> {
-    let (sender, mut receiver) = tokio::sync::mpsc::unbounded_channel();
-    let mut waiting = 0;
-    let mut peers = read.peers.iter().take(MAX_PEERS);
-    loop {
-        if let Some(peer) = peers.next() {
-            let (core, peer, sender) = (core.clone(), peer.clone(), sender.clone());
-            let own_version = read.own_version;
-            spawn(async move {
-                // Nobody waits for it once another peer has answered.
-                let _ = sender.send(ask_peer(&core, &peer, own_version).await);
-            });
-            waiting += 1;
-        } else if waiting == 0 {
-            return None;
-        }
-        let delay = if peers.len() > 0 { HEDGE_DELAY } else { PEER_TIMEOUT };
-        match timeout(delay, receiver.recv()).await {
-            Ok(Some(Some(rules))) => return Some(rules),
-            Ok(_) => waiting -= 1,
-            Err(_) => {}
-        }
-    }
+    ask_peers(&read.peers, |peer| ask_peer(core.clone(), peer, read.own_version)).await
 }
 
 async fn ask_peer<P: PlatformAdapter>(
-    core: &SharedCore<P>,
-    peer: &RelayPeer,
+    core: SharedCore<P>,
+    peer: RelayPeer,
     own_version: u64,
 ) -> Option<Arc<ForwardRules>> {
-    let asked = timeout(PEER_TIMEOUT, read_from(core, peer, own_version)).await;
+    let asked = timeout(PEER_TIMEOUT, read_from(&core, &peer, own_version)).await;
     match asked.unwrap_or(Err(ConfigError::TimeOver)) {
         Ok(rules) => {
             core.metrics.count("config.read", 1);
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod changes;
 mod config;
 mod dial;
+mod hedge;
 mod serve;
 mod store;
 mod stream;
--- a/crates/proxy/src/store.rs
+++ b/crates/proxy/src/store.rs
@@ -37,16 +37,6 @@
 /// that has stopped sending gossip.
 const IDLE_PAUSE: ClockSpan = ClockSpan::from_ms(200);
 
-/// The delay after an answer with changes, in milliseconds per router of the fleet, so that changes in quick succession
-/// need only one call. Every change wakes every router, so the delay grows with the fleet.
-const BATCH_DELAY_PER_MEMBER_MS: u64 = 20;
-
-/// The same delay for a router that isn't the first watcher of the store.
-const SECONDARY_BATCH_DELAY_PER_MEMBER_MS: u64 = 80;
-
-/// The upper bound of the delay after changes, in milliseconds. A change must take effect within seconds.
-const MAX_BATCH_DELAY_MS: u64 = 1_000;
-
 /// The delay after the first failed call. It doubles with each further failure, up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: ClockSpan = ClockSpan::from_ms(150);
 
@@ -252,7 +242,7 @@
         {
             after = revision;
             if !backoff.is_failing() {
-                core.sleep(batch_delay(core)).await;
+                core.sleep(core.read(|state| state.peer_batch_delay())).await;
                 continue;
             }
         }
@@ -282,7 +272,7 @@
                 backoff.record_success(core);
                 core.handle(ForwardEvent::StoreAnswered { read_from: sent_at });
                 if last_change > 0 || matches!(step, StoreStep::Read | StoreStep::CatchUp) {
-                    core.sleep(batch_delay(core)).await;
+                    core.sleep(core.read(|state| state.batch_delay(core.now()))).await;
                 }
             }
             Ok(StoreAnswer::HistoryCompacted) => {
@@ -329,19 +319,6 @@
     (read_to > after).then_some(read_to)
 }
 
-// Batches changes in quick succession into one call. Routers other than the first watcher can wait longer because they
-// read changes only after it.
-fn batch_delay<P: PlatformAdapter>(core: &SharedCore<P>) -> ClockSpan {
-    let (members, is_first_watcher) =
-        core.read(|state| (state.member_count() as u64, state.is_first_watcher(core.now())));
-    let delay_per_member = if is_first_watcher {
-        BATCH_DELAY_PER_MEMBER_MS
-    } else {
-        SECONDARY_BATCH_DELAY_PER_MEMBER_MS
-    };
-    ClockSpan::from_ms((members * delay_per_member).min(MAX_BATCH_DELAY_MS))
-}
-
 async fn read_all<P: PlatformAdapter>(
     core: &SharedCore<P>,
     listed: &mut ListedNames,
