Keep the age of a proof from before the start of the process

The check that a peer's proof isn't from before the start dropped such a proof, and with it what a router knows right after its start; the one before it made the proof younger than it is. Proofs are now kept with the age that they had when they were heard. Only a router whose configuration came from a peer waits for its first listing before it is ready: rules that were read from the store come with the targets.

--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -29,7 +29,15 @@
 /// The newest freshness proof of this router's configuration.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFreshness {
-    proven_at: Option<ClockTime>,
+    proof: Option<FreshnessProof>,
+}
+
+/// A proof with its age at some time. The two are kept apart because a time before the start of the process has no
+/// [`ClockTime`].
+#[derive(Clone, Copy, Debug)]
+struct FreshnessProof {
+    known_at: ClockTime,
+    prior_age: ClockSpan,
 }
 
 impl Default for ContactSettings {
@@ -48,12 +56,21 @@
     /// Records a proof dated to `read_from`: an answer of the store to a read that started then, or the proof of a peer
     /// with the same version. It stays valid when a newer version arrives, as that one was confirmed later.
     pub fn record_proof(&mut self, read_from: ClockTime) {
-        self.proven_at = self.proven_at.max(Some(read_from));
+        self.record_aged_proof(read_from, ClockSpan::ZERO);
+    }
+
+    /// Records a proof that was `prior_age` old at `known_at`.
+    pub fn record_aged_proof(&mut self, known_at: ClockTime, prior_age: ClockSpan) {
+        let is_newest =
+            |proof: FreshnessProof| known_at + proof.prior_age > proof.known_at + prior_age;
+        if self.proof.is_none_or(is_newest) {
+            self.proof = Some(FreshnessProof { known_at, prior_age });
+        }
     }
 
     /// Returns the age of the newest proof, or `None` if there was none yet.
     pub fn age(&self, now: ClockTime) -> Option<ClockSpan> {
-        self.proven_at.map(|proven_at| now.since(proven_at))
+        self.proof.map(|proof| now.since(proof.known_at) + proof.prior_age)
     }
 
     /// Returns whether keyed requests may run: the newest proof is valid, or the settings don't require one.
--- a/crates/forward/src/state/config_sync.rs
+++ b/crates/forward/src/state/config_sync.rs
@@ -180,9 +180,6 @@
     /// Records the proof in a message that arrived after a time: its age when the message was sent, in milliseconds.
     pub(super) fn record_peer_proof(&mut self, arrived_after: ClockTime, age_ms: u32) {
         let age = ClockSpan::from_ms(age_ms.into()) + MAX_GOSSIP_DELAY;
-        // A proof from before the start of the process has no `ClockTime`, and would count as younger than it is.
-        if arrived_after.as_ms() >= age.as_ms() {
-            self.freshness.record_proof(arrived_after - age);
-        }
+        self.freshness.record_aged_proof(arrived_after, age);
     }
 }
--- a/crates/forward/src/state/mod.rs
+++ b/crates/forward/src/state/mod.rs
@@ -310,6 +310,8 @@
     isolated: IsolatedAccounts,
     freshness: ConfigFreshness,
     config_sync: ConfigSync,
+    // Whether the configuration in force was read from a peer.
+    has_peer_rules: bool,
     store_failing_since: Option<ClockTime>,
     store_recovered_at: Option<ClockTime>,
     store_path: StorePath,
@@ -426,6 +428,7 @@
             isolated: IsolatedAccounts::default(),
             freshness: ConfigFreshness::default(),
             config_sync: ConfigSync::default(),
+            has_peer_rules: false,
             store_failing_since: None,
             store_recovered_at: None,
             store_path: StorePath::default(),
@@ -521,7 +524,7 @@
     // Returns whether the targets of the configuration can be known. A router that starts may have the configuration of a
     // peer before its first listing of the store.
     fn knows_targets(&self) -> bool {
-        self.has_listed || !self.roster.is_empty()
+        self.has_listed || !self.has_peer_rules || !self.roster.is_empty()
     }
 
     /// Returns the age of the newest freshness proof, or `None` if there was none yet.
@@ -563,9 +566,13 @@
         match event {
             ForwardEvent::Rules(rules) => {
                 self.store_progress.record_urgent();
+                self.has_peer_rules = false;
+                self.apply_rules(now, rules, actions);
+            }
+            ForwardEvent::PeerRules(rules) => {
+                self.has_peer_rules = true;
                 self.apply_rules(now, rules, actions);
             }
-            ForwardEvent::PeerRules(rules) => self.apply_rules(now, rules, actions),
             ForwardEvent::StoreEra(era) => self.begin_era(now, era, actions),
             ForwardEvent::StoreAnswered { read_from } => {
                 self.store_answered(now, read_from, actions)
--- a/crates/forward/tests/late_configurations.rs
+++ b/crates/forward/tests/late_configurations.rs
@@ -94,6 +94,15 @@
     assert!(own.state.readiness(at(1_200)).is_ok());
 }
 
+#[test]
+fn a_proof_of_a_peer_from_before_the_start_doesn_t_count_as_one_from_the_start() {
+    let mut own = TestRouter::new(settings("vm-1", 1));
+    own.handle(10, ForwardEvent::Rules(Arc::new(rules(1))));
+    own.receive(100, GossipMessage { proof_age_ms: Some(4_000), ..message_of(1, 1, 1) });
+    let age = own.state.proof_age(at(200)).expect("the peer's proof");
+    assert!(age.as_ms() >= 4_100, "{age:?}");
+}
+
 /// A fleet without the store, in which one router has read a change.
 struct CutFleet {
     random: SeededRandom,
