--- a/crates/proxy/tests/unit/relay.rs
+++ b/crates/proxy/tests/unit/relay.rs
@@ -54,7 +54,8 @@
 }
 
 #[parameterized(
-    another_kind = { &[4, 0, 1, 0] },
+    another_kind = { &[5, 0, 1, 0] },
+    config_with_more_than_a_version = { &[4, 0, 2, 1, 9] },
     changes_after_nothing = { &[3, 0, 1, 0] },
     changes_with_more_than_a_revision = { &[3, 0, 3, 1, 2, 9] },
     store_with_content = { &[2, 0, 1, 0] },
@@ -70,8 +71,9 @@
 
 /// Guards against a peer that makes the reader take or reserve more than an opening needs.
 #[parameterized(
-    another_version = { &[4], 1 },
+    another_version = { &[5], 1 },
     changes = { &[3, 2, 0], 515 },
+    config = { &[4, 2, 0], 515 },
     store = { &[2], 3 },
     largest_length = { &[1, 255, 255], 3 },
     one_byte_over = { &[1, 2, 1], 3 },
@@ -93,6 +95,13 @@
     assert_eq!(read_opening(&bytes).expect("it is readable"), opening);
 }
 
+#[test]
+fn an_opening_for_a_configuration_is_read_as_it_was_sent() {
+    let opening = RelayOpening::Config(u64::MAX);
+    let bytes = opening.encode().expect("a short opening");
+    assert_eq!(read_opening(&bytes).expect("it is readable"), opening);
+}
+
 #[test]
 fn an_altered_opening_is_never_read_as_the_original() {
     let bytes = opening("9c41").encode().expect("a short opening");
