Read the answers of peers in one place

Changes of the store and configurations came with the same header from a peer, written and read twice; `relay::answer` does both, with the errors that they share. The random pause of routers of a zone was computed twice as well, and is `zone_pause` now. Some comments say more plainly what they mean. Tests match the errors where they are now, and check what they did.

--- a/crates/forward/src/freshness.rs
+++ b/crates/forward/src/freshness.rs
@@ -53,13 +53,13 @@
 }
 
 impl ConfigFreshness {
-    /// Records a proof dated to `read_from`: an answer of the store to a read that started then, or the proof of a peer
-    /// with the same version. It stays valid when a newer version arrives, as that one was confirmed later.
+    /// Records a proof dated to `read_from`: an answer of the store to a read that started then. It stays valid when a newer
+    /// version arrives, as that one was confirmed later.
     pub fn record_proof(&mut self, read_from: ClockTime) {
         self.record_aged_proof(read_from, ClockSpan::ZERO);
     }
 
-    /// Records a proof that was `prior_age` old at `known_at`.
+    /// Records the proof of a peer with the same version, which was `prior_age` old at `known_at`.
     pub fn record_aged_proof(&mut self, known_at: ClockTime, prior_age: ClockSpan) {
         let is_newest =
             |proof: FreshnessProof| known_at + proof.prior_age > proof.known_at + prior_age;
--- a/crates/forward/src/state/admission.rs
+++ b/crates/forward/src/state/admission.rs
@@ -15,7 +15,8 @@
 /// The retry-after time if this router has no configuration yet, or no targets; other routers may have one.
 const NO_CONFIGURATION_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(300);
 
-/// The retry-after time if this router has lost the store or lacks the newest configuration; the caller's next connection may reach another router.
+/// The retry-after time if this router has lost the store or lacks the newest configuration; the caller's next connection
+/// may reach another router.
 pub(super) const STALE_CONFIG_RETRY_AFTER: ClockSpan = ClockSpan::from_ms(200);
 
 /// The retry-after time if this router is shutting down; short, as the caller can retry at another router at once.
--- a/crates/forward/src/state/config_sync.rs
+++ b/crates/forward/src/state/config_sync.rs
@@ -17,7 +17,7 @@
 /// The longest such pause in a large zone.
 const MAX_PAUSE: ClockSpan = ClockSpan::from_ms(400);
 
-/// The pause after peers were asked in vain.
+/// The pause before peers are asked again, if none handed on its configuration.
 const RETRY_PAUSE: ClockSpan = ClockSpan::from_ms(100);
 
 /// The time for which a peer that didn't hand on its configuration is asked last.
@@ -119,7 +119,11 @@
         if message.version <= own || self.config_sync.behind_since.is_some() {
             return;
         }
-        let pause = self.config_read_pause(now);
+        // A router without a configuration serves nothing, so it doesn't wait.
+        let pause = match self.rules {
+            None => ClockSpan::ZERO,
+            Some(_) => self.zone_pause(now, PAUSE_PER_PEER, MAX_PAUSE),
+        };
         self.config_sync.behind_since = Some(now);
         self.config_sync.read_at = now + pause;
         let detail = format!(
@@ -132,17 +136,6 @@
         actions.push(ForwardAction::ReadConfig);
     }
 
-    // A router without a configuration serves nothing, so it doesn't wait.
-    fn config_read_pause(&mut self, now: ClockTime) -> ClockSpan {
-        if self.rules.is_none() {
-            return ClockSpan::ZERO;
-        }
-        let zone = &self.settings.place.zone;
-        let near = self.peers.reachable(now).filter(|(message, _)| message.place.zone == *zone);
-        let longest = near.count() as u64 * PAUSE_PER_PEER.as_ms();
-        ClockSpan::from_ms(self.random.below(longest.min(MAX_PAUSE.as_ms()) + 1))
-    }
-
     /// Records that `rules` are about to be in force. Returns how long this router knew of a newer configuration; zero if
     /// it is the first that it hears of this one.
     pub(super) fn end_config_lag(
--- a/crates/forward/src/state/store_watch.rs
+++ b/crates/forward/src/state/store_watch.rs
@@ -202,10 +202,21 @@
     /// Returns how long to wait before changes are read from peers. All routers of a zone hear of a change at once, when
     /// only the zone's watcher has it; those that wait read it from others.
     pub fn catch_up_pause(&mut self, now: ClockTime) -> ClockSpan {
+        self.zone_pause(now, CATCH_UP_PAUSE_PER_PEER, MAX_CATCH_UP_PAUSE)
+    }
+
+    /// Returns a random pause, so that the routers of a zone, which all hear of something at once, don't act at once. It is
+    /// at most `per_peer` for each reachable peer of the zone, and `longest` in a large one.
+    pub(super) fn zone_pause(
+        &mut self,
+        now: ClockTime,
+        per_peer: ClockSpan,
+        longest: ClockSpan,
+    ) -> ClockSpan {
         let zone = &self.settings.place.zone;
         let near = self.peers.reachable(now).filter(|(message, _)| message.place.zone == *zone);
-        let longest = near.count() as u64 * CATCH_UP_PAUSE_PER_PEER.as_ms();
-        ClockSpan::from_ms(self.random.below(longest.min(MAX_CATCH_UP_PAUSE.as_ms()) + 1))
+        let span_ms = (near.count() as u64 * per_peer.as_ms()).min(longest.as_ms());
+        ClockSpan::from_ms(self.random.below(span_ms + 1))
     }
 
     /// Returns how long to wait after an answer of the store with changes before the next call.
--- a/crates/proxy/src/relay/changes.rs
+++ b/crates/proxy/src/relay/changes.rs
@@ -4,12 +4,13 @@
 
 use godwitroad_base::StoreRevision;
 use godwitroad_forward::{ChangePiece, MAX_CHANGES_BYTES, RelayPeer};
-use tokio::{
-    io::{AsyncRead, AsyncReadExt},
-    time::timeout,
-};
+use tokio::time::timeout;
 
-use super::{OpeningAnswer, RelayOpening, dial::send_opening, hedge::ask_peers};
+use super::{
+    RelayOpening,
+    answer::{self, AnswerError},
+    hedge::ask_peers,
+};
 use crate::{core::SharedCore, platform::PlatformAdapter};
 
 /// The time limit for one peer.
@@ -24,14 +25,8 @@
 /// Why a peer gave no changes.
 #[derive(Debug, thiserror::Error)]
 enum ChangesError {
-    #[error("the connection to the peer failed: {0}")]
-    Connection(#[from] std::io::Error),
-    #[error("the peer didn't answer in time")]
-    TimeOver,
-    #[error("the peer answered {0:?}")]
-    Refused(Option<OpeningAnswer>),
-    #[error("{0} bytes of changes are too many")]
-    TooLarge(usize),
+    #[error("{0}")]
+    Answer(#[from] AnswerError),
     #[error("the changes can't be decoded: {0}")]
     Encoding(#[from] postcard::Error),
 }
@@ -54,7 +49,7 @@
     after: StoreRevision,
 ) -> Option<Vec<ChangePiece>> {
     let asked = timeout(PEER_TIMEOUT, read_from(&core, &peer, after)).await;
-    match asked.unwrap_or(Err(ChangesError::TimeOver)) {
+    match asked.unwrap_or(Err(AnswerError::TimeOver.into())) {
         Ok(pieces) => {
             core.metrics.count("changes.read", 1);
             Some(pieces)
@@ -73,10 +68,8 @@
     peer: &RelayPeer,
     after: StoreRevision,
 ) -> Result<Vec<ChangePiece>> {
-    let opening = RelayOpening::Changes(after).encode();
-    let opening = opening.expect("a revision fits an opening");
-    let mut stream = send_opening(core, peer, &opening).await?;
-    decode(&mut stream).await
+    let opening = RelayOpening::Changes(after);
+    decode(&answer::request(core, peer, &opening, MAX_ENCODED_BYTES).await?)
 }
 
 /// Encodes the peer's answer, or returns `None` if it is too large.
@@ -84,25 +77,11 @@
     let pieces: Vec<EncodedPiece> =
         pieces.iter().map(|piece| (piece.after, piece.upto, piece.body.to_vec())).collect();
     let payload = postcard::to_extend(&pieces, Vec::new()).ok()?;
-    let length = u32::try_from(payload.len()).ok()?;
-    let is_small = payload.len() <= MAX_ENCODED_BYTES;
-    is_small
-        .then(|| [&[OpeningAnswer::Connected.code()][..], &length.to_be_bytes(), &payload].concat())
+    answer::encode(&payload, MAX_ENCODED_BYTES)
 }
 
-// Reads the peer's answer.
-async fn decode(stream: &mut (impl AsyncRead + Unpin)) -> Result<Vec<ChangePiece>> {
-    let answer = OpeningAnswer::from_code(stream.read_u8().await?);
-    if answer != Some(OpeningAnswer::Connected) {
-        return Err(ChangesError::Refused(answer));
-    }
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_ENCODED_BYTES {
-        return Err(ChangesError::TooLarge(length));
-    }
-    let mut payload = vec![0; length];
-    stream.read_exact(&mut payload).await?;
-    let (pieces, rest): (Vec<EncodedPiece>, _) = postcard::take_from_bytes(&payload)?;
+fn decode(payload: &[u8]) -> Result<Vec<ChangePiece>> {
+    let (pieces, rest): (Vec<EncodedPiece>, _) = postcard::take_from_bytes(payload)?;
     if !rest.is_empty() {
         return Err(ChangesError::Encoding(postcard::Error::DeserializeBadEncoding));
     }
--- a/crates/proxy/src/relay/config.rs
+++ b/crates/proxy/src/relay/config.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use godwitroad_forward::{ConfigRead, ForwardRules, RelayPeer};
-use tokio::{
-    io::{AsyncRead, AsyncReadExt},
-    time::timeout,
-};
+use tokio::time::timeout;
 
-use super::{OpeningAnswer, RelayOpening, dial::send_opening, hedge::ask_peers};
+use super::{
+    RelayOpening,
+    answer::{self, AnswerError},
+    hedge::ask_peers,
+};
 use crate::{
     core::SharedCore,
     platform::{PlatformAdapter, WireError},
@@ -23,14 +24,8 @@
 /// Why a peer gave no newer configuration.
 #[derive(Debug, thiserror::Error)]
 enum ConfigError {
-    #[error("the connection to the peer failed: {0}")]
-    Connection(#[from] std::io::Error),
-    #[error("the peer didn't answer in time")]
-    TimeOver,
-    #[error("the peer answered {0:?}")]
-    Refused(Option<OpeningAnswer>),
-    #[error("a configuration of {0} bytes is too large")]
-    TooLarge(usize),
+    #[error("{0}")]
+    Answer(#[from] AnswerError),
     #[error("the configuration can't be read: {0}")]
     Unreadable(#[from] WireError),
     #[error("the peer's version {0} isn't newer")]
@@ -54,7 +49,7 @@
     own_version: u64,
 ) -> Option<Arc<ForwardRules>> {
     let asked = timeout(PEER_TIMEOUT, read_from(&core, &peer, own_version)).await;
-    match asked.unwrap_or(Err(ConfigError::TimeOver)) {
+    match asked.unwrap_or(Err(AnswerError::TimeOver.into())) {
         Ok(rules) => {
             core.metrics.count("config.read", 1);
             Some(rules)
@@ -74,34 +69,15 @@
     peer: &RelayPeer,
     own_version: u64,
 ) -> Result<Arc<ForwardRules>> {
-    let opening = RelayOpening::Config(own_version).encode();
-    let opening = opening.expect("a version fits an opening");
-    let mut stream = send_opening(core, peer, &opening).await?;
-    let document = decode(&mut stream).await?;
+    let opening = RelayOpening::Config(own_version);
+    let document = answer::request(core, peer, &opening, MAX_DOCUMENT_BYTES).await?;
     let rules = core.platform.read_rules(&document)?;
     if rules.version > own_version { Ok(rules) } else { Err(ConfigError::Outdated(rules.version)) }
 }
 
 /// Encodes the peer's answer, or returns `None` if there is no document or it is too large.
 pub(super) fn encode(document: &[u8]) -> Option<Vec<u8>> {
-    let length = u32::try_from(document.len()).ok()?.to_be_bytes();
-    let is_sent = !document.is_empty() && document.len() <= MAX_DOCUMENT_BYTES;
-    is_sent.then(|| [&[OpeningAnswer::Connected.code()][..], &length, document].concat())
-}
-
-// Reads the peer's answer.
-async fn decode(stream: &mut (impl AsyncRead + Unpin)) -> Result<Vec<u8>> {
-    let answer = OpeningAnswer::from_code(stream.read_u8().await?);
-    if answer != Some(OpeningAnswer::Connected) {
-        return Err(ConfigError::Refused(answer));
-    }
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_DOCUMENT_BYTES {
-        return Err(ConfigError::TooLarge(length));
-    }
-    let mut document = vec![0; length];
-    stream.read_exact(&mut document).await?;
-    Ok(document)
+    if document.is_empty() { None } else { answer::encode(document, MAX_DOCUMENT_BYTES) }
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/relay/mod.rs
+++ b/crates/proxy/src/relay/mod.rs
@@ -11,6 +11,7 @@
 //! A router also asks peers for the changes of the store that they have read, and for their configuration, which takes no
 //! call to the store.
 
+mod answer;
 mod changes;
 mod config;
 mod dial;
--- a/crates/proxy/tests/unit/changes.rs
+++ b/crates/proxy/tests/unit/changes.rs
@@ -4,7 +4,7 @@
 use godwitroad_base::{StoreEra, StoreRevision};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
-use super::*;
+use super::{super::OpeningAnswer, *};
 
 fn revision(number: u64) -> StoreRevision {
     StoreRevision::new(StoreEra::new(1), number)
@@ -15,7 +15,8 @@
 }
 
 fn read(mut bytes: &[u8]) -> Result<Vec<ChangePiece>> {
-    System::new().block_on(decode(&mut bytes))
+    let payload = System::new().block_on(answer::decode(&mut bytes, MAX_ENCODED_BYTES));
+    decode(&payload?)
 }
 
 #[test]
@@ -30,13 +31,16 @@
     assert!(encode(&pieces).is_none());
     let length = u32::try_from(MAX_ENCODED_BYTES + 1).unwrap().to_be_bytes();
     let answer = [&[OpeningAnswer::Connected.code()][..], &length, &[0; 64]].concat();
-    assert!(matches!(read(&answer), Err(ChangesError::TooLarge(_))));
+    assert!(matches!(read(&answer), Err(ChangesError::Answer(AnswerError::TooLarge(_)))));
 }
 
 #[test]
 fn a_refusal_and_an_unknown_answer_bring_no_changes() {
     for code in [OpeningAnswer::Unknown.code(), OpeningAnswer::Malformed.code(), 99] {
-        assert!(matches!(read(&[code, 0, 0, 0, 0]), Err(ChangesError::Refused(_))));
+        assert!(matches!(
+            read(&[code, 0, 0, 0, 0]),
+            Err(ChangesError::Answer(AnswerError::Refused(_)))
+        ));
     }
 }
 
